--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,257 @@
+// Package config reads the platform's settings (JSON) and the operators' own
+// (TOML), checks them, and derives every other constant as a ratio to them, so
+// that one program serves sites of different sizes.
+package config
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+	"net"
+	"os"
+	"time"
+
+	"github.com/BurntSushi/toml"
+)
+
+// Peer is another controller.
+type Peer struct {
+	Label string `json:"label"`
+	Zone  string `json:"zone"`
+	Addr  string `json:"peer_addr"`
+}
+
+// Team holds a team's guarantee and limit. Zero means none of that kind.
+type Team struct {
+	Name         string  `json:"name"`
+	Cores        float64 `json:"cpus"`
+	CoresMax     float64 `json:"cpus_max"`
+	Accelerators float64 `json:"gpus"`
+	AccelMax     float64 `json:"gpus_max"`
+}
+
+// Objective repeats one of the users' aims.
+type Objective struct {
+	Kind    string  `json:"kind"`
+	Class   string  `json:"class"`
+	WithinS float64 `json:"within_s"`
+	Share   float64 `json:"share"`
+}
+
+// Workers holds the workers' timing.
+type Workers struct {
+	ReportS float64 `json:"report_s"`
+	LeaseS  float64 `json:"lease_s"`
+	CancelS float64 `json:"cancel_s"`
+}
+
+// State holds the state service's limits.
+type State struct {
+	RPS      float64 `json:"rps"`
+	WriteRPS float64 `json:"write_rps"`
+	ValueKB  float64 `json:"value_kb"`
+	TxnOps   int     `json:"txn_ops"`
+}
+
+// Cloud holds the cloud's limits.
+type Cloud struct {
+	RPS      float64 `json:"rps"`
+	ListLagS float64 `json:"list_lag_s"`
+}
+
+// Resources holds what this process may use.
+type Resources struct {
+	Cores float64 `json:"cores"`
+	MemMB float64 `json:"mem_mb"`
+	FDs   int     `json:"fd_limit"`
+}
+
+// Settings is the platform's file. Fields it has and we do not know are ignored.
+type Settings struct {
+	Label        string `json:"label"`
+	Zone         string `json:"zone"`
+	ClientListen string `json:"client_listen"`
+	PeerListen   string `json:"peer_listen"`
+	Siblings     []Peer `json:"siblings"`
+	Services     struct {
+		Cloud string `json:"cloud"`
+		State string `json:"state"`
+	} `json:"services"`
+	Cluster struct {
+		Size         int         `json:"size"`
+		Zones        []string    `json:"zones"`
+		Teams        []Team      `json:"teams"`
+		Objectives   []Objective `json:"objectives"`
+		Workers      Workers     `json:"workers"`
+		State        State       `json:"state"`
+		Cloud        Cloud       `json:"cloud"`
+		Resources    Resources   `json:"resources"`
+		ClockErrorMS float64     `json:"clock_error_ms"`
+	} `json:"cluster"`
+}
+
+// Operator is the operators' own file. The defaults are those of the design page.
+type Operator struct {
+	Green struct {
+		// Gamma is the degradation below which a job stops scaling up.
+		Gamma float64 `toml:"gamma"`
+		// UpperCap is the upper queue's share of the fleet.
+		UpperCap float64 `toml:"upper_cap"`
+		// RoundS and FillS are the seconds between rounds and between fills.
+		RoundS float64 `toml:"round_s"`
+		FillS  float64 `toml:"fill_s"`
+		// CountersS is the time between two writes of the counters.
+		CountersS float64 `toml:"counters_s"`
+	} `toml:"green"`
+	Fleet struct {
+		// Headroom scales the room kept free for arrivals faster than a boot.
+		Headroom float64 `toml:"headroom"`
+		// IdleRatio times a type's boot time is how long an idle machine is kept.
+		IdleRatio float64 `toml:"idle_ratio"`
+	} `toml:"fleet"`
+}
+
+// Config is what the rest of the program sees.
+type Config struct {
+	Settings
+	Operator Operator
+}
+
+// Load reads and checks the platform's file and, if named, the operators'.
+func Load(platform, operator string) (*Config, error) {
+	raw, err := os.ReadFile(platform)
+	if err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	var overrides []byte
+	if operator != "" {
+		if overrides, err = os.ReadFile(operator); err != nil {
+			return nil, fmt.Errorf("operators' settings: %w", err)
+		}
+	}
+	return Parse(raw, overrides)
+}
+
+// Parse checks both files' contents.
+func Parse(platform, operator []byte) (*Config, error) {
+	c := &Config{}
+	if err := json.Unmarshal(platform, &c.Settings); err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	g := &c.Operator.Green
+	g.Gamma, g.UpperCap, g.RoundS, g.FillS, g.CountersS = 0.9, 0.3, 20, 60, 60
+	c.Operator.Fleet.Headroom, c.Operator.Fleet.IdleRatio = 1.0, 0.6
+	meta, err := toml.Decode(string(operator), &c.Operator)
+	if err != nil {
+		return nil, fmt.Errorf("operators' settings: %w", err)
+	}
+	if unknown := meta.Undecoded(); len(unknown) > 0 {
+		return nil, fmt.Errorf("operators' settings: unknown key %s", unknown[0])
+	}
+	if err := c.check(); err != nil {
+		return nil, err
+	}
+	return c, nil
+}
+
+func (c *Config) check() error {
+	for _, a := range []struct{ field, value string }{
+		{"client_listen", c.ClientListen}, {"peer_listen", c.PeerListen},
+		{"services.cloud", c.Services.Cloud}, {"services.state", c.Services.State},
+	} {
+		if _, _, err := net.SplitHostPort(a.value); err != nil {
+			return fmt.Errorf("settings: %s: %w", a.field, err)
+		}
+	}
+	if c.Label == "" {
+		return fmt.Errorf("settings: label: missing")
+	}
+	seen := map[string]bool{c.Label: true}
+	for i, s := range c.Siblings {
+		if s.Label == "" || seen[s.Label] {
+			return fmt.Errorf("settings: siblings[%d].label: missing or used twice", i)
+		}
+		seen[s.Label] = true
+		if _, _, err := net.SplitHostPort(s.Addr); err != nil {
+			return fmt.Errorf("settings: siblings[%d].peer_addr: %w", i, err)
+		}
+	}
+	names := map[string]bool{}
+	for i, t := range c.Cluster.Teams {
+		if t.Name == "" || names[t.Name] {
+			return fmt.Errorf("settings: cluster.teams[%d].name: missing or used twice", i)
+		}
+		names[t.Name] = true
+		for _, v := range []float64{t.Cores, t.CoresMax, t.Accelerators, t.AccelMax} {
+			if !(v >= 0) || math.IsInf(v, 0) {
+				return fmt.Errorf("settings: cluster.teams[%d]: amounts must be 0 or more", i)
+			}
+		}
+	}
+	w, s, cl, r := c.Cluster.Workers, c.Cluster.State, c.Cluster.Cloud, c.Cluster.Resources
+	g, f := c.Operator.Green, c.Operator.Fleet
+	for _, n := range []struct {
+		field    string
+		value    float64
+		min, max float64
+	}{
+		{"settings: cluster.workers.report_s", w.ReportS, 0.01, 3600},
+		{"settings: cluster.workers.lease_s", w.LeaseS, 0.5, 3600},
+		{"settings: cluster.workers.cancel_s", w.CancelS, w.LeaseS, 86400},
+		{"settings: cluster.state.rps", s.RPS, 5, 1e9},
+		{"settings: cluster.state.write_rps", s.WriteRPS, 1, 1e9},
+		{"settings: cluster.state.value_kb", s.ValueKB, 1, 1e6},
+		{"settings: cluster.state.txn_ops", float64(s.TxnOps), 2, 1e6},
+		{"settings: cluster.cloud.rps", cl.RPS, 0.1, 1e9},
+		{"settings: cluster.cloud.list_lag_s", cl.ListLagS, 0, 3600},
+		{"settings: cluster.resources.cores", r.Cores, 0.001, 1e6},
+		{"settings: cluster.resources.mem_mb", r.MemMB, 16, 1e9},
+		{"settings: cluster.resources.fd_limit", float64(r.FDs), 32, 1e9},
+		{"operators' settings: green.gamma", g.Gamma, 0, 1},
+		{"operators' settings: green.upper_cap", g.UpperCap, 0, 1},
+		{"operators' settings: green.round_s", g.RoundS, 1, 86400},
+		{"operators' settings: green.fill_s", g.FillS, 0.1, 86400},
+		{"operators' settings: green.counters_s", g.CountersS, 1, 86400},
+		{"operators' settings: fleet.headroom", f.Headroom, 0, 100},
+		{"operators' settings: fleet.idle_ratio", f.IdleRatio, 0, 1000},
+	} {
+		if !(n.value >= n.min && n.value <= n.max) {
+			return fmt.Errorf("%s: %v is not between %v and %v", n.field, n.value, n.min, n.max)
+		}
+	}
+	return nil
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+// Drift stretches a duration by twice the most that two steady clocks may
+// drift apart (0.05%), to be safe against rounding too.
+func Drift(d time.Duration) time.Duration { return d + d/1000 }
+
+// Report is the time between two reports of a worker.
+func (c *Config) Report() time.Duration { return seconds(c.Cluster.Workers.ReportS) }
+
+// Lease is the workers' lease.
+func (c *Config) Lease() time.Duration { return seconds(c.Cluster.Workers.LeaseS) }
+
+// Cancel is the time by which a cancelled job's tasks must be gone.
+func (c *Config) Cancel() time.Duration { return seconds(c.Cluster.Workers.CancelS) }
+
+// LeaderTTL is the leader's lease in the state service: a quarter of the
+// workers' lease, so that a successor stands well before that runs out.
+func (c *Config) LeaderTTL() time.Duration {
+	return max(c.Lease()/4, 500*time.Millisecond)
+}
+
+// Coast is how long a leader may go on answering workers after it sent the
+// last lease renewal that was confirmed: what cancel_s leaves after the
+// workers' lease, less a tenth of cancel_s for drift, reports and halts.
+func (c *Config) Coast() time.Duration {
+	return max(0, c.Cancel()-c.Lease()-c.Cancel()/10)
+}
+
+// ListLag is the cloud list's usual lag.
+func (c *Config) ListLag() time.Duration { return seconds(c.Cluster.Cloud.ListLagS) }
+
+// ValueBytes is the state service's limit on one value.
+func (c *Config) ValueBytes() int { return int(c.Cluster.State.ValueKB * 1024) }
--- /dev/null
+++ b/internal/coordination/core.go
@@ -0,0 +1,180 @@
+package coordination
+
+import (
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"time"
+
+	"claybarrow/internal/config"
+	"claybarrow/internal/protocol"
+	"claybarrow/internal/sched"
+)
+
+// Core owns all state of a controller.
+type Core struct {
+	cfg *config.Config
+	rng *rand.Rand
+	log *slog.Logger
+
+	now  time.Duration
+	wall int64
+	out  []Effect
+
+	lastCall uint64
+	calls    map[uint64]func(Result)
+
+	// incarnation tells this process from earlier ones of the same label.
+	incarnation string
+
+	types     []*sched.Type
+	typeInfo  map[string]protocol.MachineType
+	typesAsk  time.Duration
+	typesBusy bool
+
+	requests, changes, cloud bucket
+
+	view  view
+	reign *reign
+	hunt  *campaign
+
+	waiters map[uint64]*waiter
+}
+
+// waiter is somebody whose answer needs something that is under way.
+type waiter struct {
+	from     asker
+	deadline time.Duration
+}
+
+// asker is who asked: a user directly or another controller for one.
+type asker struct {
+	id    uint64
+	relay bool
+}
+
+// New makes a core. Random numbers are injected so that failures replay.
+func New(cfg *config.Config, rng *rand.Rand, log *slog.Logger) *Core {
+	st := cfg.Cluster.State
+	return &Core{cfg: cfg, rng: rng, log: log, calls: map[uint64]func(Result){},
+		incarnation: fmt.Sprintf("%016x", rng.Uint64()),
+		typeInfo:    map[string]protocol.MachineType{},
+		// Most of the state service's limits is the leader's; the rest is left
+		// to the other controllers and to what we count wrongly.
+		requests: newBucket(st.RPS*0.8, st.RPS*0.8),
+		changes:  newBucket(st.WriteRPS*0.9, st.WriteRPS*0.8),
+		cloud:    newBucket(cfg.Cluster.Cloud.RPS*0.8, cfg.Cluster.Cloud.RPS),
+		waiters:  map[uint64]*waiter{},
+	}
+}
+
+// Handle takes one message and returns what is to be done.
+func (c *Core) Handle(at Clock, ev Event) []Effect {
+	c.now, c.wall, c.out = max(c.now, at.Steady), at.Wall, nil
+	switch ev := ev.(type) {
+	case Tick:
+		c.tick()
+	case Result:
+		if then, ok := c.calls[ev.ID]; ok {
+			delete(c.calls, ev.ID)
+			then(ev)
+		}
+	case Request:
+		c.request(ev)
+	}
+	if c.reign != nil {
+		c.reign.settle()
+	}
+	return c.out
+}
+
+func (c *Core) tick() {
+	c.expireWaiters()
+	c.keepTypes()
+	c.keepView()
+	if c.reign != nil {
+		c.reign.tick()
+	}
+}
+
+func (c *Core) call(t Target, addr, method, path string, body any, timeout time.Duration, then func(Result)) {
+	c.lastCall++
+	c.calls[c.lastCall] = then
+	e := Call{ID: c.lastCall, Target: t, Addr: addr, Method: method, Path: path, Timeout: timeout}
+	if b, ok := body.([]byte); ok {
+		e.Body = b
+	} else if body != nil {
+		e.Body = protocol.Encode(body)
+	}
+	c.out = append(c.out, e)
+}
+
+func (c *Core) stateCall(method, path string, body any, timeout time.Duration, then func(Result)) {
+	c.requests.take(c.now, 1)
+	c.call(ToState, c.cfg.Services.State, method, path, body, timeout, then)
+}
+
+func (c *Core) cloudCall(method, path string, body any, timeout time.Duration, then func(Result)) {
+	c.cloud.take(c.now, 1)
+	c.call(ToCloud, c.cfg.Services.Cloud, method, path, body, timeout, then)
+}
+
+// pause is a short wait before something is tried again, spread so that the
+// controllers don't do it in step.
+func (c *Core) pause() time.Duration {
+	base := c.cfg.LeaderTTL() / 16
+	return base + time.Duration(c.rng.Int64N(int64(base)+1))
+}
+
+// keepTypes fetches the machine types, at the start and then now and then, as
+// the current prices come with them.
+func (c *Core) keepTypes() {
+	if c.typesBusy || c.now < c.typesAsk || !c.cloud.has(c.now, 1) {
+		return
+	}
+	c.typesBusy = true
+	c.cloudCall("GET", "/flavors", nil, c.cfg.LeaderTTL(), func(r Result) {
+		c.typesBusy = false
+		var list protocol.MachineTypes
+		if r.Status != 200 || protocol.Decode(r.Body, &list) != nil || len(list.Types) == 0 {
+			c.typesAsk = c.now + c.cfg.LeaderTTL()/2
+			return
+		}
+		c.typesAsk = c.now + 12*c.cfg.Lease()
+		c.types = c.types[:0]
+		for _, t := range list.Types {
+			c.typeInfo[t.Name] = t
+			c.types = append(c.types, &sched.Type{Name: t.Name,
+				Size:  sched.Need{Cores: t.Cores, Accel: t.Accelerators, Mem: t.MemoryGB},
+				Price: t.Price, SpotPrice: t.SpotPrice, Zones: t.Zones, BootS: t.BootS})
+		}
+	})
+}
+
+func (c *Core) typeOf(name string) *sched.Type {
+	for _, t := range c.types {
+		if t.Name == name {
+			return t
+		}
+	}
+	return nil
+}
+
+// bucket is a budget of so many a second, with a burst.
+type bucket struct {
+	rate, burst, level float64
+	at                 time.Duration
+}
+
+func newBucket(rate, burst float64) bucket {
+	return bucket{rate: rate, burst: max(1, burst), level: max(1, burst)}
+}
+
+func (b *bucket) fill(now time.Duration) {
+	b.level = min(b.burst, b.level+b.rate*(now-b.at).Seconds())
+	b.at = now
+}
+
+func (b *bucket) has(now time.Duration, n float64) bool { b.fill(now); return b.level >= n }
+
+func (b *bucket) take(now time.Duration, n float64) { b.fill(now); b.level -= n }
--- /dev/null
+++ b/internal/coordination/leader.go
@@ -0,0 +1,355 @@
+package coordination
+
+import (
+	"fmt"
+	"net/url"
+	"slices"
+	"strings"
+	"time"
+
+	"claybarrow/internal/config"
+	"claybarrow/internal/protocol"
+)
+
+// Keys of leadership. The counter stays for ever; the leader's key hangs on a
+// lease and is a condition of every later change of that leader.
+const (
+	keyPrefix  = "c/"
+	keyCounter = "c/token"
+	keyLeader  = "c/leader"
+)
+
+type counterRecord struct {
+	Token uint64 `msgpack:"n"`
+}
+
+type leaderRecord struct {
+	Label       string `msgpack:"l"`
+	Incarnation string `msgpack:"i"`
+	Token       uint64 `msgpack:"n"`
+	Lease       uint64 `msgpack:"t"`
+}
+
+// view is what this controller knows of the leadership keys.
+type view struct {
+	known          bool
+	revision       uint64
+	counter        uint64
+	counterVersion uint64
+	leader         *leaderRecord
+	leaderVersion  uint64
+	leaderless     time.Duration // since when no leader is known
+	busy           bool
+	next           time.Duration
+	ended          uint64 // lease of an earlier incarnation that we ended
+	gen            int    // answers to calls of an older generation are dropped
+}
+
+// refresh has the keys listed again at once; an open watch is given up.
+func (v *view) refresh(now time.Duration) {
+	v.known, v.busy, v.next = false, false, now
+	v.gen++
+}
+
+// campaign is one try to become leader.
+type campaign struct {
+	lease  uint64
+	sent   time.Duration // when the lease was asked for
+	next   time.Duration
+	busy   bool
+	active bool
+}
+
+func (c *Core) depart(why string) {
+	r := c.reign
+	if r == nil {
+		return
+	}
+	c.log.Info("no longer leader", "token", r.token, "why", why)
+	c.reign = nil
+	for id, w := range c.waiters {
+		delete(c.waiters, id)
+		c.reply(w.from, 503, nil, 1)
+	}
+	// Whatever else the view says may be old: read it again before acting.
+	c.view.leader, c.view.leaderless = nil, c.now
+	c.view.refresh(c.now)
+}
+
+// keepView keeps the leadership keys in sight: a list, then a watch after it.
+func (c *Core) keepView() {
+	v := &c.view
+	if c.reign == nil && v.known && v.leader == nil {
+		c.campaign()
+	}
+	if v.busy || c.now < v.next || c.reign != nil || !c.requests.has(c.now, 1) {
+		return
+	}
+	v.busy = true
+	gen := v.gen
+	if !v.known {
+		c.stateCall("GET", "/store?under="+keyPrefix+"&limit=10", nil, c.cfg.LeaderTTL()/2, func(r Result) {
+			if v.gen != gen {
+				return
+			}
+			v.busy = false
+			var items protocol.Items
+			if r.Status != 200 || protocol.Decode(r.Body, &items) != nil {
+				v.next = c.now + c.pause()
+				return
+			}
+			v.known, v.revision = true, items.Revision
+			v.counter, v.counterVersion = 0, 0
+			c.seeLeader(nil, 0)
+			for _, it := range items.Items {
+				c.seeKey(it.Key, it.Value, it.Version)
+			}
+			c.keepView()
+		})
+		return
+	}
+	block := 4 * c.cfg.LeaderTTL()
+	path := fmt.Sprintf("/follow?under=%s&after=%d&blockMs=%d", keyPrefix, v.revision, block.Milliseconds())
+	c.stateCall("GET", path, nil, block+c.cfg.LeaderTTL(), func(r Result) {
+		if v.gen != gen {
+			return
+		}
+		v.busy = false
+		var events protocol.Events
+		if r.Status != 200 || protocol.Decode(r.Body, &events) != nil {
+			v.known, v.next = false, c.now+c.pause()
+			return
+		}
+		v.revision = events.Revision
+		for _, e := range events.Events {
+			if e.Delete != "" {
+				c.seeKey(e.Delete, nil, 0)
+			} else {
+				c.seeKey(e.Put, e.Value, e.Version)
+			}
+		}
+		c.keepView()
+	})
+}
+
+func (c *Core) seeKey(key string, value []byte, version uint64) {
+	switch key {
+	case keyCounter:
+		var rec counterRecord
+		if value != nil && protocol.Decode(value, &rec) == nil {
+			c.view.counter = rec.Token
+		}
+		c.view.counterVersion = version
+	case keyLeader:
+		var rec leaderRecord
+		if value == nil || protocol.Decode(value, &rec) != nil {
+			c.seeLeader(nil, 0)
+			return
+		}
+		c.seeLeader(&rec, version)
+	}
+}
+
+func (c *Core) seeLeader(rec *leaderRecord, version uint64) {
+	v := &c.view
+	if rec == nil {
+		if v.leader != nil || v.leaderless == 0 {
+			v.leaderless = c.now
+		}
+		v.leader, v.leaderVersion = nil, 0
+		return
+	}
+	if v.leader == nil || v.leader.Token != rec.Token {
+		c.log.Info("leader seen", "leader", rec.Label, "token", rec.Token)
+	}
+	v.leader, v.leaderVersion = rec, version
+	if c.reign != nil {
+		// A watch that was open when we won tells of ourselves, or of somebody
+		// who came after us.
+		if rec.Token > c.reign.token {
+			c.depart("a later leader's key")
+		}
+		return
+	}
+	if rec.Label != c.cfg.Label {
+		return
+	}
+	if rec.Incarnation == c.incarnation && c.hunt != nil && rec.Lease == c.hunt.lease {
+		// Our own transaction, whose answer was lost, did apply.
+		c.ascend(rec, version)
+		return
+	}
+	// An earlier process of ours, or a transaction of ours that we gave up,
+	// holds the key. Ending its lease is safe, as its writes are fenced.
+	if v.ended != rec.Lease {
+		v.ended = rec.Lease
+		c.log.Info("ending the lease of an earlier incarnation", "lease", rec.Lease)
+		c.stateCall("DELETE", fmt.Sprintf("/leases/%d", rec.Lease), nil, c.cfg.LeaderTTL()/2, func(res Result) {
+			if res.Status == 0 || res.Status >= 429 {
+				v.ended = 0
+				v.refresh(c.now + c.pause())
+			}
+		})
+	}
+}
+
+// campaign tries to become leader: a lease, then one transaction that raises
+// the counter and puts the leader key, if nobody did so meanwhile.
+func (c *Core) campaign() {
+	if c.hunt == nil {
+		c.hunt = &campaign{}
+	}
+	h := c.hunt
+	if h.busy || c.now < h.next || !c.requests.has(c.now, 1) {
+		return
+	}
+	ttl := c.cfg.LeaderTTL()
+	if h.lease == 0 || c.now > h.sent+ttl/2 {
+		h.busy = true
+		sent := c.now
+		c.stateCall("POST", "/leases", protocol.LeaseRequest{TTLMillis: ttl.Milliseconds()}, ttl/2, func(r Result) {
+			h.busy = false
+			var lease protocol.LeaseReply
+			if r.Status != 200 || protocol.Decode(r.Body, &lease) != nil {
+				h.next = c.now + c.pause()
+				return
+			}
+			h.lease, h.sent = lease.Lease, sent
+			if c.view.known && c.view.leader == nil && c.reign == nil {
+				c.campaign()
+			}
+		})
+		return
+	}
+	h.busy = true
+	v := &c.view
+	rec := leaderRecord{Label: c.cfg.Label, Incarnation: c.incarnation, Token: v.counter + 1, Lease: h.lease}
+	txn := protocol.Txn{
+		If: []protocol.Condition{{Key: keyLeader, Version: 0}, {Key: keyCounter, Version: v.counterVersion}},
+		Then: []protocol.Change{
+			{Put: keyCounter, Value: counterRecord{Token: rec.Token}},
+			{Put: keyLeader, Value: rec, Lease: h.lease},
+		}}
+	c.stateCall("POST", "/multi", txn, ttl/2, func(r Result) {
+		h.busy = false
+		var reply protocol.TxnReply
+		if r.Status == 200 && protocol.Decode(r.Body, &reply) == nil {
+			v.counter, v.counterVersion = rec.Token, reply.Revision
+			v.leader, v.leaderVersion = &rec, reply.Revision
+			c.ascend(&rec, reply.Revision)
+			return
+		}
+		h.next = c.now + c.pause()
+		if r.Status == 400 {
+			h.lease = 0 // it ran out before the transaction came
+		}
+		// Lost races and lost answers alike: look at the keys again. The watch
+		// goes on, but a fresh list is needed before the next try.
+		v.refresh(c.now)
+	})
+}
+
+func (c *Core) ascend(rec *leaderRecord, version uint64) {
+	h := c.hunt
+	c.hunt = nil
+	c.log.Info("leader", "token", rec.Token, "lease", rec.Lease)
+	c.reign = newReign(c, rec.Token, rec.Lease, version, h.sent)
+	c.reign.load()
+}
+
+// keepLease renews the leader's lease well before it runs out, counted from
+// when the renewal was sent.
+func (r *reign) keepLease() {
+	c := r.c
+	ttl := c.cfg.LeaderTTL()
+	if c.now > r.confirmed+c.cfg.Coast() && !r.certain() {
+		c.depart("no renewal of the lease for as long as a leader may coast")
+		return
+	}
+	if r.renewing || c.now < r.renewAt {
+		return
+	}
+	r.renewing = true
+	sent := c.now
+	path := fmt.Sprintf("/leases/%d/extend", r.lease)
+	c.stateCall("POST", path, nil, ttl/3, func(res Result) {
+		r.renewing = false
+		if c.reign != r {
+			return
+		}
+		switch res.Status {
+		case 200:
+			if !r.certain() {
+				c.log.Info("state service answers again", "token", r.token)
+			}
+			r.confirmed = max(r.confirmed, sent)
+			r.renewAt = sent + ttl/5
+		case 404:
+			c.depart("the lease has ended")
+		default:
+			r.renewAt = c.now + ttl/10
+			if !r.certain() && !r.coasting {
+				r.coasting = true
+				c.log.Info("coasting: the lease is not confirmed", "token", r.token)
+			}
+			return
+		}
+		r.coasting = false
+	})
+}
+
+// certain says whether nobody else can have become leader: the lease, counted
+// from the sending of its last confirmed renewal and shortened by the clocks'
+// drift, still runs.
+func (r *reign) certain() bool {
+	return r.c.now+config.Drift(r.c.cfg.LeaderTTL())-r.c.cfg.LeaderTTL() < r.confirmed+r.c.cfg.LeaderTTL()
+}
+
+// load reads all books after the election was won: whatever earlier leaders
+// wrote is there by now, and nothing of theirs can be added any more.
+func (r *reign) load() {
+	r.loadPage(0, "")
+}
+
+func (r *reign) loadPage(step int, after string) {
+	c := r.c
+	if step == len(loadOrder) {
+		r.begin()
+		return
+	}
+	prefix := loadOrder[step]
+	path := "/store?under=" + prefix + "&limit=1000"
+	if after != "" {
+		path += "&after=" + url.QueryEscape(after)
+	}
+	c.stateCall("GET", path, nil, c.cfg.LeaderTTL(), func(res Result) {
+		if c.reign != r {
+			return
+		}
+		var items protocol.Items
+		if res.Status != 200 || protocol.Decode(res.Body, &items) != nil {
+			r.later(c.now+c.pause(), func() { r.loadPage(step, after) })
+			return
+		}
+		for _, it := range items.Items {
+			r.versions[it.Key] = it.Version
+			if err := r.loadItem(it); err != nil {
+				c.log.Error("a record can't be read", "key", it.Key, "err", err)
+			}
+		}
+		if items.More && len(items.Items) > 0 {
+			r.loadPage(step, items.Items[len(items.Items)-1].Key)
+			return
+		}
+		r.loadPage(step+1, "")
+	})
+}
+
+// addrOf is the leader's peer address as far as we know one.
+func (c *Core) addrOf(label string) string {
+	i := slices.IndexFunc(c.cfg.Siblings, func(p config.Peer) bool { return p.Label == label })
+	if i < 0 {
+		return ""
+	}
+	return strings.TrimSpace(c.cfg.Siblings[i].Addr)
+}
--- /dev/null
+++ b/internal/coordination/messages.go
@@ -0,0 +1,82 @@
+// Package coordination is the core actor: leadership, workers, cloud and
+// users' requests. It is a deterministic state machine: messages and time go
+// in, effects come out, and the transport actors carry them out. It does no
+// I/O, so every failure can be replayed in a test.
+package coordination
+
+import (
+	"time"
+)
+
+// Clock is a reading of the steady clock and of the time of day.
+type Clock struct {
+	Steady time.Duration
+	Wall   int64 // ms
+}
+
+// Op is what somebody asks of the core.
+type Op string
+
+// The operations.
+const (
+	OpSubmit Op = "submit"
+	OpPoll   Op = "poll"
+	OpCancel Op = "cancel"
+	OpReady  Op = "ready"
+	OpReport Op = "report"
+	OpRelay  Op = "relay" // a user's request passed on by another controller
+)
+
+// Request is a message that wants a Reply with its ID.
+type Request struct {
+	ID   uint64
+	Op   Op
+	UID  string
+	Body []byte
+}
+
+// Result is the outcome of a Call. Status 0: no response.
+type Result struct {
+	ID     uint64
+	Status int
+	Body   []byte
+}
+
+// Tick lets time pass.
+type Tick struct{}
+
+// Event is a Request, a Result or a Tick.
+type Event any
+
+// Reply answers a Request.
+type Reply struct {
+	ID         uint64
+	Status     int
+	Body       []byte
+	RetryAfter int // seconds, 0: none
+}
+
+// Target is whom a Call goes to.
+type Target int
+
+// The targets.
+const (
+	ToState Target = iota
+	ToCloud
+	ToWorker
+	ToPeer
+)
+
+// Call is a request to somebody else, answered by a Result with its ID.
+type Call struct {
+	ID      uint64
+	Target  Target
+	Addr    string
+	Method  string
+	Path    string
+	Body    []byte
+	Timeout time.Duration
+}
+
+// Effect is a Reply or a Call.
+type Effect any
--- /dev/null
+++ b/internal/coordination/reign.go
@@ -0,0 +1,266 @@
+package coordination
+
+import (
+	"strings"
+	"time"
+
+	"claybarrow/internal/ledger"
+	"claybarrow/internal/protocol"
+	"claybarrow/internal/sched"
+)
+
+// reign is all that a leader knows and does from its election to its end. It
+// is dropped whole: nothing of it outlives the leadership.
+type reign struct {
+	c     *Core
+	token uint64
+	lease uint64
+	store
+	version uint64 // of the leader key: the condition of every write
+
+	confirmed time.Duration // sending of the last confirmed renewal
+	renewAt   time.Duration
+	renewing  bool
+	coasting  bool
+	since     time.Duration // when the election was won
+	ready     bool          // the books are read
+
+	*ledger.Books
+	cancelledSpecs map[string]*protocol.Spec
+	proposals      map[string]*proposal
+	cancels        map[string][]asker
+	counters       map[string]ledger.CounterRow
+
+	lastTry uint64
+	timers  []timer
+
+	// What the scheduler keeps.
+	fillDirty   bool
+	fillAt      time.Duration
+	planAt      time.Duration
+	roundAt     time.Duration
+	accrueAt    time.Duration
+	countersAt  time.Duration
+	counterKeys int
+	arrivals    map[string]*arrivals
+
+	cloudState
+}
+
+type timer struct {
+	at time.Duration
+	do func()
+}
+
+// proposal is a submission whose record is being written.
+type proposal struct {
+	job   *ledger.Job
+	wants []asker
+}
+
+var loadOrder = []string{ledger.JobPrefix, ledger.DonePrefix, ledger.MachinePrefix, ledger.CounterPrefix}
+
+func newReign(c *Core, token, lease, version uint64, confirmed time.Duration) *reign {
+	r := &reign{c: c, token: token, lease: lease, version: version, confirmed: confirmed, since: c.now,
+		renewAt:        c.now + c.cfg.LeaderTTL()/8,
+		Books:          ledger.New(c.cfg.ValueBytes()),
+		cancelledSpecs: map[string]*protocol.Spec{},
+		proposals:      map[string]*proposal{},
+		cancels:        map[string][]asker{},
+		counters:       map[string]ledger.CounterRow{},
+		arrivals:       map[string]*arrivals{},
+		roundAt:        c.now + seconds(c.cfg.Operator.Green.RoundS),
+		fillAt:         c.now + seconds(c.cfg.Operator.Green.FillS),
+		countersAt:     c.now + seconds(c.cfg.Operator.Green.CountersS),
+		accrueAt:       c.now,
+		cloudState:     newCloudState(),
+	}
+	r.versions = map[string]uint64{}
+	r.pending = map[string]*write{}
+	for _, t := range c.cfg.Cluster.Teams {
+		r.Teams[t.Name] = &sched.Team{
+			Guarantee: sched.Need{Cores: t.Cores, Accel: t.Accelerators},
+			Limit:     sched.Need{Cores: t.CoresMax, Accel: t.AccelMax}}
+	}
+	return r
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+func (r *reign) later(at time.Duration, do func()) { r.timers = append(r.timers, timer{at, do}) }
+
+func (r *reign) loadItem(it protocol.Item) error {
+	switch {
+	case strings.HasPrefix(it.Key, ledger.JobPrefix):
+		var rec ledger.JobRecord
+		if err := protocol.Decode(it.Value, &rec); err != nil {
+			return err
+		}
+		uid := strings.TrimPrefix(it.Key, ledger.JobPrefix)
+		switch rec.State {
+		case protocol.Done:
+			r.Finals[uid] = ledger.Final{Tasks: rec.Tasks}
+		case protocol.Cancelled:
+			r.Finals[uid] = ledger.Final{Cancelled: true}
+			if rec.Spec != nil {
+				r.cancelledSpecs[uid] = rec.Spec
+			}
+		default:
+			j := r.AddJob(rec.Spec, rec.Submitted)
+			j.Stored = true
+			r.noteArrival(j)
+		}
+	case strings.HasPrefix(it.Key, ledger.DonePrefix):
+		var rec ledger.DoneRecord
+		if err := protocol.Decode(it.Value, &rec); err != nil {
+			return err
+		}
+		return r.LoadDone(it.Key, rec)
+	case strings.HasPrefix(it.Key, ledger.MachinePrefix):
+		var rec ledger.MachineRecord
+		if err := protocol.Decode(it.Value, &rec); err != nil {
+			return err
+		}
+		r.loadMachine(strings.TrimPrefix(it.Key, ledger.MachinePrefix), rec)
+	case strings.HasPrefix(it.Key, ledger.CounterPrefix):
+		var rec ledger.Counters
+		if err := protocol.Decode(it.Value, &rec); err != nil {
+			return err
+		}
+		r.loadCounters(rec)
+	}
+	return nil
+}
+
+func (r *reign) loadMachine(id string, rec ledger.MachineRecord) {
+	m := r.AddMachine(id)
+	m.Type, m.Zone, m.Spot, m.Addr = rec.Type, rec.Zone, rec.Spot, rec.Addr
+	m.Recorded = true
+	m.Returning, m.Returned = rec.Return, rec.Return
+	m.Exists, m.Rented = r.c.now, r.c.now
+	for _, e := range rec.Attempts {
+		j := r.Jobs[e.Job]
+		if j == nil {
+			spec := r.cancelledSpecs[e.Job]
+			if spec == nil {
+				continue // done: the attempt has exited
+			}
+			// Cancelled, but its tasks may still be there.
+			j = r.AddJob(spec, 0)
+			j.Stored, j.Cancelling, j.Cancelled, j.CancelledAt = true, true, true, r.c.now
+		}
+		if e.Index >= j.Spec.Tasks || e.Index < 0 {
+			continue
+		}
+		a := r.Put(m, j, e.Index, e.Try, r.c.now)
+		a.Durable, a.Loaded, a.Sent = true, true, true
+		m.Images[j.Spec.Image] = true
+		m.Up = true
+	}
+}
+
+// loadCounters takes the stored counters and tops them up by their own age: a
+// job that held its slots meanwhile must not look younger than it is and set
+// off stops.
+func (r *reign) loadCounters(rec ledger.Counters) {
+	age := max(0, float64(r.c.wall-rec.At)/1000)
+	for uid, row := range rec.Jobs {
+		j := r.Jobs[uid]
+		if j == nil || j.Cancelling {
+			continue
+		}
+		j.Scale = sched.Scale{Upper: row.Upper, Slots: max(1, row.Slots), Attained: row.Attained,
+			DoneAt: row.DoneAt, AttainedAt: row.AttainedAt, First: row.First, Degr: row.Degr}
+		if j.Scale.Degr <= 0 {
+			j.Scale.Degr = 1
+		}
+		j.Scale.Attained += age * float64(j.HeldTotal) * sched.Share(j.Need, r.capacity())
+	}
+}
+
+// begin starts the work of a leader once the books are read.
+func (r *reign) begin() {
+	c := r.c
+	r.ready = true
+	clear(r.cancelledSpecs)
+	for _, uid := range sortedKeys(r.Jobs) {
+		j := r.Jobs[uid]
+		if !j.Cancelling && j.Done == j.Spec.Tasks {
+			r.finish(j)
+		}
+	}
+	for _, m := range r.machines() {
+		m.Size = r.sizeOf(m.Type)
+		for _, a := range m.Sorted() {
+			if a.Job.Cancelling || a.Job.IsDone(a.Index) || r.newerElsewhere(a) {
+				r.halt(a, 0, "not wanted after the take-over")
+			}
+		}
+	}
+	c.log.Info("books read", "token", r.token, "jobs", len(r.Jobs), "finals", len(r.Finals), "machines", len(r.Machines))
+	r.fillDirty = true
+}
+
+// newerElsewhere says whether the books have a later attempt of the same task.
+func (r *reign) newerElsewhere(a *ledger.Attempt) bool {
+	if a.Job.HeldOf(a.Index) < 2 {
+		return false
+	}
+	for _, m := range r.Machines {
+		for _, o := range m.Attempts {
+			if o.Job == a.Job && o.Index == a.Index && o.Try > a.Try {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func (r *reign) tick() {
+	c := r.c
+	r.keepLease()
+	if c.reign != r {
+		return
+	}
+	if len(r.timers) > 0 {
+		due := r.timers
+		r.timers = nil
+		for _, t := range due {
+			if t.at <= c.now {
+				t.do()
+			} else {
+				r.timers = append(r.timers, t)
+			}
+		}
+	}
+	if !r.ready {
+		return
+	}
+	r.watchMachines()
+	r.keepCloud()
+	r.schedule()
+}
+
+// settle runs after every message: what piled up leaves.
+func (r *reign) settle() {
+	if r.c.reign != r || !r.ready {
+		return
+	}
+	if r.fillDirty {
+		r.fill()
+	}
+	r.flush()
+}
+
+func (r *reign) nextTry() uint64 {
+	// The token in the high bits makes attempts unique for ever.
+	r.lastTry++
+	return r.token<<24 | r.lastTry
+}
+
+func (r *reign) sizeOf(typ string) sched.Need {
+	if t, ok := r.c.typeInfo[typ]; ok {
+		return sched.Need{Cores: t.Cores, Accel: t.Accelerators, Mem: t.MemoryGB}
+	}
+	return sched.Need{}
+}
--- /dev/null
+++ b/internal/coordination/schedule.go
@@ -0,0 +1,399 @@
+package coordination
+
+import (
+	"strconv"
+	"time"
+
+	"claybarrow/internal/ledger"
+	"claybarrow/internal/sched"
+)
+
+// arrivals are a class's recent arrivals, for the room kept free.
+type arrivals struct {
+	last []arrival
+}
+
+type arrival struct {
+	at  int64 // ms, time of day
+	job *ledger.Job
+}
+
+func (r *reign) noteArrival(j *ledger.Job) {
+	a := r.arrivals[j.Spec.Class]
+	if a == nil {
+		a = &arrivals{}
+		r.arrivals[j.Spec.Class] = a
+	}
+	a.last = append(a.last, arrival{j.Submitted, j})
+	if len(a.last) > 200 {
+		a.last = a.last[1:]
+	}
+}
+
+func shareOf(j *ledger.Job, capacity sched.Need) float64 { return sched.Share(j.Need, capacity) }
+
+// capacity is what the ready machines hold, or one of each if there are none.
+func (r *reign) capacity() sched.Need {
+	var n sched.Need
+	for _, m := range r.Machines {
+		if m.Up && !m.Returning {
+			n = n.Plus(m.Size)
+		}
+	}
+	if n.Cores == 0 {
+		for _, t := range r.c.types {
+			n = n.Plus(t.Size)
+		}
+	}
+	return n
+}
+
+// usable says whether tasks may be started on the machine: it has reported to
+// this leader, lately, and nothing speaks against it.
+func (r *reign) usable(m *ledger.Machine) bool {
+	c := r.c
+	return m.Fresh && !m.Returning && !m.Notice && c.now >= m.AsideUntil && m.Deaf < 2 && m.CallFails < 2 &&
+		c.now < m.Heard+c.cfg.Lease()/4+2*c.cfg.Report() && m.Size.Cores > 0 && len(m.Strays) == 0
+}
+
+// snapshot renders the books for the scheduler. Waiting tasks are listed only
+// as far as they could matter now.
+func (r *reign) snapshot(running, booting bool) *sched.Snapshot {
+	c := r.c
+	s := &sched.Snapshot{Teams: map[string]*sched.Team{}, UpperCap: c.cfg.Operator.Green.UpperCap, Capacity: r.capacity()}
+	for name, t := range r.Teams {
+		clone := *t
+		s.Teams[name] = &clone
+	}
+	jobs := map[*ledger.Job]*sched.Job{}
+	for _, uid := range sortedKeys(r.Jobs) {
+		j := r.Jobs[uid]
+		if !j.Stored {
+			continue
+		}
+		sj := &sched.Job{ID: uid, Class: j.Spec.Class, Team: j.Spec.Team, Image: j.Spec.Image, Service: j.Spec.Service,
+			Priority: int(j.Spec.Priority), Submitted: j.Submitted, Need: j.Need, Spot: j.Spec.Spot, Types: j.Types,
+			Zone: j.Spec.Zone, OneZone: j.Spec.OneZone, Spread: j.Spec.Spread, Tasks: j.Spec.Tasks,
+			Held: j.HeldTotal, Upper: j.Scale.Upper && !j.Spec.Service, Slots: j.Scale.Slots,
+			Attained: j.Scale.Attained, Degradation: j.Scale.Degr}
+		if c.now >= j.NotBefore {
+			sj.Waiting = j.Waiting(512)
+		}
+		if len(sj.Waiting) == 0 && !running {
+			continue
+		}
+		sj.InZone = j.InZone()
+		jobs[j] = sj
+		s.Jobs = append(s.Jobs, sj)
+	}
+	room := c.cfg.ValueBytes() / ledger.EntryBytes
+	for _, m := range r.machines() {
+		t := c.typeOf(m.Type)
+		if t == nil {
+			continue
+		}
+		sm := &sched.Machine{ID: m.ID, Type: t, Zone: m.Zone, Spot: m.Spot, Free: m.Size.Minus(m.Used),
+			Room: room - len(m.Attempts), Used: len(m.Attempts) > 0}
+		switch {
+		case r.usable(m):
+			sm.Images = m.Images
+			for _, a := range m.Attempts {
+				if a.State == "" || a.State == "pulling" {
+					if !m.Images[a.Job.Spec.Image] {
+						if sm.Fetching == nil {
+							sm.Fetching = map[string]bool{}
+						}
+						sm.Fetching[a.Job.Spec.Image] = true
+					}
+				}
+			}
+			if running {
+				for _, a := range m.Sorted() {
+					if sj := jobs[a.Job]; sj != nil && !a.Halt {
+						sm.Running = append(sm.Running, sched.Held{Job: sj, Index: a.Index,
+							SinceS: (c.now - a.Since).Seconds(), Pulling: a.State != "running"})
+					}
+				}
+			}
+		case booting && !m.Up && !m.Returning && c.now < m.Rented+seconds(t.BootS*1.6):
+			sm.Booting = true
+		default:
+			continue
+		}
+		s.Machines = append(s.Machines, sm)
+	}
+	return s
+}
+
+// schedule is called at every tick.
+func (r *reign) schedule() {
+	c := r.c
+	g := c.cfg.Operator.Green
+	r.accrue()
+	r.dropStale()
+	if c.now >= r.fillAt {
+		r.fillAt = c.now + seconds(g.FillS)
+		r.fillDirty = true
+	}
+	if c.now >= r.roundAt && r.heardAll() {
+		r.roundAt = c.now + seconds(g.RoundS)
+		r.round()
+	}
+	if c.now >= r.countersAt {
+		r.countersAt = c.now + seconds(g.CountersS)
+		r.writeCounters()
+	}
+	if c.now >= r.planAt {
+		r.planAt = c.now + c.cfg.Lease()/10
+		r.fillDirty = true // delays of failing jobs and set-aside machines end with time
+		r.plan()
+	}
+}
+
+// heardAll: no round stops anything until the fleet was heard or is silent.
+func (r *reign) heardAll() bool {
+	if !r.listed {
+		return false
+	}
+	for _, m := range r.Machines {
+		if !m.Fresh && len(m.Attempts) > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// accrue books the service attained since the last time.
+func (r *reign) accrue() {
+	c := r.c
+	dt := (c.now - r.accrueAt).Seconds()
+	if dt < c.cfg.Lease().Seconds()/20 {
+		return
+	}
+	r.accrueAt = c.now
+	whole := r.capacity()
+	for _, j := range r.Jobs {
+		if j.HeldTotal > 0 && !j.Spec.Service {
+			j.Scale.Attained += dt * float64(j.HeldTotal) * shareOf(j, whole)
+		}
+	}
+}
+
+// fill starts what waits, as rank and room allow. Starts leave only once they
+// are in the books of the state service.
+func (r *reign) fill() {
+	r.fillDirty = false
+	if !r.certain() || len(r.c.types) == 0 {
+		return
+	}
+	s := r.snapshot(false, false)
+	if len(s.Jobs) == 0 || len(s.Machines) == 0 {
+		return
+	}
+	for _, p := range s.Fill() {
+		r.start(r.Jobs[p.Job.ID], p.Index, r.Machines[p.Machine.ID])
+	}
+}
+
+func (r *reign) start(j *ledger.Job, index int, m *ledger.Machine) {
+	c := r.c
+	a := r.Put(m, j, index, r.nextTry(), c.now)
+	c.log.Debug("start", "task", a.Key().Task, "try", a.Try, "machine", m.ID)
+	r.record(m, writeStart, func() {
+		if m.Attempts[a.Key()] != a {
+			return
+		}
+		a.Durable = true
+		if a.Halt {
+			r.gone(a, "never sent")
+			return
+		}
+		r.kick(m)
+	})
+}
+
+// round is GREEN's: jobs gain slots, and tasks ranked past capacity stop.
+func (r *reign) round() {
+	c := r.c
+	for _, j := range r.Jobs {
+		if !j.Spec.Service {
+			j.Scale.Round(j.Done, j.Spec.Tasks, c.cfg.Operator.Green.Gamma)
+		}
+	}
+	if !r.certain() {
+		return
+	}
+	s := r.snapshot(true, false)
+	s.Fill() // what finds room needs no stop
+	for _, st := range s.Stops(c.cfg.Cluster.State.TxnOps) {
+		m := r.Machines[st.Machine.ID]
+		for _, a := range m.Sorted() {
+			if a.Job.Spec.UID == st.Victim.Job.ID && a.Index == st.Victim.Index {
+				c.log.Info("stopping", "task", a.Key().Task, "machine", m.ID, "for", st.For.ID)
+				r.halt(a, a.Job.Spec.SaveS, "a round's stop")
+			}
+		}
+	}
+}
+
+// plan rents what waiting and expected work needs, and returns what it doesn't.
+func (r *reign) plan() {
+	c := r.c
+	if len(c.types) == 0 || !r.listed || !r.certain() {
+		return
+	}
+	s := r.snapshot(false, true)
+	s.Jobs = append(s.Jobs, r.expected()...)
+	inFlight := map[sched.Pool]int{}
+	for _, name := range sortedKeys(r.renting) {
+		q := r.renting[name].req
+		p := sched.Pool{Type: q.Type, Zone: q.Zone, Spot: q.Spot}
+		inFlight[p] += q.Count
+		if t := c.typeOf(q.Type); t != nil {
+			for range q.Count {
+				s.Machines = append(s.Machines, &sched.Machine{Type: t, Zone: q.Zone, Spot: q.Spot, Free: t.Size,
+					Room: 1 << 20, Booting: true})
+			}
+		}
+	}
+	blocked := func(p sched.Pool) bool { return c.now < r.short[p].until || inFlight[p] > 0 }
+	for _, want := range s.Plan(c.types, blocked, 64) {
+		if !c.cloud.has(c.now, 1) {
+			break
+		}
+		r.rent(want.Pool, want.Count)
+	}
+	needed := map[string]bool{}
+	for _, m := range s.Machines {
+		needed[m.ID] = m.Used
+	}
+	r.review(needed)
+}
+
+// review returns machines that are of no use any more.
+func (r *reign) review(needed map[string]bool) {
+	c := r.c
+	silent, up := 0, 0
+	for _, m := range r.Machines {
+		if m.Up && !m.Returning {
+			up++
+			if m.Known && c.now > m.Heard+c.cfg.Lease()*6/10 {
+				silent++
+			}
+		}
+	}
+	// Many silent machines at once speak of our own network, not of theirs.
+	lonely := silent > 2 && silent > up/3
+	for _, m := range r.machines() {
+		t := c.typeOf(m.Type)
+		if m.Returning || t == nil {
+			continue
+		}
+		boot := seconds(t.BootS)
+		switch {
+		case !m.Up:
+			if c.now > m.Rented+boot*5/2 {
+				r.giveBack(m, "did not come up")
+			} else if needed[m.ID] {
+				m.IdleSince = c.now
+			} else if m.IdleSince == 0 {
+				m.IdleSince = c.now
+			}
+		case !lonely && m.Known && c.now > m.Heard+c.cfg.Lease()*7/10 && m.CallFails > 0:
+			r.giveBack(m, "silent")
+		case !m.Known && c.now > r.since+3*c.cfg.Lease():
+			r.giveBack(m, "not heard since the take-over")
+		case len(m.Attempts) > 0 || needed[m.ID]:
+			m.IdleSince = c.now
+		case m.Errors >= 3:
+			r.giveBack(m, "faulty")
+		case c.now > m.IdleSince+time.Duration(float64(boot)*c.cfg.Operator.Fleet.IdleRatio):
+			r.giveBack(m, "idle")
+		}
+	}
+}
+
+// expected are phantom tasks for what arrives while a machine would boot, for
+// classes whose aims are shorter than that.
+func (r *reign) expected() []*sched.Job {
+	c := r.c
+	boot := 0.0
+	for _, t := range c.types {
+		boot = max(boot, t.BootS)
+	}
+	window := 4 * boot
+	var out []*sched.Job
+	for _, class := range sortedKeys(r.arrivals) {
+		aim := r.aimOf(class)
+		if aim <= 0 || aim > 2*boot {
+			continue
+		}
+		a := r.arrivals[class]
+		tasks, n := 0, 0
+		var sample *ledger.Job
+		first := c.wall - int64(window*1000)
+		for _, x := range a.last {
+			if x.at >= first && x.at <= c.wall {
+				tasks += x.job.Spec.Tasks
+				n++
+				sample = x.job
+			}
+		}
+		if sample == nil || !sample.Spec.Service {
+			continue
+		}
+		expect := float64(tasks) / window * boot * c.cfg.Operator.Fleet.Headroom
+		k := int(expect + 0.5)
+		if k < 1 {
+			k = 1
+		}
+		sp := sample.Spec
+		j := &sched.Job{ID: "~" + class, Class: class, Service: true, Need: sample.Need, Spot: sp.Spot, Types: sample.Types,
+			Spread: false, Tasks: k, Phantom: true, Degradation: 1, Priority: int(sp.Priority)}
+		for i := range k {
+			j.Waiting = append(j.Waiting, i)
+		}
+		out = append(out, j)
+	}
+	return out
+}
+
+// aimOf is the shortest waiting time that the users aim at for a class.
+func (r *reign) aimOf(class string) float64 {
+	aim := 0.0
+	for _, o := range r.c.cfg.Cluster.Objectives {
+		if o.Kind == "wait" && o.Class == class && (aim == 0 || o.WithinS < aim) {
+			aim = o.WithinS
+		}
+	}
+	return aim
+}
+
+// writeCounters stores the attained service in a batch, for a successor.
+func (r *reign) writeCounters() {
+	limit := r.c.cfg.ValueBytes() / (2 * ledger.EntryBytes)
+	var batch []map[string]ledger.CounterRow
+	for _, uid := range sortedKeys(r.Jobs) {
+		j := r.Jobs[uid]
+		if j.Spec.Service || j.Cancelling || !j.Stored {
+			continue
+		}
+		if len(batch) == 0 || len(batch[len(batch)-1]) >= limit {
+			batch = append(batch, map[string]ledger.CounterRow{})
+		}
+		s := j.Scale
+		batch[len(batch)-1][uid] = ledger.CounterRow{Attained: s.Attained, Upper: s.Upper, Slots: s.Slots,
+			DoneAt: s.DoneAt, AttainedAt: s.AttainedAt, First: s.First, Degr: s.Degr}
+	}
+	at := r.c.wall
+	for i, jobs := range batch {
+		rec := ledger.Counters{At: at, Jobs: jobs}
+		r.mark(counterKey(i), writeCounters, func() any { return rec }, nil)
+	}
+	// Batches that are no longer needed.
+	for i := len(batch); r.versions[counterKey(i)] != 0; i++ {
+		r.mark(counterKey(i), writeCounters, func() any { return nil }, nil)
+	}
+}
+
+func counterKey(i int) string { return ledger.CounterPrefix + strconv.Itoa(i) }
--- /dev/null
+++ b/internal/coordination/users.go
@@ -0,0 +1,379 @@
+package coordination
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"claybarrow/internal/ledger"
+	"claybarrow/internal/protocol"
+	"claybarrow/internal/sched"
+)
+
+// Times of the protocol's users: they wait 5 s for a submission or a
+// cancellation and 2 s for a poll. Requests are given up well inside that.
+const (
+	decideWithin = 1500 * time.Millisecond
+	relayWithin  = 1300 * time.Millisecond
+	comeBack     = 1 // seconds
+)
+
+func (c *Core) reply(to asker, status int, body []byte, retryAfter int) {
+	if to.relay {
+		body = protocol.EncodePeer(protocol.RelayReply{Status: status, Body: body, RetryAfter: retryAfter})
+		status, retryAfter = 200, 0
+	}
+	c.out = append(c.out, Reply{ID: to.id, Status: status, Body: body, RetryAfter: retryAfter})
+}
+
+// refuse answers at once that it can't be decided now.
+func (c *Core) refuse(to asker) { c.reply(to, 503, nil, comeBack) }
+
+func (c *Core) standing(to asker, status int, s protocol.Standing) {
+	c.reply(to, status, protocol.Encode(s), 0)
+}
+
+func (c *Core) request(q Request) {
+	from := asker{id: q.ID}
+	switch q.Op {
+	case OpReady:
+		if c.isReady() {
+			c.reply(from, 200, nil, 0)
+		} else {
+			c.refuse(from)
+		}
+	case OpReport:
+		c.onReport(from, q.Body)
+	case OpRelay:
+		var relay protocol.Relay
+		if protocol.DecodePeer(q.Body, &relay) != nil {
+			c.reply(from, 400, nil, 0)
+			return
+		}
+		from.relay = true
+		if c.reign == nil {
+			c.refuse(from)
+			return
+		}
+		c.reign.user(from, Op(relay.Op), relay.UID, relay.Body)
+	default:
+		if c.reign != nil {
+			c.reign.user(from, q.Op, q.UID, q.Body)
+			return
+		}
+		c.relay(from, q)
+	}
+}
+
+// isReady must not flap: the load balancer doubles its pause at each removal.
+// A controller is fit for requests while it knows a leader, or lost the last
+// one only a moment ago; what can't be decided is answered 503 at once.
+func (c *Core) isReady() bool {
+	if c.reign != nil {
+		return c.reign.ready || c.now < c.reign.since+c.cfg.Lease()
+	}
+	if !c.view.known && c.view.leader == nil && c.view.leaderless == 0 {
+		return false
+	}
+	return c.view.leader != nil || c.now < c.view.leaderless+2*c.cfg.LeaderTTL()
+}
+
+// relay passes a user's request on to the leader.
+func (c *Core) relay(from asker, q Request) {
+	if q.Op == OpSubmit {
+		// What is malformed needs no leader, unless the id may be known to it.
+		if uid, _, err := protocol.ParseSubmission(q.Body); err != nil && !protocol.ValidUID(uid) {
+			c.reply(from, 400, nil, 0)
+			return
+		}
+	}
+	addr := ""
+	if c.view.leader != nil {
+		addr = c.addrOf(c.view.leader.Label)
+	}
+	if addr == "" || len(c.waiters) >= c.cfg.Cluster.Resources.FDs/2 {
+		c.refuse(from)
+		return
+	}
+	c.waiters[from.id] = &waiter{from: from, deadline: c.now + decideWithin}
+	body := protocol.EncodePeer(protocol.Relay{Op: string(q.Op), UID: q.UID, Body: q.Body})
+	c.call(ToPeer, addr, "POST", "/relay", body, relayWithin, func(r Result) {
+		if c.waiters[from.id] == nil {
+			return
+		}
+		delete(c.waiters, from.id)
+		var reply protocol.RelayReply
+		if r.Status != 200 || protocol.DecodePeer(r.Body, &reply) != nil || reply.Status < 200 || reply.Status > 599 {
+			c.refuse(from)
+			return
+		}
+		c.reply(from, reply.Status, reply.Body, reply.RetryAfter)
+	})
+}
+
+// expireWaiters answers what was given up, at once and finally.
+func (c *Core) expireWaiters() {
+	for _, id := range slices.Sorted(maps.Keys(c.waiters)) {
+		if w := c.waiters[id]; c.now >= w.deadline {
+			delete(c.waiters, id)
+			c.refuse(w.from)
+		}
+	}
+}
+
+// wait notes that the asker is answered later, or refused at its deadline.
+func (r *reign) wait(from asker) bool {
+	if len(r.c.waiters) >= r.c.cfg.Cluster.Resources.FDs/2 {
+		r.c.reply(from, 429, nil, comeBack)
+		return false
+	}
+	r.c.waiters[from.id] = &waiter{from: from, deadline: r.c.now + decideWithin}
+	return true
+}
+
+// waiting says whether the asker still waits, and ends that.
+func (r *reign) waiting(from asker) bool {
+	if r.c.waiters[from.id] == nil {
+		return false
+	}
+	delete(r.c.waiters, from.id)
+	return true
+}
+
+func (r *reign) user(from asker, op Op, uid string, body []byte) {
+	switch op {
+	case OpSubmit:
+		r.submit(from, body)
+	case OpPoll:
+		r.poll(from, uid)
+	case OpCancel:
+		r.cancel(from, uid)
+	default:
+		r.c.reply(from, 400, nil, 0)
+	}
+}
+
+func (r *reign) finalStanding(uid string) (protocol.Standing, bool) {
+	f, ok := r.Finals[uid]
+	if !ok {
+		return protocol.Standing{}, false
+	}
+	if f.Cancelled {
+		return protocol.Standing{UID: uid, State: protocol.Cancelled}, true
+	}
+	return protocol.Standing{UID: uid, State: protocol.Done, Done: f.Tasks}, true
+}
+
+func (r *reign) activeStanding(j *ledger.Job) protocol.Standing {
+	s := protocol.Standing{UID: j.Spec.UID, State: protocol.Pending, Done: j.Done, Running: j.Running}
+	if j.Running > 0 {
+		s.State = protocol.Active
+	}
+	return s
+}
+
+func (r *reign) submit(from asker, body []byte) {
+	c := r.c
+	uid, spec, err := protocol.ParseSubmission(body)
+	// A job accepted before is answered first, whatever its repeat holds.
+	if s, ok := r.finalStanding(uid); ok {
+		c.standing(from, 200, s)
+		return
+	}
+	if !r.ready || !r.certain() {
+		c.refuse(from)
+		return
+	}
+	if j := r.Jobs[uid]; j != nil && j.Stored {
+		c.standing(from, 200, r.activeStanding(j))
+		return
+	}
+	if err != nil {
+		c.log.Debug("malformed submission", "job", uid, "err", err)
+		c.reply(from, 400, nil, 0)
+		return
+	}
+	if p := r.proposals[uid]; p != nil {
+		if r.wait(from) {
+			p.wants = append(p.wants, from)
+		}
+		return
+	}
+	if len(c.types) == 0 {
+		c.refuse(from)
+		return
+	}
+	if why := r.neverRuns(spec); why != "" {
+		c.log.Info("can never run", "job", uid, "why", why)
+		c.reply(from, 422, nil, 0)
+		return
+	}
+	if !r.wait(from) {
+		return
+	}
+	j := r.AddJob(spec, c.wall)
+	p := &proposal{job: j, wants: []asker{from}}
+	r.proposals[uid] = p
+	r.mark(ledger.JobPrefix+uid, writeUser, func() any { return j.Record() }, func() {
+		delete(r.proposals, uid)
+		j.Stored = true
+		c.log.Info("accepted", "job", uid, "class", spec.Class, "team", spec.Team, "tasks", spec.Tasks)
+		r.noteArrival(j)
+		r.fillDirty = true
+		for _, w := range p.wants {
+			if r.waiting(w) {
+				c.standing(w, 201, r.activeStanding(j))
+			}
+		}
+	})
+}
+
+// dropStale takes back submissions that nobody waits for any more, if they
+// have not left: their users were told to come back.
+func (r *reign) dropStale() {
+	for _, uid := range sortedKeys(r.proposals) {
+		p := r.proposals[uid]
+		if slices.ContainsFunc(p.wants, func(a asker) bool { return r.c.waiters[a.id] != nil }) {
+			continue
+		}
+		if r.unmark(ledger.JobPrefix + uid) {
+			delete(r.proposals, uid)
+			delete(r.Jobs, uid)
+		}
+	}
+}
+
+// neverRuns says why a job can never run here, or nothing.
+func (r *reign) neverRuns(s *protocol.Spec) string {
+	c := r.c
+	team := r.Teams[s.Team]
+	if team == nil {
+		return "unknown team"
+	}
+	need := sched.Need{Cores: s.Cores, Accel: s.Accelerators, Mem: s.MemoryGB}
+	fits := false
+	for _, t := range c.types {
+		if need.Fits(t.Size) && (s.Types == nil || slices.Contains(s.Types, t.Name)) &&
+			(s.Zone == "" || slices.Contains(t.Zones, s.Zone)) {
+			fits = true
+		}
+	}
+	if !fits {
+		return "a task fits no allowed machine type"
+	}
+	whole := need
+	if s.Service {
+		whole = need.Times(float64(s.Tasks))
+	}
+	if !(&sched.Team{Limit: team.Limit}).InLimit(whole) {
+		return "more than the team's limit"
+	}
+	return ""
+}
+
+func (r *reign) poll(from asker, uid string) {
+	c := r.c
+	if s, ok := r.finalStanding(uid); ok {
+		// Final states never change: they may be told by a leader that can't
+		// know whether it still is one.
+		c.standing(from, 200, s)
+		return
+	}
+	if !r.ready || !r.certain() {
+		c.refuse(from)
+		return
+	}
+	j := r.Jobs[uid]
+	switch {
+	case j == nil:
+		c.reply(from, 404, nil, 0)
+	case !j.Stored || j.Cancelling || j.Finishing:
+		// About to be accepted, cancelled or done: not durable yet.
+		c.refuse(from)
+	default:
+		c.standing(from, 200, r.activeStanding(j))
+	}
+}
+
+func (r *reign) cancel(from asker, uid string) {
+	c := r.c
+	if s, ok := r.finalStanding(uid); ok {
+		c.standing(from, 200, s)
+		return
+	}
+	if !r.ready || !r.certain() {
+		c.refuse(from)
+		return
+	}
+	j := r.Jobs[uid]
+	if j == nil {
+		c.reply(from, 404, nil, 0)
+		return
+	}
+	if !j.Stored {
+		c.refuse(from)
+		return
+	}
+	if !r.wait(from) {
+		return
+	}
+	r.cancels[uid] = append(r.cancels[uid], from)
+	if j.Cancelling || j.Finishing {
+		return // answered when that is durable
+	}
+	c.log.Info("cancelling", "job", uid)
+	j.Cancelling = true
+	r.mark(ledger.JobPrefix+uid, writeUser, func() any { return j.Record() }, func() {
+		j.Cancelled, j.CancelledAt = true, c.now
+		r.Finals[uid] = ledger.Final{Cancelled: true}
+		r.dropChunks(j)
+		r.answerCancels(uid)
+		if j.HeldTotal == 0 {
+			delete(r.Jobs, uid)
+		}
+	})
+	// Nothing it does from here on is of use: its tasks are stopped without
+	// waiting for the record.
+	for _, m := range r.machines() {
+		for _, a := range m.Sorted() {
+			if a.Job == j {
+				r.halt(a, 0, "cancelled")
+			}
+		}
+	}
+}
+
+func (r *reign) answerCancels(uid string) {
+	s, _ := r.finalStanding(uid)
+	for _, a := range r.cancels[uid] {
+		if r.waiting(a) {
+			r.c.standing(a, 200, s)
+		}
+	}
+	delete(r.cancels, uid)
+}
+
+// finish writes a job's final state; its user is told once that is durable.
+func (r *reign) finish(j *ledger.Job) {
+	if j.Finishing {
+		return
+	}
+	uid := j.Spec.UID
+	j.Finishing = true
+	r.mark(ledger.JobPrefix+uid, writeUser, func() any { return j.Record() }, func() {
+		r.c.log.Info("done", "job", uid)
+		r.Finals[uid] = ledger.Final{Tasks: j.Spec.Tasks}
+		r.dropChunks(j)
+		r.answerCancels(uid)
+		delete(r.Jobs, uid)
+	})
+}
+
+func (r *reign) dropChunks(j *ledger.Job) {
+	for i := 0; i < j.Spec.Tasks; i += r.Chunk {
+		key := r.DoneKey(j, i)
+		if r.versions[key] != 0 || r.pending[key] != nil {
+			r.mark(key, writeLazy, func() any { return nil }, nil)
+		}
+	}
+}
--- /dev/null
+++ b/internal/protocol/wire.go
@@ -0,0 +1,264 @@
+// Package protocol holds what goes over the wire: the users', workers',
+// cloud's and state service's messages (MessagePack), the controllers' own
+// (CBOR), and the validation of submissions. The wire's words stay in tags.
+package protocol
+
+import (
+	"bytes"
+	"fmt"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// MaxBody is the most that a request body or a response may hold.
+const MaxBody = 64 << 10
+
+// Task and exit states of the workers.
+const (
+	Pulling = "pulling"
+	Running = "running"
+	Saving  = "saving"
+	Exited  = "exited"
+
+	CauseDone   = "done"
+	CauseHalted = "halted"
+	CauseError  = "error"
+	CauseNoRoom = "no_room"
+	CauseBusy   = "busy"
+)
+
+// Verbs of commands.
+const (
+	VerbRun   = "run"
+	VerbHalt  = "halt"
+	VerbClear = "clear"
+)
+
+// Job states as users see them.
+const (
+	Pending   = "pending"
+	Active    = "running"
+	Done      = "done"
+	Cancelled = "aborted"
+)
+
+// Standing is the answer to a user.
+type Standing struct {
+	UID     string `msgpack:"uid"`
+	State   string `msgpack:"standing"`
+	Done    int    `msgpack:"done"`
+	Running int    `msgpack:"running"`
+}
+
+// TaskReport is one task in a worker's report.
+type TaskReport struct {
+	Task    string `msgpack:"shard"`
+	Attempt uint64 `msgpack:"try"`
+	State   string `msgpack:"standing"`
+	Cause   string `msgpack:"cause"`
+	Saved   bool   `msgpack:"stored"`
+}
+
+// Report is a worker's report.
+type Report struct {
+	Machine string       `msgpack:"host"`
+	Addr    string       `msgpack:"addr"`
+	Type    string       `msgpack:"flavour"`
+	Zone    string       `msgpack:"yard"`
+	Spot    bool         `msgpack:"borrowed"`
+	Session uint64       `msgpack:"shift"`
+	Seq     uint64       `msgpack:"tally"`
+	Token   uint64       `msgpack:"mandate"`
+	NoticeS *float64     `msgpack:"warningS"`
+	Tasks   []TaskReport `msgpack:"shards"`
+}
+
+// Command is one order to a worker.
+type Command struct {
+	Verb    string  `msgpack:"verb"`
+	Task    string  `msgpack:"shard"`
+	Attempt uint64  `msgpack:"try"`
+	GraceS  float64 `msgpack:"leewayS"`
+}
+
+// ReportReply answers a report.
+type ReportReply struct {
+	Token    uint64    `msgpack:"mandate"`
+	Commands []Command `msgpack:"orders"`
+}
+
+// Commands is a direct request to a worker.
+type Commands struct {
+	Token    uint64    `msgpack:"mandate"`
+	Session  uint64    `msgpack:"shift"`
+	Commands []Command `msgpack:"orders"`
+}
+
+// Elsewhere sends a worker to the leader.
+type Elsewhere struct {
+	Leader string `msgpack:"foreman,omitempty"`
+}
+
+// MachineType is one of the cloud's types.
+type MachineType struct {
+	Name         string   `msgpack:"name"`
+	Cores        float64  `msgpack:"cores"`
+	Accelerators float64  `msgpack:"accelerators"`
+	MemoryGB     float64  `msgpack:"ramGb"`
+	CacheGB      float64  `msgpack:"localGb"`
+	FetchGBPerS  float64  `msgpack:"pullGbPerS"`
+	Price        float64  `msgpack:"rate"`
+	SpotPrice    float64  `msgpack:"lowPrice"`
+	BootS        float64  `msgpack:"startupS"`
+	Zones        []string `msgpack:"yards"`
+}
+
+// MachineTypes is the cloud's list of types.
+type MachineTypes struct {
+	Types []MachineType `msgpack:"flavours"`
+}
+
+// Rent is a rental request; Rented its answer.
+type Rent struct {
+	Request string `msgpack:"hire"`
+	Type    string `msgpack:"flavour"`
+	Zone    string `msgpack:"yard"`
+	Spot    bool   `msgpack:"borrowed"`
+	Count   int    `msgpack:"number"`
+}
+
+// Rented names machines; deletions have the same form.
+type Rented struct {
+	Machines []string `msgpack:"hosts"`
+}
+
+// ListedMachine is one entry of the cloud's machine list.
+type ListedMachine struct {
+	ID    string  `msgpack:"uid"`
+	Addr  string  `msgpack:"addr"`
+	Type  string  `msgpack:"flavour"`
+	Zone  string  `msgpack:"yard"`
+	Spot  bool    `msgpack:"borrowed"`
+	State string  `msgpack:"standing"`
+	AgeS  float64 `msgpack:"heldS"`
+}
+
+// MachineList is one page of the cloud's machine list.
+type MachineList struct {
+	Machines []ListedMachine `msgpack:"hosts"`
+	More     bool            `msgpack:"more"`
+}
+
+// Item is a key of the state service with its value.
+type Item struct {
+	Key     string             `msgpack:"k"`
+	Value   msgpack.RawMessage `msgpack:"data"`
+	Version uint64             `msgpack:"stamp"`
+	Lease   uint64             `msgpack:"tenure"`
+}
+
+// Items is a page of keys.
+type Items struct {
+	Items    []Item `msgpack:"items"`
+	More     bool   `msgpack:"more"`
+	Revision uint64 `msgpack:"ledger"`
+}
+
+// Condition and Change make up a transaction.
+type Condition struct {
+	Key     string `msgpack:"k"`
+	Version uint64 `msgpack:"stamp"`
+}
+
+// Change is a put (Value set) or a delete.
+type Change struct {
+	Put    string `msgpack:"put,omitempty"`
+	Value  any    `msgpack:"data,omitempty"`
+	Lease  uint64 `msgpack:"tenure,omitempty"`
+	Delete string `msgpack:"delete,omitempty"`
+}
+
+// Txn is a transaction; TxnReply its answer.
+type Txn struct {
+	If   []Condition `msgpack:"if"`
+	Then []Change    `msgpack:"apply"`
+}
+
+// TxnReply answers a transaction.
+type TxnReply struct {
+	Revision uint64   `msgpack:"ledger"`
+	Failed   []string `msgpack:"failed"`
+}
+
+// LeaseRequest and LeaseReply open a lease in the state service.
+type LeaseRequest struct {
+	TTLMillis int64 `msgpack:"lifeMs"`
+}
+
+// LeaseReply names the lease.
+type LeaseReply struct {
+	Lease uint64 `msgpack:"tenure"`
+}
+
+// Event is one change seen by a watch.
+type Event struct {
+	Put     string             `msgpack:"put"`
+	Value   msgpack.RawMessage `msgpack:"data"`
+	Delete  string             `msgpack:"delete"`
+	Version uint64             `msgpack:"stamp"`
+}
+
+// Events is the answer of a watch.
+type Events struct {
+	Revision uint64  `msgpack:"ledger"`
+	Events   []Event `msgpack:"news"`
+}
+
+// Relay is a user's request passed on to the leader over the peer link.
+type Relay struct {
+	Op   string `cbor:"1,keyasint"`
+	UID  string `cbor:"2,keyasint,omitempty"`
+	Body []byte `cbor:"3,keyasint,omitempty"`
+}
+
+// RelayReply is the leader's answer.
+type RelayReply struct {
+	Status     int    `cbor:"1,keyasint"`
+	Body       []byte `cbor:"2,keyasint,omitempty"`
+	RetryAfter int    `cbor:"3,keyasint,omitempty"`
+}
+
+// Encode writes MessagePack. Values of our own types cannot fail to encode.
+func Encode(v any) []byte {
+	var b bytes.Buffer
+	e := msgpack.NewEncoder(&b)
+	e.UseCompactInts(true)
+	if err := e.Encode(v); err != nil {
+		panic(fmt.Sprintf("protocol: encode %T: %v", v, err))
+	}
+	return b.Bytes()
+}
+
+// Decode reads MessagePack; unknown fields are ignored. A damaged body must
+// never end the process, whatever the decoder does with it.
+func Decode(b []byte, v any) (err error) {
+	defer func() {
+		if r := recover(); r != nil {
+			err = fmt.Errorf("malformed: %v", r)
+		}
+	}()
+	return msgpack.Unmarshal(b, v)
+}
+
+// EncodePeer and DecodePeer speak CBOR between controllers.
+func EncodePeer(v any) []byte {
+	b, err := cbor.Marshal(v)
+	if err != nil {
+		panic(fmt.Sprintf("protocol: encode %T: %v", v, err))
+	}
+	return b
+}
+
+// DecodePeer reads CBOR.
+func DecodePeer(b []byte, v any) error { return cbor.Unmarshal(b, v) }
--- /dev/null
+++ b/internal/sched/sched.go
@@ -0,0 +1,498 @@
+// Package sched decides what runs where: GREEN's order (see docs/design.md),
+// filling, the stops of a round, and which machines to rent. All of it is pure:
+// a snapshot goes in, decisions come out, and the same snapshot always gives
+// the same decisions.
+package sched
+
+import (
+	"math"
+	"sort"
+)
+
+// Need is an amount of a machine's resources.
+type Need struct{ Cores, Accel, Mem float64 }
+
+const eps = 1e-6
+
+// Fits says whether n is covered by free.
+func (n Need) Fits(free Need) bool {
+	return n.Cores <= free.Cores+eps && n.Accel <= free.Accel+eps && n.Mem <= free.Mem+eps
+}
+
+// Plus and Minus add and subtract.
+func (n Need) Plus(o Need) Need { return Need{n.Cores + o.Cores, n.Accel + o.Accel, n.Mem + o.Mem} }
+
+// Minus subtracts.
+func (n Need) Minus(o Need) Need { return Need{n.Cores - o.Cores, n.Accel - o.Accel, n.Mem - o.Mem} }
+
+// Times multiplies.
+func (n Need) Times(k float64) Need { return Need{n.Cores * k, n.Accel * k, n.Mem * k} }
+
+// Type is a machine type as the planner needs it.
+type Type struct {
+	Name             string
+	Size             Need
+	Price, SpotPrice float64
+	Zones            []string
+	BootS            float64
+}
+
+// Machine is a machine with its free room. Booting ones are whole.
+type Machine struct {
+	ID       string
+	Type     *Type
+	Zone     string
+	Spot     bool
+	Free     Need
+	Room     int // further tasks that its record can hold
+	Images   map[string]bool
+	Fetching map[string]bool
+	Booting  bool
+	Used     bool // holds or was given something
+	Running  []Held
+}
+
+// Held is a task on a machine, as a candidate for being stopped.
+type Held struct {
+	Job     *Job
+	Index   int
+	SinceS  float64 // for how long
+	Pulling bool
+}
+
+// Job is a job with the tasks that wait.
+type Job struct {
+	ID, Class, Team, Image string
+	Service                bool
+	Priority               int
+	Submitted              int64
+	Need                   Need
+	Spot                   bool
+	Types                  map[string]bool // nil: any
+	Zone                   string
+	OneZone, Spread        bool
+	Tasks                  int
+	Waiting                []int
+	InZone                 map[string]int
+	Held                   int
+	Upper                  bool
+	Slots                  int
+	Attained, Degradation  float64
+	Phantom                bool
+}
+
+// Rank is attained service over degradation: the least goes first.
+func (j *Job) Rank() float64 { return j.Attained / j.Degradation }
+
+// Team is a team's guarantee, limit and use. Zero in Guarantee or Limit: none.
+type Team struct{ Guarantee, Limit, Used Need }
+
+func within(used, bound Need, unbounded bool) bool {
+	ok := func(u, b float64) bool { return (unbounded && b == 0) || u <= b+eps }
+	return ok(used.Cores, bound.Cores) && ok(used.Accel, bound.Accel)
+}
+
+// InLimit says whether the team may use n more.
+func (t *Team) InLimit(n Need) bool { return within(t.Used.Plus(n), t.Limit, true) }
+
+// HasGuarantee says whether anything is guaranteed to the team.
+func (t *Team) HasGuarantee() bool { return t.Guarantee.Cores > 0 || t.Guarantee.Accel > 0 }
+
+// InGuarantee says whether n more stays within the guarantee.
+func (t *Team) InGuarantee(n Need) bool {
+	return t.HasGuarantee() && within(t.Used.Plus(n), t.Guarantee, true)
+}
+
+// Beyond says whether the team now uses more than its guarantee.
+func (t *Team) Beyond() bool { return !t.HasGuarantee() || !within(t.Used, t.Guarantee, true) }
+
+// Snapshot is what the decisions are made from. Decisions update it.
+type Snapshot struct {
+	Machines []*Machine
+	Jobs     []*Job
+	Teams    map[string]*Team
+	UpperCap float64 // share of the fleet
+	Capacity Need    // of ready machines
+}
+
+// Placement is a task to start.
+type Placement struct {
+	Job     *Job
+	Index   int
+	Machine *Machine
+}
+
+// Order sorts by rank: services first (by priority, then age), then the upper
+// queue first come first served, then the lower queue by Rank.
+func Order(jobs []*Job) {
+	class := func(j *Job) int {
+		switch {
+		case j.Phantom:
+			return 3
+		case j.Service:
+			return 0
+		case j.Upper:
+			return 1
+		}
+		return 2
+	}
+	sort.SliceStable(jobs, func(a, b int) bool {
+		x, y := jobs[a], jobs[b]
+		if cx, cy := class(x), class(y); cx != cy {
+			return cx < cy
+		}
+		if x.Service && x.Priority != y.Priority {
+			return x.Priority > y.Priority
+		}
+		if !x.Service && !x.Upper && x.Rank() != y.Rank() {
+			return x.Rank() < y.Rank()
+		}
+		if x.Submitted != y.Submitted {
+			return x.Submitted < y.Submitted
+		}
+		return x.ID < y.ID
+	})
+}
+
+// Share is the part of a whole that n takes: accelerators where there are any.
+func Share(n, whole Need) float64 {
+	if n.Accel > 0 {
+		return n.Accel / math.Max(whole.Accel, n.Accel)
+	}
+	return n.Cores / math.Max(whole.Cores, math.Max(n.Cores, eps))
+}
+
+// Fill starts waiting tasks in rank order: first what is within teams'
+// guarantees, then within the jobs' slots (the upper queue under its cap), then
+// whatever room is spare.
+func (s *Snapshot) Fill() []Placement {
+	Order(s.Jobs)
+	var out []Placement
+	for pass := 0; pass < 3; pass++ {
+		upper := 0.0
+		for _, j := range s.Jobs {
+			held := j.Held
+			if j.Upper && pass == 1 {
+				upper += Share(j.Need, s.Capacity) * float64(min(j.Slots, j.Tasks))
+			}
+			for len(j.Waiting) > 0 {
+				team := s.Teams[j.Team]
+				if !team.InLimit(j.Need) || (pass == 0 && !team.InGuarantee(j.Need)) {
+					break
+				}
+				if pass == 1 && !j.Service && (held >= j.Slots || (j.Upper && upper > s.UpperCap && held > 0)) {
+					break
+				}
+				m := s.best(j)
+				if m == nil {
+					break
+				}
+				out = append(out, Placement{j, j.Waiting[0], m})
+				s.take(j, m)
+				held++
+			}
+		}
+	}
+	return out
+}
+
+func (s *Snapshot) take(j *Job, m *Machine) {
+	j.Waiting = j.Waiting[1:]
+	j.Held++
+	if j.InZone == nil {
+		j.InZone = map[string]int{}
+	}
+	j.InZone[m.Zone]++
+	if t := s.Teams[j.Team]; t != nil {
+		t.Used = t.Used.Plus(j.Need)
+	}
+	m.Free = m.Free.Minus(j.Need)
+	m.Room--
+	m.Used = true
+	if !m.Images[j.Image] && j.Image != "" {
+		if m.Fetching == nil {
+			m.Fetching = map[string]bool{}
+		}
+		m.Fetching[j.Image] = true
+	}
+}
+
+// AllowedOn says whether the job's own words allow this type, zone and kind.
+func (j *Job) AllowedOn(typ, zone string, spot bool) bool {
+	return (!spot || j.Spot) && (j.Zone == "" || j.Zone == zone) && (j.Types == nil || j.Types[typ])
+}
+
+// ZoneOpen says whether one more task may go to the zone, given the others.
+func (j *Job) ZoneOpen(zone string) bool {
+	if j.OneZone {
+		for z, n := range j.InZone {
+			if n > 0 && z != zone {
+				return false
+			}
+		}
+	}
+	return !j.Spread || j.InZone[zone] < (j.Tasks+1)/2
+}
+
+func (s *Snapshot) best(j *Job) *Machine {
+	var pick *Machine
+	bestScore := math.Inf(1)
+	for _, m := range s.Machines {
+		if m.Room <= 0 || !j.Need.Fits(m.Free) || !j.AllowedOn(m.Type.Name, m.Zone, m.Spot) || !j.ZoneOpen(m.Zone) {
+			continue
+		}
+		if sc := s.score(j, m); sc < bestScore {
+			pick, bestScore = m, sc
+		}
+	}
+	return pick
+}
+
+// score is lower for a better machine. The weights only order the wishes:
+// ready before booting, image there, cheap kind, no accelerators blocked by
+// work that has no use for them, and a tight fit.
+func (s *Snapshot) score(j *Job, m *Machine) float64 {
+	sc := 0.0
+	if m.Booting {
+		sc += 1000
+	}
+	switch {
+	case j.Image == "" || m.Images[j.Image]:
+	case m.Fetching[j.Image]:
+		sc += 20
+	default:
+		sc += 60 + 40*float64(len(m.Fetching))
+	}
+	if j.Spot && !m.Spot {
+		sc += 50
+	}
+	if j.Need.Accel == 0 && m.Type.Size.Accel > 0 {
+		// Cores beside accelerators are lent only as far as each free
+		// accelerator keeps three quarters of its part of them.
+		left := m.Free.Minus(j.Need)
+		if left.Cores < 0.75*m.Type.Size.Cores*m.Free.Accel/m.Type.Size.Accel {
+			sc += 400
+		}
+		sc += 30
+	}
+	left := Share(m.Free.Minus(j.Need), m.Type.Size)
+	if j.Need.Accel == 0 {
+		left = (m.Free.Cores - j.Need.Cores) / math.Max(m.Type.Size.Cores, eps)
+	}
+	sc += 25 * left
+	if !m.Used {
+		sc += 15
+	}
+	return sc
+}
+
+// Stop is a task to stop, to make room for another job.
+type Stop struct {
+	Victim  Held
+	Machine *Machine
+	For     *Job
+}
+
+// Stops are a round's: for tasks that wait within their slots and found no
+// room, lower-ranked tasks give way, as far as "Preemption" lets them.
+func (s *Snapshot) Stops(maxStops int) []Stop {
+	Order(s.Jobs)
+	pos := map[*Job]int{}
+	for i, j := range s.Jobs {
+		pos[j] = i
+	}
+	var out []Stop
+	for _, j := range s.Jobs {
+		if j.Phantom {
+			continue
+		}
+		held := j.Held
+		for len(j.Waiting) > 0 && len(out) < maxStops {
+			team := s.Teams[j.Team]
+			if !team.InLimit(j.Need) || (!j.Service && held >= j.Slots) {
+				break
+			}
+			guaranteed := team.InGuarantee(j.Need)
+			m, victims := s.cheapestStops(j, guaranteed, pos)
+			if m == nil {
+				break
+			}
+			for _, v := range victims {
+				out = append(out, Stop{v, m, j})
+				m.Free = m.Free.Plus(v.Job.Need)
+				if t := s.Teams[v.Job.Team]; t != nil {
+					t.Used = t.Used.Minus(v.Job.Need)
+				}
+				v.Job.InZone[m.Zone]--
+				v.Job.Held--
+				m.Running = remove(m.Running, v)
+			}
+			s.take(j, m)
+			held++
+		}
+	}
+	return out
+}
+
+func remove(list []Held, v Held) []Held {
+	var out []Held
+	for _, h := range list {
+		if h.Job != v.Job || h.Index != v.Index {
+			out = append(out, h)
+		}
+	}
+	return out
+}
+
+func (s *Snapshot) cheapestStops(j *Job, guaranteed bool, pos map[*Job]int) (*Machine, []Held) {
+	var pick *Machine
+	var chosen []Held
+	cheapest := math.Inf(1)
+	for _, m := range s.Machines {
+		if m.Booting || !j.Need.Fits(m.Type.Size) || !j.AllowedOn(m.Type.Name, m.Zone, m.Spot) || !j.ZoneOpen(m.Zone) {
+			continue
+		}
+		var may []Held
+		for _, h := range m.Running {
+			v := h.Job
+			lower := v.Priority < j.Priority
+			lent := guaranteed && v.Team != j.Team && s.Teams[v.Team] != nil && s.Teams[v.Team].Beyond()
+			ranked := pos[v] > pos[j] || (!v.Service && v.Held > v.Slots)
+			if (lower || lent) && ranked {
+				may = append(may, h)
+			}
+		}
+		sort.SliceStable(may, func(a, b int) bool {
+			if may[a].Job.Service != may[b].Job.Service {
+				return !may[a].Job.Service
+			}
+			return may[a].SinceS < may[b].SinceS
+		})
+		free, cost := m.Free, 0.0
+		var set []Held
+		for _, h := range may {
+			if j.Need.Fits(free) {
+				break
+			}
+			set = append(set, h)
+			free = free.Plus(h.Job.Need)
+			cost += h.SinceS*Share(h.Job.Need, m.Type.Size) + 5
+			if h.Job.Service {
+				cost += 200
+			}
+		}
+		if j.Need.Fits(free) && len(set) > 0 && cost < cheapest {
+			pick, chosen, cheapest = m, set, cost
+		}
+	}
+	return pick, chosen
+}
+
+// Pool is a type, zone and kind that can be rented.
+type Pool struct {
+	Type string
+	Zone string
+	Spot bool
+}
+
+// Rental is a number of machines wanted from a pool.
+type Rental struct {
+	Pool
+	Count int
+}
+
+// Plan places what still waits on free, booting and, where these don't do, new
+// machines. It returns what to rent and marks (Used) the machines that the
+// waiting and expected work needs. blocked pools are short.
+func (s *Snapshot) Plan(types []*Type, blocked func(Pool) bool, maxNew int) []Rental {
+	Order(s.Jobs)
+	want := map[Pool]int{}
+	var order []Pool
+	created := 0
+	for ji, j := range s.Jobs {
+		for len(j.Waiting) > 0 {
+			if t := s.Teams[j.Team]; t != nil && !t.InLimit(j.Need) {
+				break
+			}
+			m := s.best(j)
+			if m == nil {
+				if created >= maxNew {
+					break
+				}
+				p, typ := s.cheapestPool(j, s.Jobs[ji:], types, blocked)
+				if typ == nil {
+					break
+				}
+				m = &Machine{Type: typ, Zone: p.Zone, Spot: p.Spot, Free: typ.Size, Room: 1 << 20, Booting: true}
+				s.Machines = append(s.Machines, m)
+				if want[p] == 0 {
+					order = append(order, p)
+				}
+				want[p]++
+				created++
+			}
+			s.take(j, m)
+		}
+	}
+	var out []Rental
+	for _, p := range order {
+		out = append(out, Rental{p, want[p]})
+	}
+	return out
+}
+
+func (s *Snapshot) cheapestPool(j *Job, later []*Job, types []*Type, blocked func(Pool) bool) (Pool, *Type) {
+	var pick Pool
+	var typ *Type
+	best := math.Inf(1)
+	for _, t := range types {
+		if !j.Need.Fits(t.Size) || (j.Types != nil && !j.Types[t.Name]) {
+			continue
+		}
+		fit := perMachine(j.Need, t.Size)
+		alike := 0
+		for _, o := range later {
+			if (o.Need.Accel > 0) == (j.Need.Accel > 0) && (o.Types == nil || o.Types[t.Name]) && o.Need.Fits(t.Size) {
+				alike += len(o.Waiting)
+			}
+		}
+		for _, zone := range t.Zones {
+			if !j.ZoneOpen(zone) {
+				continue
+			}
+			inZone := 0
+			for _, m := range s.Machines {
+				if m.Zone == zone {
+					inZone++
+				}
+			}
+			for _, spot := range []bool{false, true} {
+				p := Pool{t.Name, zone, spot}
+				if !j.AllowedOn(t.Name, zone, spot) || blocked(p) {
+					continue
+				}
+				price := t.Price
+				if spot {
+					price = t.SpotPrice
+				}
+				cost := price / math.Min(fit, math.Max(1, float64(alike)))
+				// Equal prices go to the zone with fewer machines.
+				cost *= 1 + 0.001*float64(inZone)
+				if cost < best {
+					pick, typ, best = p, t, cost
+				}
+			}
+		}
+	}
+	return pick, typ
+}
+
+func perMachine(n, size Need) float64 {
+	k := math.Inf(1)
+	for _, p := range [][2]float64{{n.Cores, size.Cores}, {n.Accel, size.Accel}, {n.Mem, size.Mem}} {
+		if p[0] > 0 {
+			k = math.Min(k, math.Floor(p[1]/p[0]+eps))
+		}
+	}
+	return math.Max(k, 1)
+}
