--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,81 @@
+package config
+
+import (
+	"encoding/json"
+	"strings"
+	"testing"
+)
+
+func platform(t *testing.T, change func(map[string]any)) []byte {
+	t.Helper()
+	m := map[string]any{
+		"label": "n0", "zone": "a", "client_listen": "127.0.0.1:1", "peer_listen": "127.0.0.1:2",
+		"siblings":   []any{map[string]any{"label": "n1", "zone": "b", "peer_addr": "127.0.0.1:3"}},
+		"services":   map[string]any{"cloud": "127.0.0.1:4", "state": "127.0.0.1:5"},
+		"unheard_of": 1,
+		"cluster": map[string]any{
+			"teams":     []any{map[string]any{"name": "t", "cpus": 1.0, "cpus_max": 2.0}},
+			"workers":   map[string]any{"report_s": 1.0, "lease_s": 10.0, "cancel_s": 35.0},
+			"state":     map[string]any{"rps": 150.0, "write_rps": 50.0, "value_kb": 16.0, "txn_ops": 32},
+			"cloud":     map[string]any{"rps": 8.0, "list_lag_s": 5.0},
+			"resources": map[string]any{"cores": 0.2, "mem_mb": 98.0, "fd_limit": 600},
+		},
+	}
+	if change != nil {
+		change(m)
+	}
+	b, err := json.Marshal(m)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return b
+}
+
+// A bad setting ends the start with one line that names the field; what the
+// platform may add later is ignored; what an operator mistypes is not.
+func TestParse(t *testing.T) {
+	cluster := func(m map[string]any, part, field string, v any) {
+		m["cluster"].(map[string]any)[part].(map[string]any)[field] = v
+	}
+	for _, tc := range []struct {
+		name, operator, wants string
+		change                func(map[string]any)
+	}{
+		{name: "fine"},
+		{name: "operator", operator: "[green]\ngamma = 0.5\n"},
+		{name: "no label", wants: "label", change: func(m map[string]any) { delete(m, "label") }},
+		{name: "address", wants: "services.state", change: func(m map[string]any) { m["services"] = map[string]any{"cloud": "a:1"} }},
+		{name: "lease", wants: "workers.lease_s", change: func(m map[string]any) { cluster(m, "workers", "lease_s", -1) }},
+		{name: "cancel before lease", wants: "workers.cancel_s", change: func(m map[string]any) { cluster(m, "workers", "cancel_s", 5) }},
+		{name: "ops", wants: "state.txn_ops", change: func(m map[string]any) { cluster(m, "state", "txn_ops", 0) }},
+		{name: "wrong type", wants: "settings", change: func(m map[string]any) { m["label"] = 3 }},
+		{name: "unknown key", operator: "[green]\ngama = 0.5\n", wants: "gama"},
+		{name: "gamma", operator: "[green]\ngamma = 1.5\n", wants: "green.gamma"},
+		{name: "not toml", operator: "=", wants: "operators' settings"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			_, err := Parse(platform(t, tc.change), []byte(tc.operator))
+			if tc.wants == "" {
+				if err != nil {
+					t.Fatal(err)
+				}
+				return
+			}
+			if err == nil || !strings.Contains(err.Error(), tc.wants) || strings.Count(err.Error(), "\n") > 0 && tc.name != "not toml" {
+				t.Fatalf("got %v, want one line that names %q", err, tc.wants)
+			}
+		})
+	}
+}
+
+// A leader may not answer workers so long that a task of a cancelled job
+// outlives cancel_s: coasting and the workers' lease fit in it with room.
+func TestCoastFitsCancel(t *testing.T) {
+	c, err := Parse(platform(t, nil), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if sum := Drift(c.Coast() + c.Lease()); sum >= c.Cancel() || c.Coast() <= c.LeaderTTL() {
+		t.Fatalf("coast %v, lease %v, cancel %v", c.Coast(), c.Lease(), c.Cancel())
+	}
+}
--- a/internal/coordination/cloud.go
+++ b/internal/coordination/cloud.go
@@ -101,6 +101,7 @@
 	if l.Addr != "" {
 		m.Addr = l.Addr
 	}
+	m.Listed = l.State == "running"
 	if l.State == "failed" && !m.Returning {
 		c.log.Info("machine failed", "machine", m.ID, "tasks", len(m.Attempts))
 		for _, a := range m.Sorted() {
--- a/internal/coordination/leader.go
+++ b/internal/coordination/leader.go
@@ -232,6 +232,11 @@
 		}}
 	c.stateCall("POST", "/multi", txn, ttl/2, func(r Result) {
 		h.busy = false
+		if c.hunt != h || c.reign != nil {
+			// The watch told of our own key before this answer came: a process
+			// ended here by taking over twice.
+			return
+		}
 		var reply protocol.TxnReply
 		if r.Status == 200 && protocol.Decode(r.Body, &reply) == nil {
 			v.counter, v.counterVersion = rec.Token, reply.Revision
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -410,7 +410,9 @@
 	if m.Calling || m.Addr == "" || c.now < m.NextCall || !r.ready || c.reign != r {
 		return
 	}
-	greet := !m.Fresh && !m.Greeted
+	// An empty request brings our token to a machine that may be up, and tells
+	// whether the direct way works again. A booting one would only time out.
+	greet := (!m.Fresh && !m.Greeted && (m.Up || m.Listed)) || m.CallFails > 0
 	if !m.Known && !greet {
 		return
 	}
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -138,6 +138,7 @@
 	Exists    time.Duration
 	Rented    time.Duration // when the rental was asked for, as far as known
 	Up        bool          // has reported at some time
+	Listed    bool          // the cloud calls it running
 	Returning bool          // to be deleted
 	Returned  bool          // the mark is durable, the deletion may leave
 	IdleSince time.Duration
