--- a/internal/protocol/submission.go
+++ b/internal/protocol/submission.go
@@ -5,8 +5,6 @@
 	"fmt"
 	"math"
 	"strings"
-
-	"github.com/vmihailenco/msgpack/v5"
 )
 
 // Priority is a job's priority; a larger one goes first.
@@ -222,7 +220,7 @@
 
 const maxDepth = 16
 
-func decodeAny(b []byte, v *any) (err error) {
+func decodeAny(b []byte, v *any) error {
 	if len(b) > MaxBody {
 		return errors.New("body too large")
 	}
@@ -230,12 +228,7 @@
 	if depthOver(b, maxDepth) {
 		return errors.New("nested too deeply")
 	}
-	defer func() {
-		if r := recover(); r != nil {
-			err = fmt.Errorf("malformed: %v", r)
-		}
-	}()
-	return msgpack.Unmarshal(b, v)
+	return Decode(b, v)
 }
 
 // depthOver is a rough bound: more than limit container headers in a row can
--- a/internal/protocol/wire.go
+++ b/internal/protocol/wire.go
@@ -248,6 +248,12 @@
 			err = fmt.Errorf("malformed: %v", r)
 		}
 	}()
+	// A header that claims four thousand million elements made the decoder ask
+	// for memory that ended the process. Skipping allocates nothing, and fails
+	// where the body is shorter than its headers say.
+	if err := msgpack.NewDecoder(bytes.NewReader(b)).Skip(); err != nil {
+		return fmt.Errorf("malformed: %w", err)
+	}
 	return msgpack.Unmarshal(b, v)
 }
 
