--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -189,7 +189,7 @@
 		return
 	}
 	if err != nil {
-		c.log.Debug("malformed submission", "job", uid, "err", err)
+		c.log.Info("malformed submission", "job", uid, "err", err)
 		c.reply(from, 400, nil, 0)
 		return
 	}
--- a/internal/protocol/submission.go
+++ b/internal/protocol/submission.go
@@ -173,7 +173,7 @@
 	case "service":
 		s.Service = true
 	default:
-		f.fail("shape", "neither batch nor service")
+		f.fail("shape", fmt.Sprintf("%.40q is neither batch nor service", m["shape"]))
 	}
 	switch f.text("rank", false) {
 	case "production":
@@ -185,7 +185,7 @@
 	case "idle":
 		s.Priority = Idle
 	default:
-		f.fail("rank", "unknown")
+		f.fail("rank", fmt.Sprintf("%.40q is unknown", m["rank"]))
 	}
 	n := f.amount("shards", false)
 	if f.err == nil && (n < 1 || n > MaxTasks || n != math.Trunc(n)) {
