--- /dev/null
+++ b/internal/coordination/rules_test.go
@@ -0,0 +1,541 @@
+package coordination
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"claybarrow/internal/protocol"
+)
+
+const second = time.Second
+
+func TestQuietDay(t *testing.T) {
+	w := newWorld(t, 1)
+	w.submit("j-1", map[string]any{"shards": 5})
+	w.submit("j-2", map[string]any{"shape": "service", "shards": 2, "apart": true})
+	w.until(60*second, "both run", func() bool { return w.running("j-1") > 0 && w.running("j-2") == 2 })
+	w.awaitTold(90*second, "j-1", protocol.Done)
+	w.cancel("j-2")
+	w.awaitTold(5*second, "j-2", protocol.Cancelled)
+	w.until(2*second, "replicas gone", func() bool { return w.running("j-2") == 0 })
+	w.submit("j-1", map[string]any{"shards": 5}) // a late repeat
+	w.run(120 * second)
+	up := 0
+	for _, k := range w.fleet() {
+		if !k.gone {
+			up++
+		}
+	}
+	if up > 2 {
+		t.Errorf("%d machines are still there with nothing to do", up)
+	}
+	w.keptRules()
+}
+
+// All controllers end together, at any moment of a job's way: nothing that was
+// accepted is forgotten, nothing runs twice.
+func TestAllControllersCrash(t *testing.T) {
+	for seed := range uint64(8) {
+		w := newWorld(t, seed)
+		for i := range 6 {
+			w.submit(fmt.Sprintf("j-%d", i), map[string]any{"shards": 3, "cores": 2.0})
+		}
+		for round := range 4 {
+			w.run(time.Duration(3+5*int(seed)+round)*second + time.Duration(w.rng.IntN(1000))*time.Millisecond)
+			for i := range 3 {
+				w.crash(i)
+				w.at(time.Duration(100+w.rng.IntN(4000))*time.Millisecond, func() { w.boot(i) })
+			}
+		}
+		for i := range 6 {
+			w.awaitTold(240*second, fmt.Sprintf("j-%d", i), protocol.Done)
+		}
+		w.keptRules()
+	}
+}
+
+// A leader that is cut off from the state service goes on answering its
+// workers while another is elected: two leaders, one fence.
+func TestTwoLeaders(t *testing.T) {
+	w := newWorld(t, 3)
+	w.submit("j-1", map[string]any{"shards": 6, "cores": 4.0})
+	w.submit("j-2", map[string]any{"shape": "service", "shards": 2})
+	w.until(60*second, "they run", func() bool { return w.running("j-1") >= 4 && w.running("j-2") == 2 })
+	old := w.awaitLeader()
+	// The old leader keeps its workers, but loses state service and peers; the
+	// workers can't be reached by the others' direct commands.
+	w.script = func(node int, c Call) fate {
+		lost := (node == old && (c.Target == ToState || c.Target == ToPeer)) ||
+			(node != old && c.Target == ToWorker) || (c.Target == ToPeer && strings.HasPrefix(c.Addr, fmt.Sprintf("10.0.0.%d:", old)))
+		return fate{lost: lost}
+	}
+	w.until(15*second, "a second leader", func() bool { l := w.leader(); return l >= 0 && l != old })
+	w.cancel("j-2")
+	for range 70 {
+		w.run(second)
+		w.lateCancelled()
+	}
+	if w.nodes[old].core.reign != nil {
+		t.Error("the old leader coasts without end")
+	}
+	w.script = nil
+	w.awaitTold(200*second, "j-1", protocol.Done)
+	w.keptRules()
+}
+
+// Every fifth transaction applies but its answer is lost, and every seventh
+// applies late, long after it was given up.
+func TestLostTransactionAnswers(t *testing.T) {
+	w := newWorld(t, 4)
+	n := 0
+	w.script = func(_ int, c Call) fate {
+		if c.Target != ToState || c.Path != "/multi" {
+			return fate{}
+		}
+		n++
+		switch {
+		case n%5 == 0:
+			return fate{answerLost: true}
+		case n%7 == 0:
+			return fate{hold: time.Duration(1+n%20) * second}
+		}
+		return fate{}
+	}
+	for i := range 8 {
+		w.submit(fmt.Sprintf("j-%d", i), map[string]any{"shards": 3, "cores": 2.0})
+	}
+	w.run(20 * second)
+	w.cancel("j-7")
+	w.crash(w.awaitLeader())
+	for i := range 7 {
+		w.awaitTold(300*second, fmt.Sprintf("j-%d", i), protocol.Done)
+	}
+	w.awaitTold(10*second, "j-7", protocol.Cancelled)
+	w.keptRules()
+}
+
+// A direct run is held back for minutes and executed late: the task must not
+// have been started elsewhere meanwhile, nor start after its cancellation.
+func TestLateRun(t *testing.T) {
+	w := newWorld(t, 5)
+	w.submit("j-0", map[string]any{"shape": "service", "cores": 8.0})
+	w.until(60*second, "a machine is up", func() bool { return w.running("j-0") == 1 })
+	held := 0
+	w.script = func(_ int, c Call) fate {
+		if c.Target == ToWorker && held < 3 {
+			held++
+			return fate{hold: time.Duration(20*held) * second}
+		}
+		return fate{}
+	}
+	w.submit("j-1", map[string]any{"shards": 4, "cores": 2.0})
+	w.submit("j-2", map[string]any{"shape": "service", "shards": 2})
+	w.run(25 * second)
+	w.cancel("j-2")
+	for range 120 {
+		w.run(second)
+		w.lateCancelled()
+	}
+	w.awaitTold(60*second, "j-1", protocol.Done)
+	w.keptRules()
+}
+
+// Copies of old reports arrive right after a take-over, before the machine's
+// own: they prove neither that a task is gone nor that a machine is alive.
+func TestStaleCopiesAfterTakeOver(t *testing.T) {
+	w := newWorld(t, 6)
+	w.submit("j-1", map[string]any{"shape": "service", "shards": 4, "cores": 4.0})
+	w.until(60*second, "replicas run", func() bool { return w.running("j-1") == 4 })
+	w.run(5 * second)
+	old := w.awaitLeader()
+	// The workers are cut off with the leader's end, their tasks run on.
+	for _, k := range w.fleet() {
+		k.cut = true
+	}
+	w.crash(old)
+	l := w.awaitLeader()
+	for range 8 {
+		for _, k := range w.fleet() {
+			for _, body := range k.copies {
+				w.ask(l, Request{Op: OpReport, Body: body}, func(r Reply) {})
+			}
+		}
+		w.run(second)
+	}
+	if w.running("j-1") > 4 {
+		t.Errorf("%d replicas of 4 run", w.running("j-1"))
+	}
+	for _, k := range w.fleet() {
+		k.cut = false
+	}
+	w.run(60 * second)
+	if n := w.running("j-1"); n != 4 {
+		t.Errorf("%d replicas of 4 run", n)
+	}
+	w.keptRules()
+}
+
+// A job is cancelled while the machine with its tasks is cut off.
+func TestCancelWhileCut(t *testing.T) {
+	w := newWorld(t, 7)
+	w.submit("j-1", map[string]any{"shape": "service", "shards": 2})
+	w.until(60*second, "replicas run", func() bool { return w.running("j-1") == 2 })
+	for _, k := range w.fleet() {
+		k.cut = true
+	}
+	w.cloud.down = true // no deletion proves anything faster
+	w.cancel("j-1")
+	for range 60 {
+		w.run(second)
+		w.lateCancelled()
+	}
+	if w.told["j-1"] != protocol.Cancelled || w.running("j-1") != 0 {
+		t.Errorf("told %q, %d running", w.told["j-1"], w.running("j-1"))
+	}
+	w.keptRules()
+}
+
+// A team's limit and `apart` count tasks on machines that can't be reached.
+func TestUnreachableTasksCount(t *testing.T) {
+	w := newWorld(t, 8)
+	w.submit("j-1", map[string]any{"shape": "service", "shards": 4, "cores": 8.0, "apart": true}) // 32 of 32 cores
+	w.until(90*second, "replicas run", func() bool { return w.running("j-1") == 4 })
+	w.submit("j-2", map[string]any{"shards": 2})
+	n := 0
+	for _, k := range w.fleet() {
+		if len(k.tasks) > 0 && n < 2 {
+			n++
+			k.cut = true
+		}
+	}
+	w.run(90 * second)
+	if w.running("j-1") != 4 {
+		t.Errorf("%d of 4 replicas run after their machines were lost", w.running("j-1"))
+	}
+	w.keptRules()
+}
+
+// An outage longer than a worker's lease: the leader coasts, so nothing is
+// lost; the jobs go on and users are told at once to come back.
+func TestOutageLongerThanLease(t *testing.T) {
+	w := newWorld(t, 9)
+	w.submit("j-1", map[string]any{"shape": "service", "shards": 2})
+	w.until(60*second, "replicas run", func() bool { return w.running("j-1") == 2 })
+	w.run(3 * second)
+	w.state.outage(18 * second)
+	w.run(12 * second)
+	status := -1
+	w.spec("j-2", nil)
+	w.user(w.awaitNode(), OpSubmit, "j-2", func(s int, _ protocol.Standing) { status = s })
+	w.run(tick)
+	if status != 503 {
+		t.Errorf("a submission in the outage got %d, not 503 at once", status)
+	}
+	if w.running("j-1") != 2 {
+		t.Error("the outage cost replicas")
+	}
+	w.run(10 * second)
+	w.submit("j-2", nil)
+	w.awaitTold(90*second, "j-2", protocol.Done)
+	if w.running("j-1") != 2 {
+		t.Error("the outage cost replicas in the end")
+	}
+	w.keptRules()
+}
+
+func (w *world) awaitNode() int {
+	for i, n := range w.nodes {
+		if n.alive && n.core.reign != nil {
+			return i
+		}
+	}
+	return 0
+}
+
+// Reports arrive, answers and direct commands don't: the tasks die with the
+// worker's lease, and the machine is not filled again.
+func TestDeafMachine(t *testing.T) {
+	w := newWorld(t, 10)
+	w.submit("j-1", map[string]any{"shape": "service", "shards": 2, "cores": 8.0})
+	w.until(60*second, "replicas run", func() bool { return w.running("j-1") == 2 })
+	var deaf *simWorker
+	for _, k := range w.fleet() {
+		if len(k.tasks) > 0 && (deaf == nil || k.id < deaf.id) {
+			deaf = k
+		}
+	}
+	w.reports = func(k *simWorker, _ int) fate { return fate{answerLost: k == deaf} }
+	w.script = func(_ int, c Call) fate { return fate{lost: c.Target == ToWorker && c.Addr == deaf.addr()} }
+	w.until(60*second, "the replica is back elsewhere", func() bool {
+		return w.running("j-1") == 2 && len(deaf.tasks) == 0
+	})
+	w.keptRules()
+}
+
+// The state service refuses the leader alone: it must not tell anybody what it
+// can't know, and another leads soon.
+func TestRefusedByStateAlone(t *testing.T) {
+	w := newWorld(t, 11)
+	w.submit("j-1", map[string]any{"shards": 4})
+	w.until(60*second, "tasks run", func() bool { return w.running("j-1") > 0 })
+	old := w.awaitLeader()
+	w.state.refuse[old] = true
+	w.until(10*second, "another leader", func() bool { l := w.leader(); return l >= 0 && l != old })
+	w.user(old, OpPoll, "j-1", func(s int, _ protocol.Standing) {
+		if s != 503 && s != 200 {
+			t.Errorf("the refused one answers %d", s)
+		}
+	})
+	w.user(old, OpPoll, "j-99", func(s int, _ protocol.Standing) {
+		if s != 503 && s != 404 {
+			t.Errorf("the refused one answers %d", s)
+		}
+	})
+	w.run(20 * second)
+	w.state.refuse[old] = false
+	w.awaitTold(120*second, "j-1", protocol.Done)
+	w.keptRules()
+}
+
+// What a user must be told, also by a controller that does not lead.
+func TestUsersAnswers(t *testing.T) {
+	w := newWorld(t, 12)
+	w.awaitLeader()
+	w.run(2 * second)
+	check := func(name string, op Op, uid string, body []byte, want int) {
+		t.Helper()
+		for i := range 3 {
+			got := -1
+			w.ask(i, Request{Op: op, UID: uid, Body: body}, func(r Reply) { got = r.Status })
+			w.run(second)
+			if got != want {
+				t.Errorf("%s at node %d: %d, want %d", name, i, got, want)
+			}
+		}
+	}
+	sub := func(change map[string]any) []byte { return protocol.Encode(w.spec("j-50", change)) }
+	check("malformed", OpSubmit, "", []byte("x"), 400)
+	check("wrong field", OpSubmit, "", sub(map[string]any{"rank": "top"}), 400)
+	check("unknown team", OpSubmit, "", sub(map[string]any{"owner": "green"}), 422)
+	check("too large", OpSubmit, "", sub(map[string]any{"cores": 9.0}), 422)
+	check("over the limit", OpSubmit, "", sub(map[string]any{"shape": "service", "shards": 9}), 422)
+	check("no type", OpSubmit, "", sub(map[string]any{"flavours": []string{}}), 422)
+	check("unknown", OpPoll, "j-77", nil, 404)
+	check("unknown cancel", OpCancel, "j-77", nil, 404)
+	w.submit("j-1", nil)
+	w.run(second)
+	// A damaged repeat of an accepted job is no reason to refuse it.
+	check("damaged repeat", OpSubmit, "", protocol.Encode(w.spec("j-1", map[string]any{"rank": "top"})), 200)
+	w.keptRules()
+}
+
+// A controller that finds its own label with another incarnation, in the middle
+// of an election, ends that lease and goes on.
+func TestQuickRestart(t *testing.T) {
+	w := newWorld(t, 13)
+	for range 12 {
+		l := w.awaitLeader()
+		w.crash(l)
+		w.run(time.Duration(w.rng.IntN(300)) * time.Millisecond)
+		w.boot(l)
+		began := w.now
+		w.awaitLeader()
+		if d := w.now - began; d > 4*second {
+			t.Errorf("no leader for %v after a quick restart", d)
+		}
+		w.run(time.Duration(w.rng.IntN(400)) * time.Millisecond)
+	}
+	w.keptRules()
+}
+
+// The watch tells of our own key before the transaction's answer comes: a
+// process once ended by taking over twice.
+func TestWatchOvertakesElection(t *testing.T) {
+	w := newWorld(t, 14)
+	w.script = func(_ int, c Call) fate {
+		return fate{answerLost: c.Target == ToState && c.Path == "/multi"}
+	}
+	w.run(20 * second)
+	w.script = nil
+	w.awaitLeader()
+	w.keptRules()
+}
+
+// Random troubles in random order, each with a fixed seed.
+func TestStorms(t *testing.T) {
+	for seed := range uint64(12) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { storm(t, 100+seed) })
+	}
+}
+
+func storm(t *testing.T, seed uint64) {
+	w := newWorld(t, seed)
+	var jobs []string
+	cancelled := map[string]bool{}
+	lossy := false
+	w.script = func(_ int, c Call) fate {
+		if !lossy {
+			return fate{}
+		}
+		f := fate{lost: w.rng.IntN(12) == 0, answerLost: w.rng.IntN(12) == 0}
+		if w.rng.IntN(10) == 0 {
+			f.hold = time.Duration(w.rng.IntN(40_000)) * time.Millisecond
+		}
+		return f
+	}
+	w.reports = func(*simWorker, int) fate {
+		return fate{lost: lossy && w.rng.IntN(8) == 0, answerLost: lossy && w.rng.IntN(8) == 0}
+	}
+	w.runs = func(task string) time.Duration { return time.Duration(5+len(task)*7%40) * second }
+	for step := range 50 {
+		switch w.rng.IntN(12) {
+		case 0, 1, 2:
+			uid := fmt.Sprintf("j-%d", step)
+			jobs = append(jobs, uid)
+			shape := []string{"batch", "service"}[w.rng.IntN(2)]
+			w.submit(uid, map[string]any{"shards": 1 + w.rng.IntN(4), "cores": float64(1 + w.rng.IntN(4)), "shape": shape,
+				"owner": []string{"red", "blue"}[w.rng.IntN(2)], "apart": w.rng.IntN(2) == 0, "rank": []string{"idle", "normal", "high"}[w.rng.IntN(3)],
+				"borrowed": w.rng.IntN(2) == 0})
+		case 3:
+			if len(jobs) > 0 {
+				uid := jobs[w.rng.IntN(len(jobs))]
+				cancelled[uid] = true
+				w.cancel(uid)
+			}
+		case 4, 5:
+			i := w.rng.IntN(3)
+			w.crash(i)
+			w.at(time.Duration(50+w.rng.IntN(6000))*time.Millisecond, func() {
+				if !w.nodes[i].alive {
+					w.boot(i)
+				}
+			})
+		case 6:
+			w.state.outage(time.Duration(1+w.rng.IntN(20)) * second)
+		case 7:
+			for _, k := range w.fleet() {
+				if k.up && w.rng.IntN(3) == 0 {
+					k.cut = true
+					w.at(time.Duration(w.rng.IntN(30))*second, func() { k.cut = false })
+				}
+			}
+		case 8:
+			lossy = !lossy
+		case 9:
+			for _, k := range w.fleet() {
+				if len(k.copies) > 0 {
+					body := k.copies[w.rng.IntN(len(k.copies))]
+					w.ask(w.rng.IntN(3), Request{Op: OpReport, Body: body}, func(Reply) {})
+				}
+			}
+		case 10:
+			i := w.rng.IntN(3)
+			w.state.refuse[i] = true
+			w.at(time.Duration(w.rng.IntN(25))*second, func() { w.state.refuse[i] = false })
+		case 11:
+			for _, k := range w.fleet() {
+				if k.up && w.rng.IntN(4) == 0 {
+					k.die()
+				}
+			}
+		}
+		for range 5 {
+			w.run(second)
+			w.lateCancelled()
+		}
+	}
+	lossy = false
+	w.state.refuse = map[int]bool{}
+	for i := range 3 {
+		if !w.nodes[i].alive {
+			w.boot(i)
+		}
+	}
+	w.run(40 * second)
+	// Services may hold a team's whole limit: they end like any other.
+	for _, uid := range jobs {
+		if w.specs[uid]["shape"] == "service" {
+			w.cancel(uid)
+		}
+	}
+	for _, uid := range jobs {
+		if !cancelled[uid] && w.specs[uid]["shape"] == "batch" {
+			w.awaitTold(400*second, uid, protocol.Done)
+		}
+	}
+	w.keptRules()
+}
+
+// A copy of a report from before the task started reaches the new leader, while
+// the machine itself is cut off and there is room elsewhere: without the new
+// token it is no proof of absence.
+func TestOldCopyIsNoProof(t *testing.T) {
+	w := newWorld(t, 15)
+	w.submit("j-0", map[string]any{"shape": "service", "cores": 8.0})
+	w.until(60*second, "first machine", func() bool { return w.running("j-0") == 1 })
+	w.submit("j-1", map[string]any{"shape": "service", "cores": 2.0})
+	w.until(60*second, "second machine", func() bool { return w.running("j-1") == 1 })
+	w.cancel("j-0")
+	w.submit("j-2", map[string]any{"shape": "service", "cores": 7.0})
+	w.until(20*second, "third job on the first machine", func() bool { return w.running("j-2") == 1 })
+	w.cancel("j-2")
+	w.submit("j-3", map[string]any{"shape": "service", "cores": 6.5})
+	w.until(20*second, "room for one on the first machine", func() bool { return w.running("j-3") == 1 })
+	var machine *simWorker
+	for _, k := range w.fleet() {
+		for _, task := range k.tasks {
+			if task.uid == "j-1" {
+				machine = k
+			}
+		}
+	}
+	machine.cut = true
+	w.cancel("j-3")
+	w.submit("j-4", map[string]any{"shape": "service", "cores": 5.0})
+	w.crash(w.awaitLeader())
+	l := w.awaitLeader()
+	for range 5 {
+		for _, body := range machine.copies {
+			w.ask(l, Request{Op: OpReport, Body: body}, func(Reply) {})
+		}
+		w.run(second)
+	}
+	if n := w.running("j-1"); n != 1 {
+		t.Errorf("%d replicas of 1 run", n)
+	}
+	w.keptRules()
+}
+
+// The first try of the transaction that accepts a job is held back, its repeat
+// applies, the job is cancelled, and then the first try arrives: it must not
+// bring the accepted job back.
+func TestLateTransactionChangesNothing(t *testing.T) {
+	w := newWorld(t, 16)
+	w.awaitLeader()
+	w.run(2 * second)
+	held := false
+	w.script = func(_ int, c Call) fate {
+		if c.Target == ToState && c.Path == "/multi" && !held {
+			held = true
+			return fate{hold: 15 * second}
+		}
+		return fate{}
+	}
+	w.submit("j-1", map[string]any{"shape": "service"})
+	w.until(8*second, "accepted", func() bool { return w.told["j-1"] != "" })
+	w.cancel("j-1")
+	w.awaitTold(5*second, "j-1", protocol.Cancelled)
+	w.run(15 * second)
+	w.crash(w.awaitLeader())
+	w.awaitLeader()
+	for i := range 3 {
+		w.user(i, OpPoll, "j-1", nil)
+	}
+	w.run(60 * second)
+	if !held || w.running("j-1") > 0 {
+		t.Errorf("held %v, %d replicas of a cancelled job run", held, w.running("j-1"))
+	}
+	w.keptRules()
+}
