--- a/internal/coordination/reign.go
+++ b/internal/coordination/reign.go
@@ -38,6 +38,7 @@
 	fillDirty   bool
 	fillAt      time.Duration
 	planAt      time.Duration
+	overviewAt  time.Duration
 	roundAt     time.Duration
 	accrueAt    time.Duration
 	countersAt  time.Duration
--- a/internal/coordination/schedule.go
+++ b/internal/coordination/schedule.go
@@ -143,6 +143,10 @@
 		r.countersAt = c.now + seconds(g.CountersS)
 		r.writeCounters()
 	}
+	if c.now >= r.overviewAt {
+		r.overviewAt = c.now + c.cfg.Lease()
+		r.overview()
+	}
 	if c.now >= r.planAt {
 		r.planAt = c.now + c.cfg.Lease()/10
 		r.fillDirty = true // delays of failing jobs and set-aside machines end with time
@@ -397,3 +401,37 @@
 }
 
 func counterKey(i int) string { return ledger.CounterPrefix + strconv.Itoa(i) }
+
+// overview logs how the fleet stands, for those who follow an incident.
+func (r *reign) overview() {
+	up, booting, idle := 0, 0, 0
+	for _, m := range r.Machines {
+		switch {
+		case m.Returning:
+		case !m.Up:
+			booting++
+		case len(m.Attempts) == 0:
+			idle++
+		default:
+			up++
+		}
+	}
+	waiting, held := map[string]int{}, map[string]int{}
+	for _, j := range r.Jobs {
+		if j.Stored && !j.Cancelling {
+			waiting[j.Spec.Class] += j.Spec.Tasks - j.Done - j.HeldTotal
+			held[j.Spec.Class] += j.HeldTotal
+		}
+	}
+	args := []any{"jobs", len(r.Jobs), "busy", up, "idle", idle, "booting", booting, "renting", len(r.renting)}
+	for _, class := range sortedKeys(waiting) {
+		args = append(args, class, strconv.Itoa(held[class])+"+"+strconv.Itoa(waiting[class]))
+	}
+	for _, name := range sortedKeys(r.Teams) {
+		t := r.Teams[name]
+		if t.Used.Cores > 0 {
+			args = append(args, name, strconv.FormatFloat(t.Used.Cores, 'f', 0, 64)+"c/"+strconv.FormatFloat(t.Used.Accel, 'f', 0, 64)+"a")
+		}
+	}
+	r.c.log.Info("fleet", args...)
+}
