--- a/internal/coordination/schedule.go
+++ b/internal/coordination/schedule.go
@@ -194,6 +194,7 @@
 	if len(s.Jobs) == 0 || len(s.Machines) == 0 {
 		return
 	}
+	s.Jobs = append(s.Jobs, r.expected()...)
 	for _, p := range s.Fill() {
 		r.start(r.Jobs[p.Job.ID], p.Index, r.Machines[p.Machine.ID])
 	}
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -122,19 +122,20 @@
 	Machine *Machine
 }
 
-// Order sorts by rank: services first (by priority, then age), then the upper
-// queue first come first served, then the lower queue by Rank.
+// Order sorts by rank: services first (by priority, then age), then the room
+// kept for expected ones, then the upper queue first come first served, then
+// the lower queue by Rank.
 func Order(jobs []*Job) {
 	class := func(j *Job) int {
 		switch {
-		case j.Phantom:
-			return 3
-		case j.Service:
+		case j.Service && !j.Phantom:
 			return 0
-		case j.Upper:
+		case j.Phantom:
 			return 1
+		case j.Upper:
+			return 2
 		}
-		return 2
+		return 3
 	}
 	sort.SliceStable(jobs, func(a, b int) bool {
 		x, y := jobs[a], jobs[b]
@@ -162,40 +163,77 @@
 	return n.Cores / math.Max(whole.Cores, math.Max(n.Cores, eps))
 }
 
-// Fill starts waiting tasks in rank order: first what is within teams'
-// guarantees, then within the jobs' slots (the upper queue under its cap), then
+// Fill starts waiting tasks in rank order: services, those within their team's
+// guarantee first; then the room kept for expected ones; then batches, first
+// within guarantees, then within slots (the upper queue under its cap), then
 // whatever room is spare.
 func (s *Snapshot) Fill() []Placement {
 	Order(s.Jobs)
 	var out []Placement
-	for pass := 0; pass < 3; pass++ {
+	for _, guaranteed := range []bool{true, false} {
+		for _, j := range s.Jobs {
+			if j.Service && !j.Phantom {
+				out = s.place(out, j, func(t *Team) bool { return !guaranteed || t.InGuarantee(j.Need) })
+			}
+		}
+	}
+	for _, j := range s.Jobs {
+		if j.Phantom {
+			s.reserve(j)
+		}
+	}
+	for pass := range 3 {
 		upper := 0.0
 		for _, j := range s.Jobs {
-			held := j.Held
+			if j.Service {
+				continue
+			}
 			if j.Upper && pass == 1 {
 				upper += Share(j.Need, s.Capacity) * float64(min(j.Slots, j.Tasks))
 			}
-			for len(j.Waiting) > 0 {
-				team := s.Teams[j.Team]
-				if !team.InLimit(j.Need) || (pass == 0 && !team.InGuarantee(j.Need)) {
-					break
+			out = s.place(out, j, func(t *Team) bool {
+				switch pass {
+				case 0:
+					return t.InGuarantee(j.Need)
+				case 1:
+					return j.Held < j.Slots && (!j.Upper || upper <= s.UpperCap || j.Held == 0)
 				}
-				if pass == 1 && !j.Service && (held >= j.Slots || (j.Upper && upper > s.UpperCap && held > 0)) {
-					break
-				}
-				m := s.best(j)
-				if m == nil {
-					break
-				}
-				out = append(out, Placement{j, j.Waiting[0], m})
-				s.take(j, m)
-				held++
-			}
+				return true
+			})
+		}
+	}
+	return out
+}
+
+// place starts a job's tasks while its team's limit, the given condition and
+// the room allow.
+func (s *Snapshot) place(out []Placement, j *Job, may func(*Team) bool) []Placement {
+	team := s.Teams[j.Team]
+	for len(j.Waiting) > 0 && team.InLimit(j.Need) && may(team) {
+		m := s.best(j)
+		if m == nil {
+			break
 		}
+		out = append(out, Placement{j, j.Waiting[0], m})
+		s.take(j, m)
 	}
 	return out
 }
 
+// reserve takes room for expected tasks on machines that are up, as far as
+// there is any.
+func (s *Snapshot) reserve(j *Job) {
+	for len(j.Waiting) > 0 {
+		m := s.best(j)
+		if m == nil {
+			return
+		}
+		used := m.Used
+		s.take(j, m)
+		m.Used = used
+	}
+}
+
 func (s *Snapshot) take(j *Job, m *Machine) {
 	j.Waiting = j.Waiting[1:]
 	j.Held++
