Unreachable machines are deleted at half a lease if their tasks fit elsewhere

The cloud's answer to a deletion proves it at once. Machines whose tasks fit nowhere else wait for their lease.

--- a/internal/coordination/schedule.go
+++ b/internal/coordination/schedule.go
@@ -56,6 +56,15 @@
 		c.now < m.Heard+c.cfg.Lease()/4+2*c.cfg.Report() && m.Size.Cores > 0 && len(m.Strays) == 0
 }
 
+func schedJob(j *ledger.Job) *sched.Job {
+	s := j.Spec
+	return &sched.Job{ID: s.UID, Class: s.Class, Team: s.Team, Image: s.Image, Service: s.Service,
+		Priority: int(s.Priority), Submitted: j.Submitted, Need: j.Need, Spot: s.Spot, Types: j.Types,
+		Zone: s.Zone, OneZone: s.OneZone, Spread: s.Spread, Tasks: s.Tasks,
+		Held: j.HeldTotal, Upper: j.Scale.Upper && !s.Service, Slots: j.Scale.Slots,
+		Attained: j.Scale.Attained, Degradation: j.Scale.Degr}
+}
+
 // snapshot renders the books for the scheduler. Waiting tasks are listed only
 // as far as they could matter now.
 func (r *reign) snapshot(running, booting bool) *sched.Snapshot {
@@ -71,11 +80,7 @@
 		if !j.Stored {
 			continue
 		}
-		sj := &sched.Job{ID: uid, Class: j.Spec.Class, Team: j.Spec.Team, Image: j.Spec.Image, Service: j.Spec.Service,
-			Priority: int(j.Spec.Priority), Submitted: j.Submitted, Need: j.Need, Spot: j.Spec.Spot, Types: j.Types,
-			Zone: j.Spec.Zone, OneZone: j.Spec.OneZone, Spread: j.Spec.Spread, Tasks: j.Spec.Tasks,
-			Held: j.HeldTotal, Upper: j.Scale.Upper && !j.Spec.Service, Slots: j.Scale.Slots,
-			Attained: j.Scale.Attained, Degradation: j.Scale.Degr}
+		sj := schedJob(j)
 		if c.now >= j.NotBefore {
 			sj.Waiting = j.Waiting(512)
 		}
@@ -282,7 +287,7 @@
 	for _, m := range r.Machines {
 		if m.Up && !m.Returning {
 			up++
-			if m.Known && c.now > m.Heard+c.cfg.Lease()*6/10 {
+			if r.silentFor(m) > c.cfg.Lease()/2 {
 				silent++
 			}
 		}
@@ -304,10 +309,12 @@
 			} else if m.IdleSince == 0 {
 				m.IdleSince = c.now
 			}
-		case !lonely && m.Known && c.now > m.Heard+c.cfg.Lease()*7/10 && m.CallFails > 0:
+		case !lonely && m.CallFails > 1 && r.silentFor(m) > c.cfg.Lease()/2 && r.fitsElsewhere(m):
+			// The cloud's word that it is gone comes sooner than the end of the
+			// worker's lease, and much sooner after a take-over.
+			r.giveBack(m, "silent, and its tasks fit elsewhere")
+		case !lonely && m.CallFails > 0 && r.silentFor(m) > 5*c.cfg.Lease()/2:
 			r.giveBack(m, "silent")
-		case !m.Known && c.now > r.since+3*c.cfg.Lease():
-			r.giveBack(m, "not heard since the take-over")
 		case len(m.Attempts) > 0 || needed[m.ID]:
 			m.IdleSince = c.now
 		case m.Errors >= 3:
@@ -318,6 +325,25 @@
 	}
 }
 
+// silentFor is how long nothing new was heard of a machine in this reign.
+func (r *reign) silentFor(m *ledger.Machine) time.Duration {
+	return r.c.now - max(m.Heard, r.since)
+}
+
+// fitsElsewhere says whether most of a machine's tasks find room on others now.
+func (r *reign) fitsElsewhere(m *ledger.Machine) bool {
+	s := r.snapshot(false, false)
+	fit := 0
+	for _, a := range m.Sorted() {
+		j := schedJob(a.Job)
+		j.InZone, j.Waiting = a.Job.InZone(), []int{a.Index}
+		if s.Holds(j) {
+			fit++
+		}
+	}
+	return fit > 0 && fit*2 >= len(m.Attempts)
+}
+
 // expected are phantom tasks for what arrives while a machine would boot, for
 // classes whose aims are shorter than that.
 func (r *reign) expected() []*sched.Job {
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -220,6 +220,16 @@
 	return out
 }
 
+// Holds places one task of the job, as far as room is concerned, and says
+// whether there was any.
+func (s *Snapshot) Holds(j *Job) bool {
+	m := s.best(j)
+	if m != nil {
+		s.take(j, m)
+	}
+	return m != nil
+}
+
 // reserve takes room for expected tasks on machines that are up, as far as
 // there is any.
 func (s *Snapshot) reserve(j *Job) {
