--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -237,10 +237,10 @@
 // Cancel is the time by which a cancelled job's tasks must be gone.
 func (c *Config) Cancel() time.Duration { return seconds(c.Cluster.Workers.CancelS) }
 
-// LeaderTTL is the leader's lease in the state service: a quarter of the
+// LeaderTTL is the leader's lease in the state service: 3/20 of the
 // workers' lease, so that a successor stands well before that runs out.
 func (c *Config) LeaderTTL() time.Duration {
-	return max(c.Lease()/4, 500*time.Millisecond)
+	return max(c.Lease()*3/20, 500*time.Millisecond)
 }
 
 // Coast is how long a leader may go on answering workers after it sent the
--- a/internal/coordination/cloud.go
+++ b/internal/coordination/cloud.go
@@ -56,7 +56,7 @@
 	if after != "" {
 		path += "&after=" + after
 	}
-	c.cloudCall("GET", path, nil, c.cfg.LeaderTTL(), func(res Result) {
+	c.cloudCall("GET", path, nil, c.cfg.Lease()/4, func(res Result) {
 		if c.reign != r {
 			return
 		}
@@ -162,7 +162,7 @@
 		return
 	}
 	r.deleting = true
-	c.cloudCall("POST", "/machines/delete", protocol.Rented{Machines: names}, c.cfg.LeaderTTL()*2, func(res Result) {
+	c.cloudCall("POST", "/machines/delete", protocol.Rented{Machines: names}, c.cfg.Lease()/2, func(res Result) {
 		if c.reign != r {
 			return
 		}
@@ -191,7 +191,7 @@
 	c := r.c
 	r.renting[q.req.Request] = q
 	c.log.Info("renting", "request", q.req.Request, "type", p.Type, "zone", p.Zone, "spot", p.Spot, "count", q.req.Count)
-	c.cloudCall("POST", "/machines", q.req, c.cfg.LeaderTTL()*2, func(res Result) {
+	c.cloudCall("POST", "/machines", q.req, c.cfg.Lease()/2, func(res Result) {
 		if c.reign != r {
 			return
 		}
--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -133,7 +133,7 @@
 		return
 	}
 	c.typesBusy = true
-	c.cloudCall("GET", "/flavors", nil, c.cfg.LeaderTTL(), func(r Result) {
+	c.cloudCall("GET", "/flavors", nil, c.cfg.Lease()/4, func(r Result) {
 		c.typesBusy = false
 		var list protocol.MachineTypes
 		if r.Status != 200 || protocol.Decode(r.Body, &list) != nil || len(list.Types) == 0 {
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -75,7 +75,7 @@
 	if !c.view.known && c.view.leader == nil && c.view.leaderless == 0 {
 		return false
 	}
-	return c.view.leader != nil || c.now < c.view.leaderless+2*c.cfg.LeaderTTL()
+	return c.view.leader != nil || c.now < c.view.leaderless+c.cfg.Lease()/2
 }
 
 // relay passes a user's request on to the leader.
