Overdue reports are probed; only unheard machines are deleted before their lease ends

Unheard since a take-over, the proof by time is coasting + lease away, so there the deletion stays (at half a lease).

--- a/internal/coordination/schedule.go
+++ b/internal/coordination/schedule.go
@@ -287,7 +287,7 @@
 	for _, m := range r.Machines {
 		if m.Up && !m.Returning {
 			up++
-			if r.silentFor(m) > c.cfg.Lease()/2 {
+			if r.silentFor(m) > c.cfg.Lease()*2/5 {
 				silent++
 			}
 		}
@@ -309,10 +309,12 @@
 			} else if m.IdleSince == 0 {
 				m.IdleSince = c.now
 			}
-		case !lonely && m.CallFails > 1 && r.silentFor(m) > c.cfg.Lease()/2 && r.fitsElsewhere(m):
-			// The cloud's word that it is gone comes sooner than the end of the
-			// worker's lease, and much sooner after a take-over.
-			r.giveBack(m, "silent, and its tasks fit elsewhere")
+		case !lonely && m.CallFails > 1 && m.FreshAt == 0 && r.silentFor(m) > c.cfg.Lease()/2 && r.fitsElsewhere(m):
+			// After a take-over the proof by time is far away, and the cloud's
+			// word that the machine is gone comes sooner. A machine that this
+			// leader did hear is left alone: cut off or hanging, its tasks go
+			// on until its lease ends, and it may come back.
+			r.giveBack(m, "not heard since the take-over, and its tasks fit elsewhere")
 		case !lonely && m.CallFails > 0 && r.silentFor(m) > 5*c.cfg.Lease()/2:
 			r.giveBack(m, "silent")
 		case len(m.Attempts) > 0 || needed[m.ID]:
@@ -348,10 +350,7 @@
 // classes whose aims are shorter than that.
 func (r *reign) expected() []*sched.Job {
 	c := r.c
-	boot := 0.0
-	for _, t := range c.types {
-		boot = max(boot, t.BootS)
-	}
+	boot := c.bootS()
 	window := 4 * boot
 	var out []*sched.Job
 	for _, class := range sortedKeys(r.arrivals) {
@@ -360,13 +359,12 @@
 			continue
 		}
 		a := r.arrivals[class]
-		tasks, n := 0, 0
+		tasks := 0
 		var sample *ledger.Job
-		first := c.wall - int64(window*1000)
+		from := c.wall - int64(window*1000)
 		for _, x := range a.last {
-			if x.at >= first && x.at <= c.wall {
+			if x.at >= from {
 				tasks += x.job.Spec.Tasks
-				n++
 				sample = x.job
 			}
 		}
@@ -389,6 +387,15 @@
 	return out
 }
 
+// bootS is the longest usual boot time.
+func (c *Core) bootS() float64 {
+	boot := 0.0
+	for _, t := range c.types {
+		boot = max(boot, t.BootS)
+	}
+	return boot
+}
+
 // aimOf is the shortest waiting time that the users aim at for a class.
 func (r *reign) aimOf(class string) float64 {
 	aim := 0.0
@@ -443,6 +450,30 @@
 			up++
 		}
 	}
+	// By type and kind: machines that are up, and how much of them is used.
+	type load struct {
+		n    int
+		used float64
+	}
+	kinds := map[string]*load{}
+	for _, m := range r.Machines {
+		if !m.Up || m.Returning {
+			continue
+		}
+		name := m.Type
+		if m.Spot {
+			name += "/spot"
+		}
+		if kinds[name] == nil {
+			kinds[name] = &load{}
+		}
+		kinds[name].n++
+		if m.Size.Accel > 0 {
+			kinds[name].used += m.Used.Accel / m.Size.Accel
+		} else if m.Size.Cores > 0 {
+			kinds[name].used += m.Used.Cores / m.Size.Cores
+		}
+	}
 	waiting, held := map[string]int{}, map[string]int{}
 	for _, j := range r.Jobs {
 		if j.Stored && !j.Cancelling {
@@ -454,6 +485,9 @@
 	for _, class := range sortedKeys(waiting) {
 		args = append(args, class, strconv.Itoa(held[class])+"+"+strconv.Itoa(waiting[class]))
 	}
+	for _, name := range sortedKeys(kinds) {
+		args = append(args, name, strconv.FormatFloat(kinds[name].used, 'f', 1, 64)+"/"+strconv.Itoa(kinds[name].n))
+	}
 	for _, name := range sortedKeys(r.Teams) {
 		t := r.Teams[name]
 		if t.Used.Cores > 0 {
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -412,7 +412,9 @@
 	}
 	// An empty request brings our token to a machine that may be up, and tells
 	// whether the direct way works again. A booting one would only time out.
-	greet := (!m.Fresh && !m.Greeted && (m.Up || m.Listed)) || m.CallFails > 0
+	greet := (!m.Fresh && !m.Greeted && (m.Up || m.Listed)) || m.CallFails > 0 ||
+		// A report is overdue: is the machine there at all?
+		(m.Known && m.Session > m.DeadSession && c.now > m.Heard+2*c.cfg.Report())
 	if !m.Known && !greet {
 		return
 	}
@@ -431,7 +433,7 @@
 	if body.Commands == nil {
 		body.Commands = []protocol.Command{}
 	}
-	c.call(ToWorker, m.Addr, "POST", "/commands", body, c.cfg.Lease()/5, func(res Result) {
+	c.call(ToWorker, m.Addr, "POST", "/commands", body, c.cfg.Lease()/10, func(res Result) {
 		if c.reign != r {
 			return
 		}
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -112,7 +112,9 @@
 	Jobs     []*Job
 	Teams    map[string]*Team
 	UpperCap float64 // share of the fleet
-	Capacity Need    // of ready machines
+	// Open says whether a pool can be rented from, as far as known; nil: no.
+	Open     func(Pool) bool
+	Capacity Need // of ready machines
 }
 
 // Placement is a task to start.
