--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -359,23 +359,32 @@
 		held := j.Held
 		for len(j.Waiting) > 0 && len(out) < maxStops {
 			team := s.Teams[j.Team]
-			if !team.InLimit(j.Need) || (!j.Service && held >= j.Slots) {
+			if !j.Service && held >= j.Slots {
 				break
 			}
+			for !team.InLimit(j.Need) && len(out) < maxStops {
+				// The team's own work of lower priority holds its limit.
+				m, v, ok := s.youngest(j)
+				if !ok {
+					break
+				}
+				out = append(out, s.stop(m, v, j))
+			}
+			if !team.InLimit(j.Need) {
+				break
+			}
+			if m := s.best(j); m != nil {
+				s.take(j, m)
+				held++
+				continue
+			}
 			guaranteed := team.InGuarantee(j.Need)
 			m, victims := s.cheapestStops(j, guaranteed, pos)
 			if m == nil {
 				break
 			}
 			for _, v := range victims {
-				out = append(out, Stop{v, m, j})
-				m.Free = m.Free.Plus(v.Job.Need)
-				if t := s.Teams[v.Job.Team]; t != nil {
-					t.Used = t.Used.Minus(v.Job.Need)
-				}
-				v.Job.InZone[m.Zone]--
-				v.Job.Held--
-				m.Running = remove(m.Running, v)
+				out = append(out, s.stop(m, v, j))
 			}
 			s.take(j, m)
 			held++
@@ -384,6 +393,32 @@
 	return out
 }
 
+func (s *Snapshot) stop(m *Machine, v Held, j *Job) Stop {
+	m.Free = m.Free.Plus(v.Job.Need)
+	if t := s.Teams[v.Job.Team]; t != nil {
+		t.Used = t.Used.Minus(v.Job.Need)
+	}
+	v.Job.InZone[m.Zone]--
+	v.Job.Held--
+	m.Running = remove(m.Running, v)
+	return Stop{v, m, j}
+}
+
+// youngest is the task of the job's team and of lower priority that has held
+// its place for the least time.
+func (s *Snapshot) youngest(j *Job) (*Machine, Held, bool) {
+	var pick *Machine
+	var held Held
+	for _, m := range s.Machines {
+		for _, h := range m.Running {
+			if h.Job.Team == j.Team && h.Job.Priority < j.Priority && (pick == nil || h.SinceS < held.SinceS) {
+				pick, held = m, h
+			}
+		}
+	}
+	return pick, held, pick != nil
+}
+
 func remove(list []Held, v Held) []Held {
 	var out []Held
 	for _, h := range list {
