--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -139,7 +139,7 @@
 		return nil, fmt.Errorf("settings: %w", err)
 	}
 	g := &c.Operator.Green
-	g.Gamma, g.UpperCap, g.RoundS, g.FillS, g.CountersS = 0.9, 0.3, 20, 60, 60
+	g.Gamma, g.UpperCap, g.RoundS, g.FillS, g.CountersS = 0.9, 0.3, 5, 60, 60
 	c.Operator.Fleet.Headroom, c.Operator.Fleet.IdleRatio = 1.0, 0.6
 	meta, err := toml.Decode(string(operator), &c.Operator)
 	if err != nil {
