--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -140,7 +140,7 @@
 	}
 	g := &c.Operator.Green
 	g.Gamma, g.UpperCap, g.RoundS, g.FillS, g.CountersS = 0.9, 0.3, 5, 60, 60
-	c.Operator.Fleet.Headroom, c.Operator.Fleet.IdleRatio = 1.0, 0.6
+	c.Operator.Fleet.Headroom, c.Operator.Fleet.IdleRatio = 1.0, 0.3
 	meta, err := toml.Decode(string(operator), &c.Operator)
 	if err != nil {
 		return nil, fmt.Errorf("operators' settings: %w", err)
