--- a/internal/coordination/schedule.go
+++ b/internal/coordination/schedule.go
@@ -254,6 +254,7 @@
 	}
 	s := r.snapshot(false, true)
 	s.Jobs = append(s.Jobs, r.expected()...)
+	s.Jobs = append(s.Jobs, r.doubles()...)
 	inFlight := map[sched.Pool]int{}
 	for _, name := range sortedKeys(r.renting) {
 		q := r.renting[name].req
@@ -309,12 +310,12 @@
 			} else if m.IdleSince == 0 {
 				m.IdleSince = c.now
 			}
-		case !lonely && m.CallFails > 1 && m.FreshAt == 0 && r.silentFor(m) > c.cfg.Lease()/2 && r.fitsElsewhere(m):
+		case !lonely && m.CallFails > 1 && m.FreshAt == 0 && r.silentFor(m) > c.cfg.Lease()/2:
 			// After a take-over the proof by time is far away, and the cloud's
 			// word that the machine is gone comes sooner. A machine that this
 			// leader did hear is left alone: cut off or hanging, its tasks go
 			// on until its lease ends, and it may come back.
-			r.giveBack(m, "not heard since the take-over, and its tasks fit elsewhere")
+			r.giveBack(m, "not heard since the take-over")
 		case !lonely && m.CallFails > 0 && r.silentFor(m) > 5*c.cfg.Lease()/2:
 			r.giveBack(m, "silent")
 		case len(m.Attempts) > 0 || needed[m.ID]:
@@ -332,18 +333,30 @@
 	return r.c.now - max(m.Heard, r.since)
 }
 
-// fitsElsewhere says whether most of a machine's tasks find room on others now.
-func (r *reign) fitsElsewhere(m *ledger.Machine) bool {
-	s := r.snapshot(false, false)
-	fit := 0
-	for _, a := range m.Sorted() {
-		j := schedJob(a.Job)
-		j.InZone, j.Waiting = a.Job.InZone(), []int{a.Index}
-		if s.Holds(j) {
-			fit++
+// missed reports whether a machine is overdue and can't be reached: its tasks
+// will probably be needed elsewhere.
+func (r *reign) missed(m *ledger.Machine) bool {
+	return m.CallFails > 1 && r.silentFor(m) > r.c.cfg.Lease()*2/5
+}
+
+// doubles stand for the replicas on machines that are missed, so that their
+// next machines boot while the proof that they are gone is still awaited.
+func (r *reign) doubles() []*sched.Job {
+	var out []*sched.Job
+	for _, m := range r.machines() {
+		if !r.missed(m) {
+			continue
+		}
+		for _, a := range m.Sorted() {
+			if a.Job.Spec.Service && !a.Job.Cancelling && !a.Halt {
+				j := schedJob(a.Job)
+				j.ID, j.Phantom, j.Spread, j.OneZone = "^"+a.Key().Task, true, false, false
+				j.Waiting = []int{a.Index}
+				out = append(out, j)
+			}
 		}
 	}
-	return fit > 0 && fit*2 >= len(m.Attempts)
+	return out
 }
 
 // expected are phantom tasks for what arrives while a machine would boot, for
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -222,16 +222,6 @@
 	return out
 }
 
-// Holds places one task of the job, as far as room is concerned, and says
-// whether there was any.
-func (s *Snapshot) Holds(j *Job) bool {
-	m := s.best(j)
-	if m != nil {
-		s.take(j, m)
-	}
-	return m != nil
-}
-
 // reserve takes room for expected tasks on machines that are up, as far as
 // there is any.
 func (s *Snapshot) reserve(j *Job) {
@@ -496,7 +486,7 @@
 	created := 0
 	for ji, j := range s.Jobs {
 		for len(j.Waiting) > 0 {
-			if t := s.Teams[j.Team]; t != nil && !t.InLimit(j.Need) {
+			if t := s.Teams[j.Team]; t != nil && !t.InLimit(j.Need) && !j.Phantom {
 				break
 			}
 			m := s.best(j)
