Floods: workers' reports queue apart and first; an outage refuses who waits at once

Users' requests have a bounded queue of their own, so a flood of them costs no worker its lease; beyond 45% of the sockets users' connections end with an answer. A 503 of the state service refuses all who wait at once.

--- a/internal/coordination/leader.go
+++ b/internal/coordination/leader.go
@@ -67,10 +67,7 @@
 	}
 	c.log.Info("no longer leader", "token", r.token, "why", why)
 	c.reign = nil
-	for id, w := range c.waiters {
-		delete(c.waiters, id)
-		c.reply(w.from, 503, nil, 1)
-	}
+	r.refuseWaiting()
 	// Whatever else the view says may be old: read it again before acting.
 	c.view.leader, c.view.leaderless = nil, c.now
 	c.view.refresh(c.now)
--- a/internal/coordination/store.go
+++ b/internal/coordination/store.go
@@ -212,6 +212,9 @@
 		// 503: not executed. 429: likewise, and we have been too fast.
 		if res.Status == 429 {
 			c.changes.level = min(c.changes.level, 0)
+		} else {
+			// Nobody is kept waiting for a service that is down.
+			r.refuseWaiting()
 		}
 		t.retryAt = c.now + c.pause()
 	}
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -131,6 +131,15 @@
 	return true
 }
 
+// refuseWaiting answers all that wait, at once and with when to come back.
+func (r *reign) refuseWaiting() {
+	for _, id := range slices.Sorted(maps.Keys(r.c.waiters)) {
+		w := r.c.waiters[id]
+		delete(r.c.waiters, id)
+		r.c.refuse(w.from)
+	}
+}
+
 // waiting says whether the asker still waits, and ends that.
 func (r *reign) waiting(from asker) bool {
 	if r.c.waiters[from.id] == nil {
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -13,6 +13,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"claybarrow/internal/config"
@@ -35,7 +36,9 @@
 	core    Core
 	log     *slog.Logger
 	inbox   chan coordination.Event
-	asks    chan ask
+	asks    chan ask // users, other controllers, the load balancer
+	reports chan ask // workers
+	open    atomic.Int64
 	clients map[coordination.Target]*http.Client
 	start   time.Time
 }
@@ -62,8 +65,11 @@
 	}
 	return &Node{cfg: cfg, core: core, log: log,
 		inbox: make(chan coordination.Event, fds),
-		asks:  make(chan ask, fds),
-		start: time.Now(),
+		// What waits here is answered within a second or so even by a slow
+		// share of a core; more than that is refused at once.
+		asks:    make(chan ask, max(16, fds/4)),
+		reports: make(chan ask, max(16, fds/4)),
+		start:   time.Now(),
 		clients: map[coordination.Target]*http.Client{
 			coordination.ToState:  client(8, 8),
 			coordination.ToCloud:  client(4, 4),
@@ -76,11 +82,11 @@
 func (n *Node) Run(ctx context.Context) error {
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
-	users, err := n.listen(n.cfg.ClientListen, n.cfg.Cluster.Resources.FDs*6/10)
+	users, err := n.listen(n.cfg.ClientListen, n.cfg.Cluster.Resources.FDs*clientConns/100, &n.open)
 	if err != nil {
 		return fmt.Errorf("client_listen: %w", err)
 	}
-	peers, err := n.listen(n.cfg.PeerListen, n.cfg.Cluster.Resources.FDs/10)
+	peers, err := n.listen(n.cfg.PeerListen, n.cfg.Cluster.Resources.FDs/10, new(atomic.Int64))
 	if err != nil {
 		return fmt.Errorf("peer_listen: %w", err)
 	}
@@ -110,19 +116,34 @@
 	defer ticker.Stop()
 	waiting := map[uint64]chan coordination.Reply{}
 	var last uint64
+	ask := func(a ask) coordination.Event {
+		last++
+		a.req.ID = last
+		waiting[last] = a.answer
+		return a.req
+	}
 	for {
+		// Time, answers and workers go first: a flood of users must cost
+		// neither the leadership nor the workers' leases.
 		var ev coordination.Event
 		select {
-		case <-ctx.Done():
-			return
 		case ev = <-n.inbox:
-		case a := <-n.asks:
-			last++
-			a.req.ID = last
-			waiting[last] = a.answer
-			ev = a.req
+		case a := <-n.reports:
+			ev = ask(a)
 		case <-ticker.C:
 			ev = coordination.Tick{}
+		default:
+			select {
+			case <-ctx.Done():
+				return
+			case ev = <-n.inbox:
+			case a := <-n.reports:
+				ev = ask(a)
+			case <-ticker.C:
+				ev = coordination.Tick{}
+			case a := <-n.asks:
+				ev = ask(a)
+			}
 		}
 		for _, e := range n.core.Handle(n.now(), ev) {
 			switch e := e.(type) {
@@ -205,6 +226,13 @@
 // after 5 s, and the core itself answers long before.
 const replyWithin = 4500 * time.Millisecond
 
+// Shares of the socket limit, in percent: all connections of client_listen, and
+// from where on users' connections are closed after an answer.
+const (
+	clientConns = 60
+	userConns   = 45
+)
+
 func (n *Node) handler(op coordination.Op, wantBody bool) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		req := coordination.Request{Op: op, UID: r.PathValue("id")}
@@ -225,10 +253,17 @@
 			req.Body = body
 		}
 		a := ask{req: req, answer: make(chan coordination.Reply, 1)}
+		queue := n.asks
+		if op == coordination.OpReport {
+			queue = n.reports
+		} else if n.open.Load() > int64(n.cfg.Cluster.Resources.FDs)*userConns/100 {
+			// Room for the workers' connections, which come by the same door.
+			w.Header().Set("Connection", "close")
+		}
 		timer := time.NewTimer(replyWithin)
 		defer timer.Stop()
 		select {
-		case n.asks <- a:
+		case queue <- a:
 		default:
 			// The queue is bounded: answered at once, with when to come back.
 			w.Header().Set("Retry-After", "1")
@@ -256,17 +291,18 @@
 
 // listen caps the connections that one listener holds; more are closed at
 // once, so that room stays for the state service, the cloud and the workers.
-func (n *Node) listen(addr string, most int) (net.Listener, error) {
+func (n *Node) listen(addr string, most int, open *atomic.Int64) (net.Listener, error) {
 	l, err := net.Listen("tcp4", addr)
 	if err != nil {
 		return nil, err
 	}
-	return &capped{Listener: l, free: make(chan struct{}, most)}, nil
+	return &capped{Listener: l, most: int64(most), open: open}, nil
 }
 
 type capped struct {
 	net.Listener
-	free chan struct{}
+	most int64
+	open *atomic.Int64
 }
 
 func (c *capped) Accept() (net.Conn, error) {
@@ -280,22 +316,22 @@
 			time.Sleep(10 * time.Millisecond)
 			continue
 		}
-		select {
-		case c.free <- struct{}{}:
-			return &cappedConn{Conn: conn, free: c.free}, nil
-		default:
+		if c.open.Add(1) > c.most {
+			c.open.Add(-1)
 			conn.Close()
+			continue
 		}
+		return &cappedConn{Conn: conn, open: c.open}, nil
 	}
 }
 
 type cappedConn struct {
 	net.Conn
 	once sync.Once
-	free chan struct{}
+	open *atomic.Int64
 }
 
 func (c *cappedConn) Close() error {
-	c.once.Do(func() { <-c.free })
+	c.once.Do(func() { c.open.Add(-1) })
 	return c.Conn.Close()
 }
--- /dev/null
+++ b/internal/transport/transport_test.go
@@ -0,0 +1,91 @@
+package transport
+
+import (
+	"bytes"
+	"context"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"claybarrow/internal/config"
+	"claybarrow/internal/coordination"
+	"claybarrow/internal/protocol"
+)
+
+// echo answers every request with the operation that it was taken for.
+type echo struct{}
+
+func (echo) Handle(_ coordination.Clock, ev coordination.Event) []coordination.Effect {
+	if q, ok := ev.(coordination.Request); ok {
+		return []coordination.Effect{coordination.Reply{ID: q.ID, Status: 200, Body: []byte(string(q.Op) + " " + q.UID)}}
+	}
+	return nil
+}
+
+func node(t *testing.T) *Node {
+	t.Helper()
+	cfg := &config.Config{}
+	cfg.Cluster.Workers = config.Workers{ReportS: 1, LeaseS: 10, CancelS: 35}
+	cfg.Cluster.Resources.FDs = 64
+	return New(cfg, echo{}, slog.New(slog.DiscardHandler))
+}
+
+func send(h http.Handler, method, path string, body []byte) *httptest.ResponseRecorder {
+	w := httptest.NewRecorder()
+	h.ServeHTTP(w, httptest.NewRequest(method, path, bytes.NewReader(body)))
+	return w
+}
+
+func TestRoutes(t *testing.T) {
+	n := node(t)
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	go n.loop(ctx)
+	users, peers := n.userRoutes(), n.peerRoutes()
+	for _, tc := range []struct {
+		h            http.Handler
+		method, path string
+		status       int
+		body         string
+	}{
+		{users, "POST", "/api/jobs", 200, "submit "},
+		{users, "GET", "/api/jobs/j-000412", 200, "poll j-000412"},
+		{users, "POST", "/api/jobs/j-000412/withdraw", 200, "cancel j-000412"},
+		{users, "GET", "/ready", 200, "ready "},
+		{users, "POST", "/hello", 200, "report "},
+		{peers, "POST", "/relay", 200, "relay "},
+		{users, "POST", "/relay", 404, ""},
+		{users, "GET", "/api/jobs", 405, ""},
+	} {
+		w := send(tc.h, tc.method, tc.path, nil)
+		if w.Code != tc.status || (tc.body != "" && w.Body.String() != tc.body) {
+			t.Errorf("%s %s: %d %q", tc.method, tc.path, w.Code, w.Body)
+		}
+	}
+	if w := send(users, "POST", "/api/jobs", make([]byte, protocol.MaxBody+1)); w.Code != 400 {
+		t.Errorf("an oversized body got %d", w.Code)
+	}
+}
+
+// A flood that the core can't follow is refused at once, with when to come
+// back, and the workers' queue stays open.
+func TestFlood(t *testing.T) {
+	n := node(t) // its loop does not run: nothing is taken from the queues
+	h := n.userRoutes()
+	for range cap(n.asks) {
+		n.asks <- ask{}
+	}
+	w := send(h, "GET", "/api/jobs/j-1", nil)
+	if w.Code != 503 || w.Header().Get("Retry-After") == "" {
+		t.Errorf("flooded: %d, Retry-After %q", w.Code, w.Header().Get("Retry-After"))
+	}
+	if len(n.reports) != 0 || cap(n.reports) == 0 {
+		t.Error("the flood reached the workers' queue")
+	}
+	// Beyond the users' share of sockets, their connections end with the answer.
+	n.open.Store(int64(n.cfg.Cluster.Resources.FDs))
+	if w := send(h, "GET", "/ready", nil); w.Header().Get("Connection") != "close" {
+		t.Error("users' connections stay open though sockets are short")
+	}
+}
