--- /dev/null
+++ b/internal/sched/sched_test.go
@@ -0,0 +1,224 @@
+package sched
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+var box = &Type{Name: "box", Size: Need{Cores: 8, Mem: 32}, Price: 1, SpotPrice: 0.4, Zones: []string{"a", "b"}, BootS: 10}
+var gpu = &Type{Name: "gpu", Size: Need{Cores: 32, Accel: 4, Mem: 128}, Price: 10, SpotPrice: 4, Zones: []string{"a"}, BootS: 10}
+
+func machines(t *Type, zones ...string) []*Machine {
+	var out []*Machine
+	for i, z := range zones {
+		out = append(out, &Machine{ID: fmt.Sprintf("%s-%d", t.Name, i), Type: t, Zone: z, Free: t.Size, Room: 100})
+	}
+	return out
+}
+
+func batch(id string, n int, change func(*Job)) *Job {
+	j := &Job{ID: id, Team: "red", Tasks: n, Need: Need{Cores: 1, Mem: 1}, Degradation: 1, Slots: 1, Upper: true, InZone: map[string]int{}}
+	for i := range n {
+		j.Waiting = append(j.Waiting, i)
+	}
+	if change != nil {
+		change(j)
+	}
+	return j
+}
+
+func snap(ms []*Machine, jobs ...*Job) *Snapshot {
+	s := &Snapshot{Machines: ms, Jobs: jobs, UpperCap: 0.3, Teams: map[string]*Team{
+		"red": {Limit: Need{Cores: 100}}, "blue": {Limit: Need{Cores: 100}, Guarantee: Need{Cores: 4}}}}
+	for _, m := range ms {
+		s.Capacity = s.Capacity.Plus(m.Type.Size)
+	}
+	return s
+}
+
+func started(ps []Placement) map[string]int {
+	out := map[string]int{}
+	for _, p := range ps {
+		out[p.Job.ID]++
+	}
+	return out
+}
+
+// GREEN's order: services, upper queue first come first served, lower queue by
+// attained service over degradation, least first.
+func TestOrder(t *testing.T) {
+	lower := func(attained, degr float64) func(*Job) {
+		return func(j *Job) { j.Upper, j.Attained, j.Degradation = false, attained, degr }
+	}
+	jobs := []*Job{
+		batch("old-lower", 1, lower(10, 1)), batch("young-lower", 1, lower(2, 1)), batch("inefficient", 1, lower(6, 0.5)),
+		batch("second", 1, func(j *Job) { j.Submitted = 2 }), batch("first", 1, func(j *Job) { j.Submitted = 1 }),
+		batch("service", 1, func(j *Job) { j.Service, j.Submitted = true, 9 }),
+		batch("better-service", 1, func(j *Job) { j.Service, j.Submitted, j.Priority = true, 9, 3 }),
+	}
+	Order(jobs)
+	var got []string
+	for _, j := range jobs {
+		got = append(got, j.ID)
+	}
+	want := []string{"better-service", "service", "first", "second", "young-lower", "old-lower", "inefficient"}
+	if d := cmp.Diff(want, got); d != "" {
+		t.Error(d)
+	}
+}
+
+// Every job gets its slots before any gets more, and then spare room is filled
+// by rank beyond slot counts.
+func TestFillSlotsFirst(t *testing.T) {
+	s := snap(machines(box, "a"), batch("swarm", 20, nil), batch("small", 2, func(j *Job) { j.Submitted = 5 }))
+	if d := cmp.Diff(map[string]int{"swarm": 7, "small": 1}, started(s.Fill())); d != "" {
+		t.Error(d)
+	}
+}
+
+// The upper queue's slots beyond its cap give way to the lower queue's.
+func TestUpperCap(t *testing.T) {
+	s := snap(machines(box, "a"),
+		batch("upper", 8, func(j *Job) { j.Slots = 8 }),
+		batch("lower", 8, func(j *Job) { j.Upper, j.Slots = false, 8 }))
+	if d := cmp.Diff(map[string]int{"upper": 1, "lower": 7}, started(s.Fill())); d != "" {
+		t.Error(d)
+	}
+}
+
+func TestLimitsAndZones(t *testing.T) {
+	s := snap(machines(box, "a", "a", "b"), batch("j", 5, func(j *Job) { j.Service, j.Spread = true, true }))
+	got := map[string]int{}
+	for _, p := range s.Fill() {
+		got[p.Machine.Zone]++
+	}
+	if got["a"] > 3 || got["b"] > 3 || got["a"]+got["b"] != 5 {
+		t.Errorf("apart: %v", got)
+	}
+	s = snap(machines(box, "a", "b"), batch("j", 12, func(j *Job) { j.OneZone = true }))
+	if n := len(s.Fill()); n != 8 {
+		t.Errorf("together: %d of 12 start in the one zone with 8 places", n)
+	}
+	s = snap(machines(box, "a"), batch("j", 8, nil))
+	s.Teams["red"] = &Team{Limit: Need{Cores: 5}, Used: Need{Cores: 2}}
+	if n := len(s.Fill()); n != 3 {
+		t.Errorf("limit: %d started, 3 are left", n)
+	}
+	spot := machines(box, "a")
+	spot[0].Spot = true
+	if n := len(snap(spot, batch("j", 1, nil)).Fill()); n != 0 {
+		t.Error("a job that may not went to a spot machine")
+	}
+}
+
+// Room for expected services is kept from batches, not from services.
+func TestReserve(t *testing.T) {
+	phantom := func() *Job {
+		return batch("~web", 3, func(j *Job) { j.Team, j.Service, j.Phantom = "", true, true })
+	}
+	s := snap(machines(box, "a"), batch("b", 8, nil), phantom())
+	if n := len(s.Fill()); n != 5 {
+		t.Errorf("batch got %d of 8 places, 3 are kept", n)
+	}
+	s = snap(machines(box, "a"), batch("web", 8, func(j *Job) { j.Service = true }), phantom())
+	if n := len(s.Fill()); n != 8 {
+		t.Errorf("service got %d of 8 places", n)
+	}
+}
+
+// A round's stops obey the protocol's "Preemption".
+func TestStops(t *testing.T) {
+	full := func(victim *Job, n int) []*Machine {
+		m := machines(box, "a")
+		victim.Waiting, victim.Held, victim.Slots = nil, n, n
+		victim.InZone["a"] = n
+		for i := range n {
+			m[0].Running = append(m[0].Running, Held{Job: victim, Index: i, SinceS: float64(i)})
+			m[0].Free = m[0].Free.Minus(victim.Need)
+		}
+		return m
+	}
+	for _, tc := range []struct {
+		name     string
+		job, vic func(*Job)
+		teams    map[string]*Team
+		stops    int
+	}{
+		{"lower priority gives way", func(j *Job) { j.Service, j.Priority = true, 2 }, func(j *Job) { j.Upper = false }, nil, 1},
+		{"the same priority does not", func(j *Job) { j.Service = true }, func(j *Job) { j.Upper = false }, nil, 0},
+		{"a higher one does not", nil, func(j *Job) { j.Priority, j.Upper = 3, false }, nil, 0},
+		{"what is lent returns to its team", func(j *Job) { j.Team = "blue" }, func(j *Job) { j.Upper, j.Priority = false, 3 },
+			map[string]*Team{"red": {Guarantee: Need{Cores: 2}, Used: Need{Cores: 8}}, "blue": {Guarantee: Need{Cores: 4}}}, 1},
+		{"what is within a guarantee stays", func(j *Job) { j.Team = "blue" }, func(j *Job) { j.Upper, j.Priority = false, 3 },
+			map[string]*Team{"red": {Guarantee: Need{Cores: 8}, Used: Need{Cores: 8}}, "blue": {Guarantee: Need{Cores: 4}}}, 0},
+		{"a team's limit is freed for its better work", func(j *Job) { j.Service, j.Priority = true, 2 }, func(j *Job) { j.Upper = false },
+			map[string]*Team{"red": {Limit: Need{Cores: 8}, Used: Need{Cores: 8}}}, 1},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			vic := batch("victim", 8, tc.vic)
+			s := snap(full(vic, 8), batch("j", 1, tc.job), vic)
+			if tc.teams != nil {
+				s.Teams = tc.teams
+			}
+			got := s.Stops(10)
+			if len(got) != tc.stops {
+				t.Fatalf("%d stops, want %d", len(got), tc.stops)
+			}
+			if tc.stops == 1 && got[0].Victim.SinceS != 0 {
+				t.Errorf("stopped the one of %v s, not the youngest", got[0].Victim.SinceS)
+			}
+		})
+	}
+}
+
+// The cheapest pool that the job allows, short ones passed over; nothing with
+// accelerators for work that has no use for them.
+func TestPlan(t *testing.T) {
+	types := []*Type{gpu, box}
+	open := func(Pool) bool { return false }
+	got := snap(nil, batch("j", 8, func(j *Job) { j.Spot = true })).Plan(types, open, 10)
+	if d := cmp.Diff([]Rental{{Pool{"box", "a", true}, 1}}, got); d != "" {
+		t.Error(d)
+	}
+	got = snap(nil, batch("j", 8, nil)).Plan(types, func(p Pool) bool { return p.Zone == "a" }, 10)
+	if d := cmp.Diff([]Rental{{Pool{"box", "b", false}, 1}}, got); d != "" {
+		t.Error(d)
+	}
+	s := snap(nil, batch("j", 400, nil))
+	s.Teams["red"].Limit.Cores = 16
+	got = s.Plan(types, open, 64)
+	n := 0
+	for _, r := range got {
+		n += r.Count
+	}
+	if n != 2 {
+		t.Errorf("%d machines rented for a team's limit of two", n)
+	}
+}
+
+// GREEN's scale-up: one slot a round while degradation stays at or above gamma,
+// judged once every slot has finished a task.
+func TestScale(t *testing.T) {
+	s := NewScale()
+	s.Attained = 10
+	s.Round(0, 100, 0.9)
+	if s.Slots != 1 || !s.Upper {
+		t.Fatalf("scaled with nothing to judge by: %+v", s)
+	}
+	s.Round(1, 100, 0.9) // 0.01 per 10
+	if s.Slots != 2 || s.Degr != 1 {
+		t.Fatalf("first scale-up: %+v", s)
+	}
+	s.Attained = 30
+	s.Round(3, 100, 0.9) // 0.02 per 20: as good as at minimum size
+	if s.Slots != 3 {
+		t.Fatalf("second scale-up: %+v", s)
+	}
+	s.Attained = 90
+	s.Round(6, 100, 0.9) // 0.03 per 60: half as good
+	if s.Upper || s.Slots != 3 || s.Degr != 0.5 {
+		t.Fatalf("drop to the lower queue at its size: %+v", s)
+	}
+}
