--- a/internal/coordination/reign.go
+++ b/internal/coordination/reign.go
@@ -44,6 +44,7 @@
 	countersAt  time.Duration
 	counterKeys int
 	arrivals    map[string]*arrivals
+	claims      map[string]claim
 
 	cloudState
 }
@@ -70,6 +71,7 @@
 		cancels:        map[string][]asker{},
 		counters:       map[string]ledger.CounterRow{},
 		arrivals:       map[string]*arrivals{},
+		claims:         map[string]claim{},
 		roundAt:        c.now + seconds(c.cfg.Operator.Green.RoundS),
 		fillAt:         c.now + seconds(c.cfg.Operator.Green.FillS),
 		countersAt:     c.now + seconds(c.cfg.Operator.Green.CountersS),
--- a/internal/coordination/schedule.go
+++ b/internal/coordination/schedule.go
@@ -59,7 +59,7 @@
 func schedJob(j *ledger.Job) *sched.Job {
 	s := j.Spec
 	return &sched.Job{ID: s.UID, Class: s.Class, Team: s.Team, Image: s.Image, Service: s.Service,
-		Priority: int(s.Priority), Submitted: j.Submitted, Need: j.Need, Spot: s.Spot, Types: j.Types,
+		Priority: int(s.Priority), Submitted: j.Submitted, Need: j.Need, SaveS: s.SaveS, Spot: s.Spot, Types: j.Types,
 		Zone: s.Zone, OneZone: s.OneZone, Spread: s.Spread, Tasks: s.Tasks,
 		Held: j.HeldTotal, Upper: j.Scale.Upper && !s.Service, Slots: j.Scale.Slots,
 		Attained: j.Scale.Attained, Degradation: j.Scale.Degr}
@@ -75,6 +75,7 @@
 		s.Teams[name] = &clone
 	}
 	jobs := map[*ledger.Job]*sched.Job{}
+	claimed := map[string]string{}
 	for _, uid := range sortedKeys(r.Jobs) {
 		j := r.Jobs[uid]
 		if !j.Stored {
@@ -84,6 +85,14 @@
 		if c.now >= j.NotBefore {
 			sj.Waiting = j.Waiting(512)
 		}
+		if cl, ok := r.claims[uid]; ok {
+			if c.now >= cl.until || len(sj.Waiting) == 0 {
+				delete(r.claims, uid)
+			} else {
+				sj.Claimed = true
+				claimed[cl.machine] = uid
+			}
+		}
 		if len(sj.Waiting) == 0 && !running {
 			continue
 		}
@@ -98,7 +107,7 @@
 			continue
 		}
 		sm := &sched.Machine{ID: m.ID, Type: t, Zone: m.Zone, Spot: m.Spot, Free: m.Size.Minus(m.Used),
-			Room: room - len(m.Attempts), Used: len(m.Attempts) > 0}
+			Room: room - len(m.Attempts), Used: len(m.Attempts) > 0, For: claimed[m.ID]}
 		switch {
 		case r.usable(m):
 			sm.Images = m.Images
@@ -207,6 +216,7 @@
 
 func (r *reign) start(j *ledger.Job, index int, m *ledger.Machine) {
 	c := r.c
+	delete(r.claims, j.Spec.UID)
 	a := r.Put(m, j, index, r.nextTry(), c.now)
 	c.log.Debug("start", "task", a.Key().Task, "try", a.Try, "machine", m.ID)
 	r.record(m, writeStart, func() {
@@ -222,6 +232,12 @@
 	})
 }
 
+// claim keeps a machine for the job that tasks were stopped for.
+type claim struct {
+	machine string
+	until   time.Duration
+}
+
 // round is GREEN's: jobs gain slots, and tasks ranked past capacity stop.
 func (r *reign) round() {
 	c := r.c
@@ -236,6 +252,7 @@
 	s := r.snapshot(true, false)
 	s.Fill() // what finds room needs no stop
 	for _, st := range s.Stops(c.cfg.Cluster.State.TxnOps) {
+		r.claims[st.For.ID] = claim{st.Target.ID, c.now + c.cfg.Lease() + seconds(st.Victim.Job.SaveS)}
 		m := r.Machines[st.Machine.ID]
 		for _, a := range m.Sorted() {
 			if a.Job.Spec.UID == st.Victim.Job.ID && a.Index == st.Victim.Index {
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -6,6 +6,7 @@
 
 import (
 	"math"
+	"slices"
 	"sort"
 )
 
@@ -39,12 +40,15 @@
 
 // Machine is a machine with its free room. Booting ones are whole.
 type Machine struct {
-	ID       string
-	Type     *Type
-	Zone     string
-	Spot     bool
-	Free     Need
-	Room     int // further tasks that its record can hold
+	ID   string
+	Type *Type
+	Zone string
+	Spot bool
+	Free Need
+	Room int // further tasks that its record can hold
+	// For names the job that tasks were stopped for here: nobody else may take
+	// the room meanwhile, or the stops would be made again at each round.
+	For      string
 	Images   map[string]bool
 	Fetching map[string]bool
 	Booting  bool
@@ -68,6 +72,7 @@
 	Submitted              int64
 	Need                   Need
 	Spot                   bool
+	SaveS                  float64         // time to save when stopped
 	Types                  map[string]bool // nil: any
 	Zone                   string
 	OneZone, Spread        bool
@@ -79,6 +84,8 @@
 	Slots                  int
 	Attained, Degradation  float64
 	Phantom                bool
+	// Claimed: tasks were stopped for it and have not all gone yet.
+	Claimed bool
 }
 
 // Rank is attained service over degradation: the least goes first.
@@ -183,6 +190,9 @@
 		if j.Phantom {
 			s.reserve(j)
 		}
+		if t := s.Teams[j.Team]; t != nil && j.Claimed && len(j.Waiting) > 0 {
+			t.Used = t.Used.Plus(j.Need) // freed for it, not for the team's batches
+		}
 	}
 	for pass := range 3 {
 		upper := 0.0
@@ -278,7 +288,7 @@
 	var pick *Machine
 	bestScore := math.Inf(1)
 	for _, m := range s.Machines {
-		if m.Room <= 0 || !j.Need.Fits(m.Free) || !j.AllowedOn(m.Type.Name, m.Zone, m.Spot) || !j.ZoneOpen(m.Zone) {
+		if (m.For != "" && m.For != j.ID) || m.Room <= 0 || !j.Need.Fits(m.Free) || !j.AllowedOn(m.Type.Name, m.Zone, m.Spot) || !j.ZoneOpen(m.Zone) {
 			continue
 		}
 		if sc := s.score(j, m); sc < bestScore {
@@ -329,8 +339,9 @@
 // Stop is a task to stop, to make room for another job.
 type Stop struct {
 	Victim  Held
-	Machine *Machine
+	Machine *Machine // of the victim
 	For     *Job
+	Target  *Machine // where the job is to start
 }
 
 // Stops are a round's: for tasks that wait within their slots and found no
@@ -346,43 +357,63 @@
 		if j.Phantom {
 			continue
 		}
+		// What was stopped for this job before is still on its way out.
+		if j.Claimed {
+			continue
+		}
 		held := j.Held
-		for len(j.Waiting) > 0 && len(out) < maxStops {
-			team := s.Teams[j.Team]
-			if !j.Service && held >= j.Slots {
-				break
-			}
-			for !team.InLimit(j.Need) && len(out) < maxStops {
-				// The team's own work of lower priority holds its limit.
-				m, v, ok := s.youngest(j)
-				if !ok {
-					break
-				}
-				out = append(out, s.stop(m, v, j))
-			}
-			if !team.InLimit(j.Need) {
-				break
-			}
-			if m := s.best(j); m != nil {
-				s.take(j, m)
-				held++
-				continue
-			}
-			guaranteed := team.InGuarantee(j.Need)
-			m, victims := s.cheapestStops(j, guaranteed, pos)
-			if m == nil {
+		for len(j.Waiting) > 0 && (j.Service || held < j.Slots) {
+			m, set := s.stopsFor(j, pos)
+			if m == nil || len(out)+len(set) > maxStops {
 				break
 			}
-			for _, v := range victims {
-				out = append(out, s.stop(m, v, j))
+			for _, v := range set {
+				out = append(out, s.stop(v.Machine, v.Victim, j))
+				out[len(out)-1].Target = m
 			}
 			s.take(j, m)
 			held++
+			if len(set) > 0 {
+				break // one claim at a time
+			}
 		}
 	}
 	return out
 }
 
+// stopsFor finds a machine for one task of the job and all that must stop for
+// it, for room and for the team's limit alike: all of it or nothing, as stops
+// that don't lead to a start only cost work.
+func (s *Snapshot) stopsFor(j *Job, pos map[*Job]int) (*Machine, []Stop) {
+	team := s.Teams[j.Team]
+	var set []Stop
+	m := s.best(j)
+	if m == nil {
+		var victims []Held
+		if m, victims = s.cheapestStops(j, team.InGuarantee(j.Need), pos); m == nil {
+			return nil, nil
+		}
+		for _, v := range victims {
+			set = append(set, Stop{Victim: v, Machine: m})
+		}
+	}
+	after := *team
+	for _, v := range set {
+		if v.Victim.Job.Team == j.Team {
+			after.Used = after.Used.Minus(v.Victim.Job.Need)
+		}
+	}
+	for !after.InLimit(j.Need) {
+		on, v := s.youngest(j, set)
+		if on == nil {
+			return nil, nil
+		}
+		set = append(set, Stop{Victim: v, Machine: on})
+		after.Used = after.Used.Minus(v.Job.Need)
+	}
+	return m, set
+}
+
 func (s *Snapshot) stop(m *Machine, v Held, j *Job) Stop {
 	m.Free = m.Free.Plus(v.Job.Need)
 	if t := s.Teams[v.Job.Team]; t != nil {
@@ -391,22 +422,24 @@
 	v.Job.InZone[m.Zone]--
 	v.Job.Held--
 	m.Running = remove(m.Running, v)
-	return Stop{v, m, j}
+	return Stop{Victim: v, Machine: m, For: j}
 }
 
 // youngest is the task of the job's team and of lower priority that has held
-// its place for the least time.
-func (s *Snapshot) youngest(j *Job) (*Machine, Held, bool) {
+// its place for the least time, and is not among those to stop already.
+func (s *Snapshot) youngest(j *Job, but []Stop) (*Machine, Held) {
 	var pick *Machine
 	var held Held
 	for _, m := range s.Machines {
 		for _, h := range m.Running {
-			if h.Job.Team == j.Team && h.Job.Priority < j.Priority && (pick == nil || h.SinceS < held.SinceS) {
-				pick, held = m, h
+			if h.Job.Team != j.Team || h.Job.Priority >= j.Priority || (pick != nil && h.SinceS >= held.SinceS) ||
+				slices.ContainsFunc(but, func(b Stop) bool { return b.Victim.Job == h.Job && b.Victim.Index == h.Index }) {
+				continue
 			}
+			pick, held = m, h
 		}
 	}
-	return pick, held, pick != nil
+	return pick, held
 }
 
 func remove(list []Held, v Held) []Held {
@@ -424,7 +457,7 @@
 	var chosen []Held
 	cheapest := math.Inf(1)
 	for _, m := range s.Machines {
-		if m.Booting || !j.Need.Fits(m.Type.Size) || !j.AllowedOn(m.Type.Name, m.Zone, m.Spot) || !j.ZoneOpen(m.Zone) {
+		if m.Booting || m.For != "" || !j.Need.Fits(m.Type.Size) || !j.AllowedOn(m.Type.Name, m.Zone, m.Spot) || !j.ZoneOpen(m.Zone) {
 			continue
 		}
 		var may []Held
--- a/internal/sched/sched_test.go
+++ b/internal/sched/sched_test.go
@@ -222,3 +222,27 @@
 		t.Fatalf("drop to the lower queue at its size: %+v", s)
 	}
 }
+
+// Room and limit that were freed for a job are not taken by others while the
+// stopped tasks go one by one: a round would stop the same tasks again and
+// again (a recorded day: 2,000 stops for three jobs that never started).
+func TestClaims(t *testing.T) {
+	m := machines(box, "a", "a")
+	m[0].Free, m[0].For = Need{Cores: 5, Mem: 32}, "web"
+	web := batch("web", 1, func(j *Job) { j.Service, j.Claimed, j.Need = true, true, Need{Cores: 8, Mem: 1} })
+	s := snap(m, web, batch("b", 20, nil), batch("c", 20, func(j *Job) { j.Team = "blue" }))
+	s.Teams["red"] = &Team{Limit: Need{Cores: 16}, Used: Need{Cores: 8}}
+	m[1].Free = Need{Cores: 4, Mem: 32}
+	for _, p := range s.Fill() {
+		if p.Machine == m[0] || p.Job.Team == "red" {
+			t.Errorf("%s started on %s", p.Job.ID, p.Machine.ID)
+		}
+	}
+	if got := snap(m, web).Stops(10); len(got) > 0 {
+		t.Errorf("stopped more for a job that has a claim: %v", got)
+	}
+	m[0].Free = box.Size
+	if d := cmp.Diff(map[string]int{"web": 1}, started(snap(m, web).Fill())); d != "" {
+		t.Error(d)
+	}
+}
