Beyond slots batches go by attained service alone

Cause: beyond slot counts the upper queue still went first, first come first served, so one large batch held its team's limit while small later ones waited (ippa 'wait 150 s').

--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -196,6 +196,11 @@
 	}
 	for pass := range 3 {
 		upper := 0.0
+		if pass == 2 {
+			// Beyond slots the upper queue has no precedence: its cap has been
+			// used up in the pass before.
+			sort.SliceStable(s.Jobs, func(a, b int) bool { return s.Jobs[a].Rank() < s.Jobs[b].Rank() })
+		}
 		for _, j := range s.Jobs {
 			if j.Service {
 				continue
