--- a/internal/coordination/schedule.go
+++ b/internal/coordination/schedule.go
@@ -82,6 +82,7 @@
 			continue
 		}
 		sj := schedJob(j)
+		sj.Patient = float64(c.wall-j.Submitted)/1000 > 2*c.bootS()
 		if c.now >= j.NotBefore {
 			sj.Waiting = j.Waiting(512)
 		}
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -86,6 +86,8 @@
 	Phantom                bool
 	// Claimed: tasks were stopped for it and have not all gone yet.
 	Claimed bool
+	// Patient: it has waited so long that no rented machine will come.
+	Patient bool
 }
 
 // Rank is attained service over degradation: the least goes first.
@@ -470,6 +472,11 @@
 			v := h.Job
 			lower := v.Priority < j.Priority
 			lent := guaranteed && v.Team != j.Team && s.Teams[v.Team] != nil && s.Teams[v.Team].Beyond()
+			if v.Service && v.Priority >= j.Priority && !j.Patient {
+				// One replica for another is no gain, and the stopped one
+				// fetches its image anew; a machine may be on its way.
+				lent = false
+			}
 			ranked := pos[v] > pos[j] || (!v.Service && v.Held > v.Slots)
 			if (lower || lent) && ranked {
 				may = append(may, h)
