--- a/internal/coordination/leader.go
+++ b/internal/coordination/leader.go
@@ -53,11 +53,10 @@
 
 // campaign is one try to become leader.
 type campaign struct {
-	lease  uint64
-	sent   time.Duration // when the lease was asked for
-	next   time.Duration
-	busy   bool
-	active bool
+	lease uint64
+	sent  time.Duration // when the lease was asked for
+	next  time.Duration
+	busy  bool
 }
 
 func (c *Core) depart(why string) {
--- a/internal/coordination/reign.go
+++ b/internal/coordination/reign.go
@@ -29,22 +29,20 @@
 	cancelledSpecs map[string]*protocol.Spec
 	proposals      map[string]*proposal
 	cancels        map[string][]asker
-	counters       map[string]ledger.CounterRow
 
 	lastTry uint64
 	timers  []timer
 
 	// What the scheduler keeps.
-	fillDirty   bool
-	fillAt      time.Duration
-	planAt      time.Duration
-	overviewAt  time.Duration
-	roundAt     time.Duration
-	accrueAt    time.Duration
-	countersAt  time.Duration
-	counterKeys int
-	arrivals    map[string]*arrivals
-	claims      map[string]claim
+	fillDirty  bool
+	fillAt     time.Duration
+	planAt     time.Duration
+	overviewAt time.Duration
+	roundAt    time.Duration
+	accrueAt   time.Duration
+	countersAt time.Duration
+	arrivals   map[string]*arrivals
+	claims     map[string]claim
 
 	cloudState
 }
@@ -69,7 +67,6 @@
 		cancelledSpecs: map[string]*protocol.Spec{},
 		proposals:      map[string]*proposal{},
 		cancels:        map[string][]asker{},
-		counters:       map[string]ledger.CounterRow{},
 		arrivals:       map[string]*arrivals{},
 		claims:         map[string]claim{},
 		roundAt:        c.now + seconds(c.cfg.Operator.Green.RoundS),
@@ -77,9 +74,8 @@
 		countersAt:     c.now + seconds(c.cfg.Operator.Green.CountersS),
 		accrueAt:       c.now,
 		cloudState:     newCloudState(),
+		store:          newStore(),
 	}
-	r.versions = map[string]uint64{}
-	r.pending = map[string]*write{}
 	for _, t := range c.cfg.Cluster.Teams {
 		r.Teams[t.Name] = &sched.Team{
 			Guarantee: sched.Need{Cores: t.Cores, Accel: t.Accelerators},
--- a/internal/coordination/schedule.go
+++ b/internal/coordination/schedule.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"claybarrow/internal/ledger"
+	"claybarrow/internal/protocol"
 	"claybarrow/internal/sched"
 )
 
@@ -113,7 +114,7 @@
 		case r.usable(m):
 			sm.Images = m.Images
 			for _, a := range m.Attempts {
-				if a.State == "" || a.State == "pulling" {
+				if a.State == "" || a.State == protocol.Pulling {
 					if !m.Images[a.Job.Spec.Image] {
 						if sm.Fetching == nil {
 							sm.Fetching = map[string]bool{}
@@ -126,7 +127,7 @@
 				for _, a := range m.Sorted() {
 					if sj := jobs[a.Job]; sj != nil && !a.Halt {
 						sm.Running = append(sm.Running, sched.Held{Job: sj, Index: a.Index,
-							SinceS: (c.now - a.Since).Seconds(), Pulling: a.State != "running"})
+							SinceS: (c.now - a.Since).Seconds()})
 					}
 				}
 			}
@@ -512,7 +513,7 @@
 			held[j.Spec.Class] += j.HeldTotal
 		}
 	}
-	args := []any{"jobs", len(r.Jobs), "busy", up, "idle", idle, "booting", booting, "renting", len(r.renting)}
+	args := []any{"txns", r.took.TotalCount(), "txn_p99_ms", r.took.ValueAtQuantile(99), "jobs", len(r.Jobs), "busy", up, "idle", idle, "booting", booting, "renting", len(r.renting)}
 	for _, class := range sortedKeys(waiting) {
 		args = append(args, class, strconv.Itoa(held[class])+"+"+strconv.Itoa(waiting[class]))
 	}
@@ -526,4 +527,5 @@
 		}
 	}
 	r.c.log.Info("fleet", args...)
+	r.took.Reset()
 }
--- a/internal/coordination/store.go
+++ b/internal/coordination/store.go
@@ -6,6 +6,8 @@
 	"slices"
 	"time"
 
+	"github.com/HdrHistogram/hdrhistogram-go"
+
 	"claybarrow/internal/protocol"
 )
 
@@ -36,6 +38,7 @@
 	dels   []string
 	// uncertain: an earlier try had no answer and may have applied.
 	uncertain bool
+	made      time.Duration
 	retryAt   time.Duration
 	flying    bool
 	readback  bool
@@ -49,6 +52,14 @@
 	pending  map[string]*write
 	queues   [writeKinds][]*write
 	current  *txn
+	// took is how long transactions took until they were known to have applied.
+	took *hdrhistogram.Histogram
+}
+
+// newStore makes the store of a new reign. Times are in milliseconds, up to a
+// minute.
+func newStore() store {
+	return store{versions: map[string]uint64{}, pending: map[string]*write{}, took: hdrhistogram.New(1, 60_000, 2)}
 }
 
 // mark asks for a key's record to be written.
@@ -86,7 +97,7 @@
 func (r *reign) compose() *txn {
 	c := r.c
 	limits := c.cfg.Cluster.State
-	t := &txn{}
+	t := &txn{made: c.now}
 	t.body.If = []protocol.Condition{{Key: keyLeader, Version: r.version}}
 	size := 512
 	for kind := range r.queues {
@@ -246,6 +257,8 @@
 		delete(r.versions, k)
 	}
 	r.current = nil
+	// A value out of range is clipped; the histogram only serves the log.
+	_ = r.took.RecordValue(min(60_000, max(1, (r.c.now-t.made).Milliseconds())))
 	for _, w := range t.writes {
 		for _, f := range w.then {
 			f()
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -280,50 +280,45 @@
 	return ""
 }
 
-func (r *reign) poll(from asker, uid string) {
+// find returns an accepted job that is not over. For all else it answers: final
+// states never change and may be told even by a leader that can't know whether
+// it still is one; the rest only by one that is, with complete books.
+func (r *reign) find(from asker, uid string) *ledger.Job {
 	c := r.c
 	if s, ok := r.finalStanding(uid); ok {
-		// Final states never change: they may be told by a leader that can't
-		// know whether it still is one.
 		c.standing(from, 200, s)
-		return
-	}
-	if !r.ready || !r.certain() {
-		c.refuse(from)
-		return
+		return nil
 	}
 	j := r.Jobs[uid]
 	switch {
+	case !r.ready || !r.certain():
+		c.refuse(from)
 	case j == nil:
 		c.reply(from, 404, nil, 0)
-	case !j.Stored || j.Cancelling || j.Finishing:
-		// About to be accepted, cancelled or done: not durable yet.
-		c.refuse(from)
+	case !j.Stored:
+		c.refuse(from) // about to be accepted: not durable yet
 	default:
-		c.standing(from, 200, r.activeStanding(j))
+		return j
+	}
+	return nil
+}
+
+func (r *reign) poll(from asker, uid string) {
+	j := r.find(from, uid)
+	switch {
+	case j == nil:
+	case j.Cancelling || j.Finishing:
+		// About to be cancelled or done: not durable yet.
+		r.c.refuse(from)
+	default:
+		r.c.standing(from, 200, r.activeStanding(j))
 	}
 }
 
 func (r *reign) cancel(from asker, uid string) {
 	c := r.c
-	if s, ok := r.finalStanding(uid); ok {
-		c.standing(from, 200, s)
-		return
-	}
-	if !r.ready || !r.certain() {
-		c.refuse(from)
-		return
-	}
-	j := r.Jobs[uid]
-	if j == nil {
-		c.reply(from, 404, nil, 0)
-		return
-	}
-	if !j.Stored {
-		c.refuse(from)
-		return
-	}
-	if !r.wait(from) {
+	j := r.find(from, uid)
+	if j == nil || !r.wait(from) {
 		return
 	}
 	r.cancels[uid] = append(r.cancels[uid], from)
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -108,7 +108,6 @@
 	ID, Type, Zone, Addr string
 	Spot                 bool
 	Size                 sched.Need
-	FetchGBPerS          float64
 	Attempts             map[Key]*Attempt
 	Exited               map[Key]*Gone
 	Used                 sched.Need
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -58,10 +58,9 @@
 
 // Held is a task on a machine, as a candidate for being stopped.
 type Held struct {
-	Job     *Job
-	Index   int
-	SinceS  float64 // for how long
-	Pulling bool
+	Job    *Job
+	Index  int
+	SinceS float64 // for how long
 }
 
 // Job is a job with the tasks that wait.
