--- a/internal/coordination/leader.go
+++ b/internal/coordination/leader.go
@@ -37,7 +37,6 @@
 	counter        uint64
 	counterVersion uint64
 	leader         *leaderRecord
-	leaderVersion  uint64
 	leaderless     time.Duration // since when no leader is known
 	busy           bool
 	next           time.Duration
@@ -152,13 +151,13 @@
 		if v.leader != nil || v.leaderless == 0 {
 			v.leaderless = c.now
 		}
-		v.leader, v.leaderVersion = nil, 0
+		v.leader = nil
 		return
 	}
 	if v.leader == nil || v.leader.Token != rec.Token {
 		c.log.Info("leader seen", "leader", rec.Label, "token", rec.Token)
 	}
-	v.leader, v.leaderVersion = rec, version
+	v.leader = rec
 	if c.reign != nil {
 		// A watch that was open when we won tells of ourselves, or of somebody
 		// who came after us.
@@ -236,7 +235,7 @@
 		var reply protocol.TxnReply
 		if r.Status == 200 && protocol.Decode(r.Body, &reply) == nil {
 			v.counter, v.counterVersion = rec.Token, reply.Revision
-			v.leader, v.leaderVersion = &rec, reply.Revision
+			v.leader = &rec
 			c.ascend(&rec, reply.Revision)
 			return
 		}
