--- a/internal/coordination/reign.go
+++ b/internal/coordination/reign.go
@@ -40,6 +40,7 @@
 	overviewAt time.Duration
 	roundAt    time.Duration
 	accrueAt   time.Duration
+	drainAt    time.Duration
 	countersAt time.Duration
 	arrivals   map[string]*arrivals
 	claims     map[string]claim
--- a/internal/coordination/schedule.go
+++ b/internal/coordination/schedule.go
@@ -53,7 +53,7 @@
 // this leader, lately, and nothing speaks against it.
 func (r *reign) usable(m *ledger.Machine) bool {
 	c := r.c
-	return m.Fresh && !m.Returning && !m.Notice && c.now >= m.AsideUntil && m.Deaf < 2 && m.CallFails < 2 &&
+	return m.Fresh && !m.Returning && !m.Notice && c.now >= m.AsideUntil && c.now >= m.DrainUntil && m.Deaf < 2 && m.CallFails < 2 &&
 		c.now < m.Heard+c.cfg.Lease()/4+2*c.cfg.Report() && m.Size.Cores > 0 && len(m.Strays) == 0
 }
 
@@ -110,6 +110,7 @@
 		}
 		sm := &sched.Machine{ID: m.ID, Type: t, Zone: m.Zone, Spot: m.Spot, Free: m.Size.Minus(m.Used),
 			Room: room - len(m.Attempts), Used: len(m.Attempts) > 0, For: claimed[m.ID]}
+		s.Moving = s.Moving || (c.now < m.DrainUntil && len(m.Attempts) > 0)
 		switch {
 		case r.usable(m):
 			sm.Images = m.Images
@@ -154,6 +155,7 @@
 	if c.now >= r.roundAt && r.heardAll() {
 		r.roundAt = c.now + seconds(g.RoundS)
 		r.round()
+		r.consolidate()
 	}
 	if c.now >= r.countersAt {
 		r.countersAt = c.now + seconds(g.CountersS)
@@ -300,6 +302,69 @@
 	r.review(needed)
 }
 
+// consolidate empties a dear machine whose replicas can go on elsewhere at once,
+// where their images are: long-lived replicas would keep it for their few.
+func (r *reign) consolidate() {
+	c := r.c
+	if c.now < r.drainAt || !r.certain() || len(r.claims) > 0 || len(r.renting) > 0 {
+		return
+	}
+	s := r.snapshot(false, false)
+	total, n := 0.0, 0
+	for _, m := range s.Machines {
+		total += m.Type.Price
+		n++
+	}
+	for _, j := range s.Jobs {
+		if j.Service {
+			return // somebody waits for room
+		}
+	}
+	var pick *ledger.Machine
+	var moved []*sched.Job
+	best := 0.0
+	for _, sm := range s.Machines {
+		m := r.Machines[sm.ID]
+		price := sm.Type.Price
+		if sm.Spot {
+			price = sm.Type.SpotPrice
+		}
+		gain := price * sched.Share(sm.Free, sm.Type.Size)
+		if len(m.Attempts) == 0 || price*float64(n) < total || gain <= best {
+			continue
+		}
+		if jobs := r.movable(m); jobs != nil && s.CanEmpty(m.ID, jobs, r.expected) {
+			pick, moved, best = m, jobs, gain
+		}
+	}
+	if pick == nil {
+		return
+	}
+	r.drainAt = c.now + 3*c.cfg.Lease()
+	c.log.Info("emptying", "machine", pick.ID, "type", pick.Type, "replicas", len(moved))
+	pick.DrainUntil = c.now + c.cfg.Lease()
+	for _, a := range pick.Sorted() {
+		r.halt(a, a.Job.Spec.SaveS, "moved")
+	}
+}
+
+// movable lists a machine's tasks as jobs of one task each, if all of them are
+// replicas that have run for a while.
+func (r *reign) movable(m *ledger.Machine) []*sched.Job {
+	var out []*sched.Job
+	for _, a := range m.Sorted() {
+		if !a.Job.Spec.Service || a.Job.Cancelling || a.Halt || a.State != protocol.Running ||
+			r.c.now < a.Since+seconds(r.c.bootS()) {
+			return nil
+		}
+		j := schedJob(a.Job)
+		j.InZone, j.Waiting = a.Job.InZone(), []int{a.Index}
+		j.InZone[m.Zone]--
+		out = append(out, j)
+	}
+	return out
+}
+
 // review returns machines that are of no use any more.
 func (r *reign) review(needed map[string]bool) {
 	c := r.c
@@ -341,6 +406,8 @@
 			m.IdleSince = c.now
 		case m.Errors >= 3:
 			r.giveBack(m, "faulty")
+		case c.now < m.DrainUntil:
+			r.giveBack(m, "emptied")
 		case c.now > m.IdleSince+time.Duration(float64(boot)*c.cfg.Operator.Fleet.IdleRatio):
 			r.giveBack(m, "idle")
 		}
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -126,7 +126,9 @@
 	DeadSession uint64
 	Deaf        int // answered reports that show an old token, or lapses
 	AsideUntil  time.Duration
-	Errors      int
+	// DrainUntil: its replicas are being moved, nothing new comes meanwhile.
+	DrainUntil time.Duration
+	Errors     int
 
 	Notice   bool
 	NoticeBy time.Duration
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -5,6 +5,7 @@
 package sched
 
 import (
+	"maps"
 	"math"
 	"slices"
 	"sort"
@@ -120,6 +121,9 @@
 	Jobs     []*Job
 	Teams    map[string]*Team
 	UpperCap float64 // share of the fleet
+	// Moving: replicas are on their way from one machine to others, whose room
+	// batches must not take meanwhile.
+	Moving bool
 	// Open says whether a pool can be rented from, as far as known; nil: no.
 	Open     func(Pool) bool
 	Capacity Need // of ready machines
@@ -195,6 +199,9 @@
 			t.Used = t.Used.Plus(j.Need) // freed for it, not for the team's batches
 		}
 	}
+	if s.Moving {
+		return out
+	}
 	for pass := range 3 {
 		upper := 0.0
 		if pass == 2 {
@@ -238,6 +245,51 @@
 	return out
 }
 
+// CanEmpty says whether a machine's replicas can be moved at next to no cost: to
+// machines in use that have their images, leaving as much of the room for
+// expected tasks as there was.
+func (s *Snapshot) CanEmpty(id string, moved []*Job, expected func() []*Job) bool {
+	kept := func(s *Snapshot) int {
+		n := 0
+		for _, j := range expected() {
+			n += len(j.Waiting)
+			s.reserve(j)
+			n -= len(j.Waiting)
+		}
+		return n
+	}
+	before := kept(s.clone(""))
+	rest := s.clone(id)
+	for _, j := range moved {
+		var pick *Machine
+		for _, m := range rest.Machines {
+			if m.Used && m.For == "" && m.Room > 0 && (j.Image == "" || m.Images[j.Image]) && j.Need.Fits(m.Free) &&
+				j.AllowedOn(m.Type.Name, m.Zone, m.Spot) && j.ZoneOpen(m.Zone) &&
+				(pick == nil || rest.score(j, m) < rest.score(j, pick)) {
+				pick = m
+			}
+		}
+		if pick == nil {
+			return false
+		}
+		rest.take(j, pick)
+	}
+	return kept(rest) >= before
+}
+
+// clone copies what placing changes, without the named machine.
+func (s *Snapshot) clone(without string) *Snapshot {
+	out := &Snapshot{UpperCap: s.UpperCap, Capacity: s.Capacity, Teams: map[string]*Team{}}
+	for _, m := range s.Machines {
+		if m.ID != without {
+			c := *m
+			c.Fetching = maps.Clone(m.Fetching)
+			out.Machines = append(out.Machines, &c)
+		}
+	}
+	return out
+}
+
 // reserve takes room for expected tasks on machines that are up, as far as
 // there is any.
 func (s *Snapshot) reserve(j *Job) {
--- a/internal/sched/sched_test.go
+++ b/internal/sched/sched_test.go
@@ -250,3 +250,43 @@
 		t.Error(d)
 	}
 }
+
+// Replicas are moved only to machines in use that have their images, and only
+// if the room kept for expected ones stays.
+func TestCanEmpty(t *testing.T) {
+	build := func() *Snapshot {
+		ms := machines(box, "a", "a")
+		for _, m := range ms {
+			m.Used, m.Images = true, map[string]bool{"img": true}
+			m.Free = Need{Cores: 4, Mem: 16}
+		}
+		return snap(ms)
+	}
+	replica := func(cores float64) []*Job {
+		return []*Job{batch("web", 1, func(j *Job) { j.Service, j.Image, j.Need = true, "img", Need{Cores: cores, Mem: 1} })}
+	}
+	none := func() []*Job { return nil }
+	expect := func() []*Job {
+		return []*Job{batch("~web", 2, func(j *Job) { j.Team, j.Service, j.Phantom, j.Need = "", true, true, Need{Cores: 2, Mem: 1} })}
+	}
+	if !build().CanEmpty("box-0", replica(4), none) {
+		t.Error("there is room")
+	}
+	if build().CanEmpty("box-0", replica(5), none) {
+		t.Error("there is no room")
+	}
+	if build().CanEmpty("box-0", replica(4), expect) {
+		t.Error("the room for expected replicas would be gone")
+	}
+	s := build()
+	s.Machines[1].Images = nil
+	if s.CanEmpty("box-0", replica(4), none) {
+		t.Error("the image would have to be fetched")
+	}
+	s = build()
+	s.Moving = true
+	s.Jobs = []*Job{batch("b", 3, nil), batch("web", 1, func(j *Job) { j.Service = true })}
+	if d := cmp.Diff(map[string]int{"web": 1}, started(s.Fill())); d != "" {
+		t.Error(d)
+	}
+}
