--- a/internal/coordination/rules_test.go
+++ b/internal/coordination/rules_test.go
@@ -539,3 +539,24 @@
 	}
 	w.keptRules()
 }
+
+// A machine that hangs longer than its lease and comes back is not returned as
+// idle meanwhile: its replicas go back to where their images are.
+func TestSilentMachineIsNotIdle(t *testing.T) {
+	w := newWorld(t, 17)
+	w.submit("j-1", map[string]any{"shape": "service", "cores": 8.0})
+	w.until(60*second, "a replica runs", func() bool { return w.running("j-1") == 1 })
+	w.run(5 * second)
+	for _, k := range w.fleet() {
+		k.cut = true
+	}
+	w.run(20 * second)
+	for _, k := range w.fleet() {
+		if k.gone && k.lives > 0 {
+			t.Errorf("%s was returned while it could not be reached", k.id)
+		}
+		k.cut = false
+	}
+	w.until(30*second, "the replica is back", func() bool { return w.running("j-1") == 1 })
+	w.keptRules()
+}
--- a/internal/coordination/schedule.go
+++ b/internal/coordination/schedule.go
@@ -400,8 +400,13 @@
 			// leader did hear is left alone: cut off or hanging, its tasks go
 			// on until its lease ends, and it may come back.
 			r.giveBack(m, "not heard since the take-over")
-		case !lonely && m.CallFails > 0 && r.silentFor(m) > 5*c.cfg.Lease()/2:
+		case !lonely && m.CallFails > 0 && r.silentFor(m) > 3*c.cfg.Lease():
 			r.giveBack(m, "silent")
+		case r.silentFor(m) > c.cfg.Lease()*2/5:
+			// Hanging or cut off, it may come back with its images; a dead one is
+			// soon called failed by the cloud. It was once returned as idle when
+			// its lease was over, seconds before it would have come back.
+			m.IdleSince = c.now
 		case len(m.Attempts) > 0 || needed[m.ID]:
 			m.IdleSince = c.now
 		case m.Errors >= 3:
