--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -549,7 +549,7 @@
 			free = free.Plus(h.Job.Need)
 			cost += h.SinceS*Share(h.Job.Need, m.Type.Size) + 5
 			if h.Job.Service {
-				cost += 200
+				cost += 1000 // a replica outweighs a machine full of batches
 			}
 		}
 		if j.Need.Fits(free) && len(set) > 0 && cost < cheapest {
