--- a/internal/protocol/submission_test.go
+++ b/internal/protocol/submission_test.go
@@ -47,7 +47,7 @@
 	deep := bytes.Repeat([]byte{0x91}, 60_000)
 	for name, body := range map[string][]byte{
 		"empty": nil, "text": []byte("hello"), "list": Encode([]int{1}), "cut": Encode(submission(nil))[:40],
-		"deep": deep, "huge array": {0xdd, 0xff, 0xff, 0xff, 0xff}, "huge map": {0xdf, 0xff, 0xff, 0xff, 0xff},
+		"deep": deep, "deep pairs": bytes.Repeat([]byte{0x92, 0xc0}, 30_000), "huge array": {0xdd, 0xff, 0xff, 0xff, 0xff}, "huge map": {0xdf, 0xff, 0xff, 0xff, 0xff},
 		"large": make([]byte, MaxBody+1), "number keys": Encode(map[int]int{1: 2}),
 	} {
 		if _, s, err := ParseSubmission(body); err == nil || s != nil {
