A leader that can't reach the workers hands over; leader's lease bounded by more than theirs

Ruled out: outage, processor, sockets (peaks far below the limits). Now three machines heard by others while our request to them goes unanswered, with no direct sign of any other, end the leadership. The leader's lease, tick, touch and planning no longer grow with the workers' lease where the processor and the state service allow less.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -235,12 +235,24 @@
 // Lease is the workers' lease.
 func (c *Config) Lease() time.Duration { return seconds(c.Cluster.Workers.LeaseS) }
 
-// LeaderTTL is the leader's lease in the state service: 3/20 of the
-// workers' lease, so that a successor stands well before that runs out.
+// LeaderTTL is the leader's lease in the state service: 3/20 of the workers'
+// lease, so that a successor stands well before that runs out, or less where
+// that costs nothing. Larger fleets have longer leases of their workers, which
+// is no reason to leave users without a leader for longer. What bounds it from
+// below is the work that may keep a leader from renewing, half a second of a
+// whole core, and its five renewals, which may take a hundredth of the state
+// service's requests.
 func (c *Config) LeaderTTL() time.Duration {
-	return max(c.Lease()*3/20, 500*time.Millisecond)
+	least := seconds(max(0.5/c.Cluster.Resources.Cores, 500/c.Cluster.State.RPS))
+	return max(min(c.Lease()*3/20, least), 500*time.Millisecond)
 }
 
+// Tick is the time between two looks at what time alone tells.
+func (c *Config) Tick() time.Duration { return c.LeaderTTL() / 15 }
+
+// Touch is the time between two signs of life of a controller to the leader.
+func (c *Config) Touch() time.Duration { return c.LeaderTTL() / 3 }
+
 // Coast is how long a leader may go on answering workers after it sent the
 // last lease renewal that was confirmed, and how long a zone's silence is taken
 // for a cut. Longer than most cuts and outages, as nobody is told of a
--- a/internal/coordination/cloud.go
+++ b/internal/coordination/cloud.go
@@ -131,7 +131,7 @@
 	for _, a := range m.Sorted() {
 		r.gone(a, why)
 	}
-	delete(r.Machines, m.ID)
+	r.RemoveMachine(m)
 	r.tombs[m.ID] = r.c.now
 	r.record(m, writeLazy, nil)
 }
--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -40,6 +40,9 @@
 	deputy deputy
 
 	waiters map[uint64]*waiter
+
+	// abstain: until then, others are given the chance to lead.
+	abstain time.Duration
 }
 
 // waiter is somebody whose answer needs something that is under way.
--- a/internal/coordination/deputy.go
+++ b/internal/coordination/deputy.go
@@ -89,7 +89,7 @@
 		if c.reign != nil {
 			return
 		}
-		d.busy, d.next = false, sent+c.cfg.Lease()/20
+		d.busy, d.next = false, sent+c.cfg.Touch()
 		var g protocol.TouchReply
 		ok := res.Status == 200 && protocol.DecodePeer(res.Body, &g) == nil && g.Token >= d.highest
 		if ok && g.Leader != "" {
@@ -149,11 +149,15 @@
 	return msg.Zone == c.cfg.Zone && d.token != 0 && d.token >= d.highest && !d.failed && c.addrOf(d.leader) != ""
 }
 
+// forwardWithin is well inside the 4 s that a worker waits: one whose leader is
+// cut off from us must get our own answer in that time.
+const forwardWithin = 2 * time.Second
+
 func (c *Core) forward(from asker, msg *protocol.Report, body []byte) {
 	d := &c.deputy
 	leader := d.leader
 	relay := protocol.EncodePeer(protocol.Relay{Op: string(OpReport), Body: body})
-	c.call(ToPeer, c.addrOf(leader), "POST", "/forward", relay, c.cfg.Lease()/8, func(res Result) {
+	c.call(ToPeer, c.addrOf(leader), "POST", "/forward", relay, min(c.cfg.Lease()/8, forwardWithin), func(res Result) {
 		var reply protocol.RelayReply
 		switch {
 		case c.reign != nil:
--- a/internal/coordination/leader.go
+++ b/internal/coordination/leader.go
@@ -74,7 +74,7 @@
 // keepView keeps the leadership keys in sight: a list, then a watch after it.
 func (c *Core) keepView() {
 	v := &c.view
-	if c.reign == nil && v.known && v.leader == nil {
+	if c.reign == nil && v.known && v.leader == nil && !c.standsBack() {
 		c.campaign()
 	}
 	if v.busy || c.now < v.next || c.reign != nil || !c.requests.has(c.now, 1) {
--- /dev/null
+++ b/internal/coordination/reach.go
@@ -0,0 +1,74 @@
+package coordination
+
+import (
+	"fmt"
+	"time"
+
+	"claybarrow/internal/ledger"
+)
+
+// A leader that can't reach the workers while other controllers do is of no use
+// to them: its commands don't arrive, and the workers of its own zone go round
+// all controllers, are sent back to the leader each time, and lose their leases
+// (apart, both fleets: a quarter to half of all replicas). So it hands over.
+//
+// Evidence is only what can't come from the workers' side: machines whose reports
+// came by another controller while a direct request to them went unanswered, and
+// no machine at all that answered or reported directly meanwhile. A few machines
+// whose answers don't arrive are told apart by asking the others too.
+
+// reach is what a leader knows of its own way to the workers.
+type reach struct {
+	reachedAt time.Duration   // last direct sign of any worker
+	deafTo    map[string]bool // machines missed since
+}
+
+// reached notes a direct sign of life of a worker.
+func (r *reach) reached(now time.Duration) {
+	r.reachedAt = now
+	if len(r.deafTo) > 0 {
+		r.deafTo = nil
+	}
+}
+
+// missed notes a machine that others heard while our request went unanswered.
+func (r *reach) missed(id string) {
+	if r.deafTo == nil {
+		r.deafTo = map[string]bool{}
+	}
+	r.deafTo[id] = true
+}
+
+// probes says whether a machine is asked for a sign of life, as others did not
+// answer though they are there: one that lately reported by another controller.
+func (r *reign) probes(m *ledger.Machine) bool {
+	c := r.c
+	return len(r.deafTo) > 0 && !r.deafTo[m.ID] && m.Fresh && c.now < m.Heard+2*c.cfg.Report() &&
+		c.now > r.reachedAt+c.cfg.Lease()/20
+}
+
+// outOfReach says whether the workers are there for others and not for us.
+func (r *reign) outOfReach() bool {
+	// Once it has stepped down, others have had their chance.
+	return len(r.deafTo) >= leastDeaf && r.c.now > r.reachedAt+r.c.cfg.Lease()/10 && r.c.now >= r.c.abstain
+}
+
+// leastDeaf is how many machines have to be missed before a leader gives up: one
+// or two may be deaf themselves.
+const leastDeaf = 3
+
+// stepDown ends the leadership and its lease, so that another controller takes
+// over at once. This one stands back as long as the others have a chance to.
+func (r *reign) stepDown() {
+	c := r.c
+	c.log.Info("stepping down: workers answer others, not us", "token", r.token, "machines", len(r.deafTo))
+	c.abstain = c.now + 4*c.cfg.Lease()
+	c.view.ended = r.lease
+	c.depart("it can't reach the workers")
+	c.stateCall("DELETE", fmt.Sprintf("/leases/%d", r.lease), nil, c.cfg.LeaderTTL()/2, func(Result) {})
+}
+
+// standsBack says whether this controller leaves the leadership to others.
+func (c *Core) standsBack() bool {
+	return c.now < c.abstain && c.now < c.view.leaderless+c.cfg.Lease()/5
+}
--- a/internal/coordination/reign.go
+++ b/internal/coordination/reign.go
@@ -33,6 +33,8 @@
 	greeting int // direct calls without commands under way
 	timers   []timer
 
+	reach
+
 	// What the scheduler keeps.
 	fillDirty  bool
 	fillAt     time.Duration
@@ -236,6 +238,10 @@
 		return
 	}
 	r.watchMachines()
+	if r.outOfReach() {
+		r.stepDown()
+		return
+	}
 	r.keepCloud()
 	r.schedule()
 }
--- a/internal/coordination/schedule.go
+++ b/internal/coordination/schedule.go
@@ -177,7 +177,7 @@
 	}
 	if c.now >= r.planAt {
 		r.findDark()
-		r.planAt = c.now + c.cfg.Lease()/10
+		r.planAt = c.now + c.cfg.LeaderTTL()*2/3
 		r.fillDirty = true // delays of failing jobs and set-aside machines end with time
 		r.plan()
 	}
@@ -495,18 +495,18 @@
 	return r.c.now - max(m.Heard, r.since, r.lit[m.Zone])
 }
 
-// missed reports whether a machine is overdue and can't be reached: its tasks
+// overdue reports whether a machine is late and can't be reached: its tasks
 // will probably be needed elsewhere.
-func (r *reign) missed(m *ledger.Machine) bool {
+func (r *reign) overdue(m *ledger.Machine) bool {
 	return m.CallFails > 1 && r.silentFor(m) > r.c.cfg.Lease()*2/5 && !r.isDark(m.Zone)
 }
 
-// doubles stand for the replicas on machines that are missed, so that their
+// doubles stand for the replicas on machines that are overdue, so that their
 // next machines boot while the proof that they are gone is still awaited.
 func (r *reign) doubles() []*sched.Job {
 	var out []*sched.Job
 	for _, m := range r.machines() {
-		if !r.missed(m) {
+		if !r.overdue(m) {
 			continue
 		}
 		for _, a := range m.Sorted() {
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -13,11 +13,7 @@
 func sortedKeys[V any](m map[string]V) []string { return slices.Sorted(maps.Keys(m)) }
 
 // machines lists the machines in a fixed order, so runs replay.
-func (r *reign) machines() []*ledger.Machine {
-	out := slices.Collect(maps.Values(r.Machines))
-	slices.SortFunc(out, func(a, b *ledger.Machine) int { return cmp.Compare(a.ID, b.ID) })
-	return out
-}
+func (r *reign) machines() []*ledger.Machine { return r.SortedMachines() }
 
 // onReport takes a worker's report.
 func (c *Core) onReport(from asker, body []byte) {
@@ -63,6 +59,9 @@
 		c.reply(from, 421, protocol.Encode(protocol.Elsewhere{Leader: label}), 0)
 		return
 	}
+	if !from.relay {
+		r.reached(c.now)
+	}
 	m.Answered = c.now
 	reply := protocol.ReportReply{Token: r.token, Commands: r.commands(m, true)}
 	c.reply(from, 200, protocol.Encode(reply), 0)
@@ -423,7 +422,9 @@
 	// whether the direct way works again. A booting one would only time out.
 	greet := (!m.Fresh && !m.Greeted && (m.Up || m.Listed)) || m.CallFails > 0 ||
 		// A report is overdue: is the machine there at all?
-		(m.Known && m.Session > m.DeadSession && c.now > m.Heard+2*c.cfg.Report())
+		(m.Known && m.Session > m.DeadSession && c.now > m.Heard+2*c.cfg.Report()) ||
+		// Others did not answer: is it them, or can't we reach anybody?
+		r.probes(m)
 	if !m.Known && !greet {
 		return
 	}
@@ -448,11 +449,17 @@
 	if body.Commands == nil {
 		body.Commands = []protocol.Command{}
 	}
+	called := c.now
 	c.call(ToWorker, m.Addr, "POST", "/commands", body, c.cfg.Lease()/10, func(res Result) {
 		if c.reign != r {
 			return
 		}
 		m.Calling = false
+		if res.Status != 0 {
+			r.reached(c.now)
+		} else if m.Heard > called {
+			r.missed(m.ID)
+		}
 		if idle {
 			r.greeting--
 		}
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -174,6 +174,8 @@
 	Teams    map[string]*sched.Team
 	// Chunk is how many tasks' completion one record holds.
 	Chunk int
+
+	sorted []*Machine
 }
 
 // New makes empty books. valueBytes is the store's limit for one value.
@@ -239,10 +241,28 @@
 	if m == nil {
 		m = &Machine{ID: id, Attempts: map[Key]*Attempt{}, Exited: map[Key]*Gone{}, Images: map[string]bool{}}
 		b.Machines[id] = m
+		b.sorted = nil
 	}
 	return m
 }
 
+// RemoveMachine takes a machine out of the books.
+func (b *Books) RemoveMachine(m *Machine) {
+	delete(b.Machines, m.ID)
+	b.sorted = nil
+}
+
+// SortedMachines lists the machines by name. The list is kept until a machine
+// comes or goes, as it is asked for at every tick, and is never changed: who
+// goes through it may add and remove machines meanwhile.
+func (b *Books) SortedMachines() []*Machine {
+	if b.sorted == nil {
+		b.sorted = slices.Collect(maps.Values(b.Machines))
+		slices.SortFunc(b.sorted, func(x, y *Machine) int { return strings.Compare(x.ID, y.ID) })
+	}
+	return b.sorted
+}
+
 // Put notes that an attempt may be on the machine.
 func (b *Books) Put(m *Machine, j *Job, index int, try uint64, now time.Duration) *Attempt {
 	a := &Attempt{Job: j, Index: index, Try: try, Machine: m, Since: now}
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -112,7 +112,7 @@
 
 // loop is the one goroutine that owns all state.
 func (n *Node) loop(ctx context.Context) {
-	ticker := time.NewTicker(n.tick())
+	ticker := time.NewTicker(n.cfg.Tick())
 	defer ticker.Stop()
 	waiting := map[uint64]chan coordination.Reply{}
 	var last uint64
@@ -159,8 +159,6 @@
 	}
 }
 
-func (n *Node) tick() time.Duration { return n.cfg.Lease() / 100 }
-
 func (n *Node) now() coordination.Clock {
 	t := time.Now()
 	return coordination.Clock{Steady: t.Sub(n.start), Wall: t.UnixMilli()}
