A cut zone with long leases is not given up; sockets and hanging calls are bounded by need

Also: overdue machines are asked after 1.5 report intervals instead of 2, calls and their repeats no longer grow with the lease; doors close the longest idle connection when full, and end users' connections before workers'; direct calls take at most an eighth of the sockets, those that may hang a twelfth.

--- a/internal/coordination/deputy.go
+++ b/internal/coordination/deputy.go
@@ -151,7 +151,14 @@
 
 // forwardWithin is well inside the 4 s that a worker waits: one whose leader is
 // cut off from us must get our own answer in that time.
-const forwardWithin = 2 * time.Second
+const forwardWithin = reportWait / 2
+
+// How long a worker waits for the answer to a report, and until it tries the
+// next controller.
+const (
+	reportWait  = 4 * time.Second
+	reportPause = time.Second
+)
 
 func (c *Core) forward(from asker, msg *protocol.Report, body []byte) {
 	d := &c.deputy
@@ -410,6 +417,13 @@
 	if controllers != 1 || heard == 0 || ended < 2 {
 		return false
 	}
+	// Going through all the others and a report's wait must take longer than the
+	// lease. Where it does not, its workers found their controller again, which
+	// stands in for the leader: the machines of a zone of 158 were once returned
+	// with all that ran on them.
+	if c.goRound() <= c.cfg.Lease() {
+		return false
+	}
 	for _, m := range r.Machines {
 		if m.Zone == zone && m.FreshAt > 0 {
 			return false
@@ -418,6 +432,12 @@
 	return true
 }
 
+// goRound is how long a worker may need to go through all the other controllers
+// when none of them answers.
+func (c *Core) goRound() time.Duration {
+	return time.Duration(len(c.cfg.Siblings))*(reportWait+reportPause) + c.cfg.Report()*5/4
+}
+
 // isDark says whether the zone is cut off.
 func (r *reign) isDark(zone string) bool {
 	_, is := r.dark[zone]
--- /dev/null
+++ b/internal/coordination/fleet_test.go
@@ -0,0 +1,118 @@
+package coordination
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"claybarrow/internal/ledger"
+)
+
+// The leader loses the workers while the other controllers do not: it hands over
+// before any lease runs out. Two deaf machines are no reason to.
+func TestLeaderWithoutWorkersHandsOver(t *testing.T) {
+	for _, deaf := range []bool{false, true} {
+		w := newWorld(t, 51)
+		w.awaitLeader()
+		w.submit("j-1", map[string]any{"shape": "service", "shards": 6, "apart": true})
+		w.submit("j-2", map[string]any{"shape": "service", "shards": 4, "apart": true, "owner": "blue"})
+		all := func() bool { return w.running("j-1") == 6 && w.running("j-2") == 4 }
+		w.until(90*second, "replicas run", all)
+		w.run(15 * second)
+		lead := w.leader()
+		deafOnes := map[string]bool{}
+		for _, k := range w.fleet() {
+			if len(deafOnes) < leastDeaf-1 && len(k.tasks) > 0 {
+				deafOnes[k.addr()] = true
+			}
+		}
+		w.script = func(node int, c Call) fate {
+			return fate{lost: node == lead && c.Target == ToWorker && (!deaf || deafOnes[c.Addr])}
+		}
+		if !deaf {
+			w.reports = func(_ *simWorker, node int) fate { return fate{lost: node == lead} }
+		}
+		// Something to say to the machines, so that the loss can show.
+		w.submit("j-3", map[string]any{"shards": 4})
+		for range 30 {
+			w.run(second)
+			if !deaf && !all() {
+				t.Fatal("a lease ran out")
+			}
+		}
+		if (w.leader() == lead) != deaf {
+			t.Errorf("deaf machines %v: the leader is %d, was %d", deaf, w.leader(), lead)
+		}
+		w.script, w.reports = nil, nil
+		w.awaitTold(200*second, "j-3", "done")
+		w.keptRules()
+	}
+}
+
+// With a lease longer than the way round all controllers, a zone's workers find
+// their controller again when it has ended in a cut together with all others: its
+// machines are not given up (loss, credit checks' fleet: 158 machines were).
+func TestLongLeaseZoneIsNotForsaken(t *testing.T) {
+	w := newWorld(t, 37)
+	for _, cfg := range w.cfgs {
+		cfg.Cluster.Workers.LeaseS = 31
+		cfg.Cluster.Workers.ReportS = 6
+	}
+	lead := w.awaitLeader()
+	w.submit("j-1", map[string]any{"shape": "service", "shards": 4})
+	w.until(90*second, "replicas run", func() bool { return w.running("j-1") == 4 })
+	w.run(30 * second)
+	if lead == 2 {
+		t.Fatal("the leader is in the zone")
+	}
+	w.cutZone()
+	w.run(8 * second)
+	for i := range 3 {
+		w.crash(i)
+	}
+	w.run(3 * second)
+	for i := range 3 {
+		w.boot(i)
+	}
+	w.run(55 * second)
+	lead = w.leader()
+	if r := w.nodes[lead].core.reign; !r.isDark("b") {
+		t.Fatal("the zone is not dark: the test shows nothing")
+	}
+	for _, id := range w.cloud.deleted {
+		if k := w.workers[id]; k.zone == "b" && k.seq > 0 {
+			t.Errorf("machine %s of the zone was returned", id)
+		}
+	}
+	w.script, w.reports = nil, nil
+	w.run(30 * second)
+	w.keptRules()
+}
+
+// Many direct calls that hang at once, as when a zone is cut, are bounded, and
+// leave room for calls to machines that answer.
+func TestHangingCallsAreBounded(t *testing.T) {
+	w := newWorld(t, 52)
+	lead := w.awaitLeader()
+	c := w.nodes[lead].core
+	fds := c.cfg.Cluster.Resources.FDs
+	r := c.reign
+	c.out = nil
+	for i := range 2 * fds {
+		m := r.AddMachine(fmt.Sprintf("i-9%05d", i))
+		m.Type, m.Zone, m.Addr, m.Listed = "m8", "b", fmt.Sprintf("10.2.0.%d:1", i), true
+		m.Exists, m.Rented = c.now, c.now
+		r.kick(m)
+	}
+	if r.calling != r.hanging || r.hanging != fds/12 {
+		t.Errorf("%d calls under way, %d of them doubtful, with %d sockets", r.calling, r.hanging, fds)
+	}
+	m := r.AddMachine("i-000001")
+	m.Type, m.Zone, m.Addr, m.Known, m.Fresh, m.Up = "m8", "a", "10.2.1.1:1", true, true, true
+	m.Heard, m.Session = c.now, 1
+	m.Strays = map[ledger.Key]time.Duration{{Task: "j-9/0", Try: 1}: -time.Hour}
+	r.kick(m)
+	if r.calling != fds/12+1 {
+		t.Error("a machine that answers waits for those that don't")
+	}
+}
--- a/internal/coordination/reign.go
+++ b/internal/coordination/reign.go
@@ -29,9 +29,10 @@
 	proposals map[string]*proposal
 	cancels   map[string][]asker
 
-	lastTry  uint64
-	greeting int // direct calls without commands under way
-	timers   []timer
+	lastTry uint64
+	// Direct calls under way, and those of them that may well hang.
+	calling, hanging int
+	timers           []timer
 
 	reach
 
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -412,6 +412,13 @@
 	}
 }
 
+// doubtful says whether a direct request to the machine may well hang.
+func (r *reign) doubtful(m *ledger.Machine) bool { return !m.Fresh || m.CallFails > 0 }
+
+// callWithin bounds a direct request to a worker: one that takes longer is as
+// good as unanswered, however long the workers' lease.
+const callWithin = 1600 * time.Millisecond
+
 // kick sends what there is to send directly, one request at a time.
 func (r *reign) kick(m *ledger.Machine) {
 	c := r.c
@@ -422,21 +429,27 @@
 	// whether the direct way works again. A booting one would only time out.
 	greet := (!m.Fresh && !m.Greeted && (m.Up || m.Listed)) || m.CallFails > 0 ||
 		// A report is overdue: is the machine there at all?
-		(m.Known && m.Session > m.DeadSession && c.now > m.Heard+2*c.cfg.Report()) ||
+		(m.Known && m.Session > m.DeadSession && c.now > m.Heard+c.cfg.Report()*3/2) ||
 		// Others did not answer: is it them, or can't we reach anybody?
 		r.probes(m)
 	if !m.Known && !greet {
 		return
 	}
+	// Calls wait for one another before anything is noted as sent: a take-over of
+	// hundreds of machines, or a dark zone whose calls all hang, must not take the
+	// sockets, and what answers must not wait for what hangs.
+	fds := c.cfg.Cluster.Resources.FDs
+	if r.calling >= fds/8 || r.doubtful(m) && r.hanging >= fds/12 {
+		return
+	}
 	cmds := r.commands(m, false)
-	if len(cmds) == 0 && (!greet || r.greeting >= c.cfg.Cluster.Resources.FDs/12) {
-		// Greetings wait for one another: a take-over of hundreds of machines,
-		// or a dark zone whose calls all hang, must not take the sockets.
+	if len(cmds) == 0 && !greet {
 		return
 	}
-	idle := len(cmds) == 0
-	if idle {
-		r.greeting++
+	r.calling++
+	doubtful := r.doubtful(m)
+	if doubtful {
+		r.hanging++
 	}
 	m.Calling, m.Greeted = true, true
 	var runs []*ledger.Attempt
@@ -450,7 +463,7 @@
 		body.Commands = []protocol.Command{}
 	}
 	called := c.now
-	c.call(ToWorker, m.Addr, "POST", "/commands", body, c.cfg.Lease()/10, func(res Result) {
+	c.call(ToWorker, m.Addr, "POST", "/commands", body, min(c.cfg.Lease()/10, callWithin), func(res Result) {
 		if c.reign != r {
 			return
 		}
@@ -460,8 +473,9 @@
 		} else if m.Heard > called {
 			r.missed(m.ID)
 		}
-		if idle {
-			r.greeting--
+		r.calling--
+		if doubtful {
+			r.hanging--
 		}
 		for _, a := range runs {
 			a.Flying--
@@ -479,7 +493,7 @@
 		if res.Status != 200 && res.Status != 409 {
 			m.CallFails++
 			m.Greeted = false
-			m.NextCall = c.now + c.cfg.Report()/2*time.Duration(min(m.CallFails, 4))
+			m.NextCall = c.now + min(c.cfg.Report()/2, c.cfg.LeaderTTL()*2/3)*time.Duration(min(m.CallFails, 4))
 			return
 		}
 		m.CallFails = 0
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -12,8 +12,6 @@
 	"net"
 	"net/http"
 	"strconv"
-	"sync"
-	"sync/atomic"
 	"time"
 
 	"claybarrow/internal/config"
@@ -38,7 +36,7 @@
 	inbox   chan coordination.Event
 	asks    chan ask // users, other controllers, the load balancer
 	reports chan ask // workers
-	open    atomic.Int64
+	users   *door
 	clients map[coordination.Target]*http.Client
 	start   time.Time
 }
@@ -55,7 +53,7 @@
 		return &http.Client{
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 			Transport: &http.Transport{
-				DialContext:         (&net.Dialer{Timeout: cfg.Lease() / 5}).DialContext,
+				DialContext:         (&net.Dialer{Timeout: min(cfg.Lease()/5, dialWithin)}).DialContext,
 				MaxConnsPerHost:     perHost,
 				MaxIdleConnsPerHost: perHost,
 				MaxIdleConns:        idle,
@@ -67,14 +65,16 @@
 		inbox: make(chan coordination.Event, fds),
 		// What waits here is answered within a second or so even by a slow
 		// share of a core; more than that is refused at once.
-		asks:    make(chan ask, max(16, fds/4)),
-		reports: make(chan ask, max(16, fds/4)),
+		asks: make(chan ask, max(16, fds/4)),
+		// Each worker waits for one answer at a time, so this is bounded by the
+		// connections there can be.
+		reports: make(chan ask, max(16, fds/2)),
 		start:   time.Now(),
 		clients: map[coordination.Target]*http.Client{
 			coordination.ToState:  client(8, 8),
 			coordination.ToCloud:  client(4, 4),
-			coordination.ToWorker: client(2, fds/4),
-			coordination.ToPeer:   client(max(4, fds/40), fds/10),
+			coordination.ToWorker: client(2, fds*workerIdle/100),
+			coordination.ToPeer:   client(max(4, fds*peerCalls/100/max(1, len(cfg.Siblings))), fds*peerCalls/100),
 		}}
 }
 
@@ -82,22 +82,24 @@
 func (n *Node) Run(ctx context.Context) error {
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
-	users, err := n.listen(n.cfg.ClientListen, n.cfg.Cluster.Resources.FDs*clientConns/100, &n.open)
+	users, err := openDoor(n.cfg.ClientListen, n.cfg.Cluster.Resources.FDs*clientConns/100)
 	if err != nil {
 		return fmt.Errorf("client_listen: %w", err)
 	}
-	peers, err := n.listen(n.cfg.PeerListen, n.cfg.Cluster.Resources.FDs/5, new(atomic.Int64))
+	n.users = users
+	peers, err := openDoor(n.cfg.PeerListen, n.cfg.Cluster.Resources.FDs*peerConns/100)
 	if err != nil {
 		return fmt.Errorf("peer_listen: %w", err)
 	}
 	failed := make(chan error, 2)
 	for _, s := range []struct {
-		l net.Listener
+		l *door
 		h http.Handler
 	}{{users, n.userRoutes()}, {peers, n.peerRoutes()}} {
 		server := &http.Server{Handler: s.h, ReadHeaderTimeout: n.cfg.Lease(), ReadTimeout: n.cfg.Lease(),
 			WriteTimeout: n.cfg.Lease(), IdleTimeout: 4 * n.cfg.Lease(), MaxHeaderBytes: 8 << 10,
-			ErrorLog: slog.NewLogLogger(n.log.Handler(), slog.LevelDebug)}
+			ConnState: s.l.note,
+			ErrorLog:  slog.NewLogLogger(n.log.Handler(), slog.LevelDebug)}
 		go func() { failed <- server.Serve(s.l) }()
 		defer server.Close()
 	}
@@ -226,13 +228,26 @@
 // after 5 s, and the core itself answers long before.
 const replyWithin = 4500 * time.Millisecond
 
-// Shares of the socket limit, in percent: all connections of client_listen, and
-// from where on users' connections are closed after an answer.
+// Shares of the socket limit, in percent. With the direct requests to workers
+// that are under way, an eighth (see coordination), they leave a twentieth for
+// the state service, the cloud and the process itself.
 const (
-	clientConns = 60
-	userConns   = 45
+	clientConns = 50 // users and workers, by client_listen
+	peerConns   = 12 // from other controllers
+	peerCalls   = 8  // to other controllers
+	workerIdle  = 12 // kept open to workers
 )
 
+// Percentages of the room at client_listen from where on a connection is closed
+// after its answer: users' go first, workers' later.
+const (
+	usersGo   = 70
+	workersGo = 85
+)
+
+// dialWithin bounds the making of a connection however long the workers' lease.
+const dialWithin = 2 * time.Second
+
 func (n *Node) handler(op coordination.Op, wantBody bool) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		req := coordination.Request{Op: op, UID: r.PathValue("id")}
@@ -254,10 +269,17 @@
 		}
 		a := ask{req: req, answer: make(chan coordination.Reply, 1)}
 		queue := n.asks
-		if op == coordination.OpReport || op == coordination.OpForward || op == coordination.OpTouch {
-			queue = n.reports
-		} else if n.open.Load() > int64(n.cfg.Cluster.Resources.FDs)*userConns/100 {
-			// Room for the workers' connections, which come by the same door.
+		leaveAt := usersGo
+		switch op {
+		case coordination.OpForward, coordination.OpTouch:
+			queue, leaveAt = n.reports, 100
+		case coordination.OpReport:
+			queue, leaveAt = n.reports, workersGo
+		case coordination.OpRelay:
+			leaveAt = 100
+		}
+		if n.users.busier(leaveAt) {
+			// Room for those that come by the same door.
 			w.Header().Set("Connection", "close")
 		}
 		timer := time.NewTimer(replyWithin)
@@ -288,50 +310,3 @@
 		}
 	}
 }
-
-// listen caps the connections that one listener holds; more are closed at
-// once, so that room stays for the state service, the cloud and the workers.
-func (n *Node) listen(addr string, most int, open *atomic.Int64) (net.Listener, error) {
-	l, err := net.Listen("tcp4", addr)
-	if err != nil {
-		return nil, err
-	}
-	return &capped{Listener: l, most: int64(most), open: open}, nil
-}
-
-type capped struct {
-	net.Listener
-	most int64
-	open *atomic.Int64
-}
-
-func (c *capped) Accept() (net.Conn, error) {
-	for {
-		conn, err := c.Listener.Accept()
-		if err != nil {
-			// Out of sockets is no reason to end: wait a little and go on.
-			if errors.Is(err, net.ErrClosed) {
-				return nil, err
-			}
-			time.Sleep(10 * time.Millisecond)
-			continue
-		}
-		if c.open.Add(1) > c.most {
-			c.open.Add(-1)
-			conn.Close()
-			continue
-		}
-		return &cappedConn{Conn: conn, open: c.open}, nil
-	}
-}
-
-type cappedConn struct {
-	net.Conn
-	once sync.Once
-	open *atomic.Int64
-}
-
-func (c *cappedConn) Close() error {
-	c.once.Do(func() { c.open.Add(-1) })
-	return c.Conn.Close()
-}
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -3,10 +3,14 @@
 import (
 	"bytes"
 	"context"
+	"errors"
+	"io"
 	"log/slog"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"testing"
+	"time"
 
 	"claybarrow/internal/config"
 	"claybarrow/internal/coordination"
@@ -83,9 +87,70 @@
 	if len(n.reports) != 0 || cap(n.reports) == 0 {
 		t.Error("the flood reached the workers' queue")
 	}
-	// Beyond the users' share of sockets, their connections end with the answer.
-	n.open.Store(int64(n.cfg.Cluster.Resources.FDs))
-	if w := send(h, "GET", "/ready", nil); w.Header().Get("Connection") != "close" {
-		t.Error("users' connections stay open though sockets are short")
+	// As sockets get short, users' connections end with the answer, and workers'
+	// only later.
+	n.users = newDoor(nil, 100)
+	for range cap(n.reports) {
+		n.reports <- ask{} // so that reports, too, are answered at once
+	}
+	closes := func(method, path string) bool {
+		return send(h, method, path, nil).Header().Get("Connection") == "close"
+	}
+	for _, tc := range []struct {
+		open           int
+		users, workers bool
+	}{{70, false, false}, {71, true, false}, {86, true, true}} {
+		n.users.open = tc.open
+		if u, w := closes("GET", "/ready"), closes("POST", "/hello"); u != tc.users || w != tc.workers {
+			t.Errorf("%d of 100 open: users' connections end %v, workers' %v", tc.open, u, w)
+		}
+	}
+}
+
+// pipes hands out one end of a pipe for each connection, and keeps the other.
+type pipes struct{ far []net.Conn }
+
+func (p *pipes) Accept() (net.Conn, error) {
+	near, far := net.Pipe()
+	p.far = append(p.far, far)
+	return near, nil
+}
+func (p *pipes) Close() error   { return nil }
+func (p *pipes) Addr() net.Addr { return nil }
+
+// When the door is full, the connection that has been idle for longest gives way;
+// one with a request under way never does.
+func TestFullDoorLetsTheIdleGo(t *testing.T) {
+	p := &pipes{}
+	d := newDoor(p, 3)
+	accept := func() net.Conn {
+		c, err := d.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		d.note(c, http.StateNew)
+		return c
+	}
+	a, b, c := accept(), accept(), accept()
+	for _, x := range []net.Conn{a, b, c} {
+		d.note(x, http.StateActive)
+	}
+	d.note(c, http.StateIdle)
+	d.note(b, http.StateIdle)
+	accept()
+	for i, open := range []bool{true, true, false, true} {
+		// A pipe that one end has closed takes no deadline.
+		if err := p.far[i].SetWriteDeadline(time.Time{}); errors.Is(err, io.ErrClosedPipe) == open {
+			t.Errorf("connection %d: open %v, but %v", i, open, err)
+		}
+	}
+	if d.open != 3 {
+		t.Errorf("%d counted as open", d.open)
+	}
+	// Closed twice, counted once.
+	a.Close()
+	a.Close()
+	if d.open != 2 {
+		t.Errorf("%d counted as open after one more has gone", d.open)
 	}
 }
