--- a/internal/coordination/schedule.go
+++ b/internal/coordination/schedule.go
@@ -98,7 +98,7 @@
 		sj.LeftS, sj.Late = r.timeLeft(j)
 		sj.Patient = float64(c.wall-j.Submitted)/1000 > 2*c.bootS()
 		if c.now >= j.NotBefore {
-			sj.Waiting = j.Waiting(512)
+			sj.Waiting, sj.Resume = j.Waiting(512)
 		}
 		sj.Claims = min(claims[uid], len(sj.Waiting))
 		if len(sj.Waiting) == 0 && !running {
@@ -285,6 +285,7 @@
 		for _, a := range m.Sorted() {
 			if a.Job.Spec.UID == st.Victim.Job.ID && a.Index == st.Victim.Index {
 				c.log.Info("stopping", "task", a.Key().Task, "machine", m.ID, "for", st.For.ID)
+				a.Yielded = true
 				r.halt(a, a.Job.Spec.SaveS, "a round's stop")
 			}
 		}
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -306,6 +306,9 @@
 	}
 	r.c.log.Debug("gone", "task", a.Key().Task, "try", a.Try, "machine", m.ID, "why", why)
 	j := a.Job
+	if !j.Spec.Service && a.Sent && !a.Yielded && !j.IsDone(a.Index) && why != protocol.CauseError && why != protocol.CauseNoRoom {
+		j.Interrupted(a.Index)
+	}
 	r.settleCancel(j)
 	if m.Recorded {
 		r.record(m, writeLazy, nil)
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -39,6 +39,7 @@
 	HeldTotal int
 	Running   int
 	firstOpen int
+	resume    map[int]bool // interrupted tasks, which go on first
 
 	// Failures in a row and when the next start may be made.
 	Failures  int
@@ -66,7 +67,9 @@
 	State             string
 	Since             time.Duration
 	// Halt: it is to be stopped. Grace is what it has for saving.
+	// Yielded: a round stopped it for work that ranks before it.
 	Halt     bool
+	Yielded  bool
 	HaltSent time.Duration
 	Grace    float64
 }
@@ -218,21 +221,35 @@
 // InZone is a copy of the counts of attempts by zone.
 func (j *Job) InZone() map[string]int { return maps.Clone(j.inZone) }
 
-// Waiting lists up to limit tasks that may be started.
-func (j *Job) Waiting(limit int) []int {
+// Interrupted notes a task that was stopped, but not by rank.
+func (j *Job) Interrupted(index int) {
+	if j.resume == nil {
+		j.resume = map[int]bool{}
+	}
+	j.resume[index] = true
+}
+
+// Waiting lists up to limit tasks that may be started. The first of them, as
+// many as it says, were interrupted.
+func (j *Job) Waiting(limit int) (out []int, resume int) {
 	if j.Cancelling || j.Finishing {
-		return nil
+		return nil, 0
 	}
-	var out []int
+	for _, i := range slices.Sorted(maps.Keys(j.resume)) {
+		if len(out) < limit && !j.IsDone(i) && j.held[i] == 0 {
+			out = append(out, i)
+		}
+	}
+	resume = len(out)
 	for j.firstOpen < j.Spec.Tasks && j.IsDone(j.firstOpen) {
 		j.firstOpen++
 	}
 	for i := j.firstOpen; i < j.Spec.Tasks && len(out) < limit; i++ {
-		if !j.IsDone(i) && j.held[i] == 0 {
+		if !j.IsDone(i) && j.held[i] == 0 && !j.resume[i] {
 			out = append(out, i)
 		}
 	}
-	return out
+	return out, resume
 }
 
 // AddMachine returns the machine, made if need be.
@@ -269,6 +286,7 @@
 	m.Attempts[a.Key()] = a
 	m.Used = m.Used.Plus(j.Need)
 	j.held[index]++
+	delete(j.resume, index)
 	j.inZone[m.Zone]++
 	j.HeldTotal++
 	if t := b.Teams[j.Spec.Team]; t != nil {
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -90,6 +90,9 @@
 	// it can't be met any more.
 	LeftS float64
 	Late  bool
+	// Resume is how many of the waiting tasks, listed first, ran before and were
+	// interrupted by their machine's end rather than by rank.
+	Resume int
 	// Claims is for how many of its tasks others were stopped and have not all
 	// gone yet.
 	Claims int
@@ -201,7 +204,7 @@
 // Fill starts waiting tasks in rank order: services, those within their team's
 // guarantee first; then the room kept for expected ones; then batches, first
 // within guarantees, then within slots (the upper queue under its cap), then
-// whatever room is spare.
+// what was interrupted, then whatever room is spare.
 func (s *Snapshot) Fill() []Placement {
 	Order(s.Jobs)
 	var out []Placement
@@ -224,7 +227,7 @@
 	if s.Moving {
 		return out
 	}
-	for pass := range 3 {
+	for pass := range 4 {
 		upper := 0.0
 		if pass == 2 {
 			// Beyond slots the upper queue has no precedence: its cap has been
@@ -254,6 +257,11 @@
 				switch pass {
 				case 0:
 					return t.InGuarantee(j.Need)
+				case 2:
+					// What a machine's end took had been decided by rank, and goes
+					// on before new tasks take the room: large jobs have attained
+					// most, and each of their interrupted tasks waited for a boot.
+					return j.Resume > 0
 				case 1:
 					return j.Held < j.Slots && (!j.Upper || upper <= s.UpperCap || j.Held == 0)
 				}
@@ -353,6 +361,7 @@
 
 func (s *Snapshot) take(j *Job, m *Machine) {
 	j.Waiting = j.Waiting[1:]
+	j.Resume = max(0, j.Resume-1)
 	j.Held++
 	if j.InZone == nil {
 		j.InZone = map[string]int{}
--- a/internal/sched/sched_test.go
+++ b/internal/sched/sched_test.go
@@ -455,3 +455,17 @@
 		s.Fill()
 	}
 }
+
+// What a machine's end interrupted goes on before new tasks of better rank take
+// spare room, and no more than that (fleet of the parking authority, calm: such
+// tasks of large jobs waited 56 to 89 s).
+func TestInterruptedGoOnFirst(t *testing.T) {
+	old := batch("old", 6, func(j *Job) { j.Upper, j.Attained, j.Held, j.Resume = false, 50, 1, 2 })
+	young := batch("young", 6, func(j *Job) { j.Upper, j.Held, j.Slots = false, 1, 1 })
+	ms := machines(box, "a")
+	ms[0].Free = Need{Cores: 5, Mem: 32}
+	got := started(snap(ms, old, young).Fill())
+	if got["old"] != 2 || got["young"] != 3 {
+		t.Errorf("%v, want the two that were interrupted and three of the younger job", got)
+	}
+}
