Machines that take no connections are deleted while their zone is heard

Cause: a dead machine's tasks wait for its lease (15 and 31 s), the cloud calls it failed after 30 s.

--- a/internal/coordination/fleet_test.go
+++ b/internal/coordination/fleet_test.go
@@ -159,3 +159,76 @@
 		t.Errorf("a report took %v allocations among 1000 machines, %v among 2000", report, report2)
 	}
 }
+
+// A machine that takes no connections while others of its zone are heard is
+// deleted long before its lease is over, and its tasks go on elsewhere; one that
+// takes them and does not answer hangs, and is left alone. In a zone that has just
+// been cut off nothing is heard, and nothing is deleted.
+func TestPowerlessMachineIsDeleted(t *testing.T) {
+	for _, what := range []string{"dead", "hanging", "cut zone"} {
+		w := newWorld(t, 54)
+		for _, cfg := range w.cfgs {
+			cfg.Cluster.Workers.LeaseS, cfg.Cluster.Workers.ReportS = 31, 2
+		}
+		w.awaitLeader()
+		w.submit("j-1", map[string]any{"shape": "service", "shards": 8})
+		w.submit("j-2", map[string]any{"shape": "service", "shards": 4, "owner": "blue"})
+		w.until(120*second, "replicas run", func() bool { return w.running("j-1") == 8 && w.running("j-2") == 4 })
+		w.run(15 * second)
+		if w.leader() == 2 {
+			t.Fatal("the leader is in the zone to be cut")
+		}
+		w.off = map[string]bool{}
+		var victim *simWorker
+		for _, k := range w.fleet() {
+			if what == "cut zone" && k.zone == "b" {
+				w.off[k.addr()] = true
+			} else if what != "cut zone" && k.zone == "a" && len(k.tasks) > 0 && victim == nil {
+				victim = k
+				k.cut = true
+				w.off[k.addr()] = what == "dead"
+			}
+		}
+		if what == "cut zone" {
+			w.cutZone()
+		}
+		w.cloud.deleted = nil
+		w.run(28 * second)
+		if want := what == "dead"; (len(w.cloud.deleted) > 0) != want {
+			t.Errorf("%s: deleted %v", what, w.cloud.deleted)
+		}
+		if what == "dead" && (w.cloud.deleted[0] != victim.id || w.running("j-1")+w.running("j-2") != 12) {
+			t.Errorf("28 s later %d of 12 replicas run, deleted %v", w.running("j-1")+w.running("j-2"), w.cloud.deleted)
+		}
+		w.keptRules()
+	}
+}
+
+// A zone that was cut off a moment ago is not known to be dark yet: machines that
+// reported last well before the cut look overdue first. What tells is that nothing
+// there was heard since the call failed.
+func TestNothingIsPowerlessInASilentZone(t *testing.T) {
+	w := newWorld(t, 55)
+	r := w.nodes[w.awaitLeader()].core.reign
+	now := time.Minute
+	for i := range 40 {
+		m := r.AddMachine(fmt.Sprintf("i-9%05d", i))
+		m.Zone, m.Up, m.Heard = "b", true, now-time.Duration(i%6)*second
+	}
+	m := r.Machines["i-900005"]
+	m.NoConn, m.CallFails = true, 2
+	for _, tc := range []struct {
+		failed time.Duration
+		want   bool
+	}{{now - 2*second, true}, {now + second, false}} {
+		m.FailedAt = tc.failed
+		if got := r.powerless(m, r.pulse()); got != tc.want {
+			t.Errorf("call failed at %v, zone heard up to %v: powerless %v", tc.failed, now, got)
+		}
+	}
+	m.FailedAt = now - 2*second
+	r.missed("i-900007")
+	if r.powerless(m, r.pulse()) {
+		t.Error("powerless, though others hear what we can't reach")
+	}
+}
--- a/internal/coordination/messages.go
+++ b/internal/coordination/messages.go
@@ -37,11 +37,13 @@
 	Body []byte
 }
 
-// Result is the outcome of a Call. Status 0: no response.
+// Result is the outcome of a Call. Status 0: no response; NoConn: not even a
+// connection could be made.
 type Result struct {
 	ID     uint64
 	Status int
 	Body   []byte
+	NoConn bool
 }
 
 // Tick lets time pass.
--- a/internal/coordination/schedule.go
+++ b/internal/coordination/schedule.go
@@ -442,6 +442,7 @@
 	for zone := range r.dark {
 		forsaken[zone] = r.forsaken(zone)
 	}
+	pulse := r.pulse()
 	// Many silent machines at once speak of our own network, not of theirs.
 	lonely := silent > 2 && silent > up/3
 	for _, m := range r.machines() {
@@ -466,6 +467,8 @@
 			} else if m.IdleSince == 0 {
 				m.IdleSince = c.now
 			}
+		case !lonely && r.powerless(m, pulse) && r.silentFor(m) > c.cfg.Lease()*2/5:
+			r.giveBack(m, "no connection to it, while its zone is heard")
 		case !lonely && m.CallFails > 1 && m.FreshAt == 0 && r.silentFor(m) > c.cfg.Lease()/2:
 			// After a take-over the proof by time is far away, and the cloud's
 			// word that the machine is gone comes sooner. A machine that this
@@ -491,6 +494,34 @@
 	}
 }
 
+// powerless says whether a machine is most probably gone with all that is on it:
+// it is silent, and no connection to it can be made, while others of its zone were
+// heard since and we reach all that others hear. The cloud's deletion proves it
+// much sooner than its lease; hanging machines take connections, and are left
+// alone, as they may go on within their lease.
+func (r *reign) powerless(m *ledger.Machine, pulse map[string]time.Duration) bool {
+	return m.NoConn && m.CallFails > 1 && len(r.deafTo) == 0 && !r.isDark(m.Zone) && pulse[m.Zone] > m.FailedAt
+}
+
+// pulse tells, by zone, since when a tenth of its machines, two at least, have
+// been heard: a zone that has just been cut off has none after the cut.
+func (r *reign) pulse() map[string]time.Duration {
+	heard := map[string][]time.Duration{}
+	for _, m := range r.Machines {
+		if m.Up && !m.Returning {
+			heard[m.Zone] = append(heard[m.Zone], m.Heard)
+		}
+	}
+	out := map[string]time.Duration{}
+	for zone, list := range heard {
+		if k := max(2, len(list)/10); len(list) > k {
+			slices.Sort(list)
+			out[zone] = list[len(list)-k]
+		}
+	}
+	return out
+}
+
 // silentFor is how long nothing new was heard of a machine in this reign.
 func (r *reign) silentFor(m *ledger.Machine) time.Duration {
 	return r.c.now - max(m.Heard, r.since, r.lit[m.Zone])
--- a/internal/coordination/sim_test.go
+++ b/internal/coordination/sim_test.go
@@ -76,6 +76,8 @@
 	// reports decides whether a worker's report and its answer get through.
 	reports func(w *simWorker, node int) fate
 	runs    func(task string) time.Duration
+	// off are the addresses that take no connections.
+	off map[string]bool
 }
 
 type simNode struct {
@@ -232,7 +234,7 @@
 			return
 		}
 		answered = true
-		w.feed(i, Result{ID: c.ID, Status: status, Body: body})
+		w.feed(i, Result{ID: c.ID, Status: status, Body: body, NoConn: status == 0 && w.off[c.Addr]})
 	}
 	var f fate
 	if w.script != nil {
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -516,11 +516,12 @@
 		}
 		if res.Status != 200 && res.Status != 409 {
 			m.CallFails++
+			m.NoConn, m.FailedAt = res.NoConn, called
 			m.Greeted = false
 			m.NextCall = c.now + min(c.cfg.Report()/2, c.cfg.LeaderTTL()*2/3)*time.Duration(min(m.CallFails, 4))
 			return
 		}
-		m.CallFails = 0
+		m.CallFails, m.NoConn = 0, false
 		var msg protocol.Report
 		if protocol.Decode(res.Body, &msg) != nil || msg.Machine != m.ID {
 			m.NextCall = c.now + c.cfg.Report()
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -159,8 +159,12 @@
 	// The direct link: one call in flight.
 	Calling   bool
 	CallFails int
-	NextCall  time.Duration
-	Greeted   bool
+	// NoConn: with the last call not even a connection could be made; FailedAt is
+	// when that call left.
+	NoConn   bool
+	FailedAt time.Duration
+	NextCall time.Duration
+	Greeted  bool
 }
 
 // Final is what is kept of a job that is over.
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -11,6 +11,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"strconv"
 	"time"
 
@@ -167,12 +168,14 @@
 }
 
 func (n *Node) call(ctx context.Context, c coordination.Call) {
-	status, body, err := n.exchange(ctx, c)
+	connected := false
+	status, body, err := n.exchange(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected = true }}), c)
 	if err != nil {
 		n.log.Debug("no response", "addr", c.Addr, "path", c.Path, "err", err)
 	}
 	select {
-	case n.inbox <- coordination.Result{ID: c.ID, Status: status, Body: body}:
+	case n.inbox <- coordination.Result{ID: c.ID, Status: status, Body: body, NoConn: !connected}:
 	case <-ctx.Done():
 	}
 }
