--- a/internal/coordination/fleet_test.go
+++ b/internal/coordination/fleet_test.go
@@ -163,16 +163,21 @@
 // A machine that takes no connections while others of its zone are heard is
 // deleted long before its lease is over, and its tasks go on elsewhere; one that
 // takes them and does not answer hangs, and is left alone. In a zone that has just
-// been cut off nothing is heard, and nothing is deleted.
+// been cut off nothing is heard, and nothing is deleted; nor is a machine whose
+// replicas would fetch for longer than a lease, as it may come back.
 func TestPowerlessMachineIsDeleted(t *testing.T) {
-	for _, what := range []string{"dead", "hanging", "cut zone"} {
+	for _, what := range []string{"dead", "hanging", "cut zone", "long fetch"} {
 		w := newWorld(t, 54)
 		for _, cfg := range w.cfgs {
 			cfg.Cluster.Workers.LeaseS, cfg.Cluster.Workers.ReportS = 31, 2
 		}
 		w.awaitLeader()
-		w.submit("j-1", map[string]any{"shape": "service", "shards": 8})
-		w.submit("j-2", map[string]any{"shape": "service", "shards": 4, "owner": "blue"})
+		size := 1.0
+		if what == "long fetch" {
+			size = 40
+		}
+		w.submit("j-1", map[string]any{"shape": "service", "shards": 8, "sizeGb": size})
+		w.submit("j-2", map[string]any{"shape": "service", "shards": 4, "owner": "blue", "sizeGb": size})
 		w.until(120*second, "replicas run", func() bool { return w.running("j-1") == 8 && w.running("j-2") == 4 })
 		w.run(15 * second)
 		if w.leader() == 2 {
@@ -186,7 +191,7 @@
 			} else if what != "cut zone" && k.zone == "a" && len(k.tasks) > 0 && victim == nil {
 				victim = k
 				k.cut = true
-				w.off[k.addr()] = what == "dead"
+				w.off[k.addr()] = what != "hanging"
 			}
 		}
 		if what == "cut zone" {
@@ -210,10 +215,11 @@
 func TestNothingIsPowerlessInASilentZone(t *testing.T) {
 	w := newWorld(t, 55)
 	r := w.nodes[w.awaitLeader()].core.reign
+	w.run(20 * second) // the types are known
 	now := time.Minute
 	for i := range 40 {
 		m := r.AddMachine(fmt.Sprintf("i-9%05d", i))
-		m.Zone, m.Up, m.Heard = "b", true, now-time.Duration(i%6)*second
+		m.Type, m.Zone, m.Up, m.Heard = "m8", "b", true, now-time.Duration(i%6)*second
 	}
 	m := r.Machines["i-900005"]
 	m.NoConn, m.CallFails = true, 2
--- a/internal/coordination/schedule.go
+++ b/internal/coordination/schedule.go
@@ -527,7 +527,24 @@
 // much sooner than its lease; hanging machines take connections, and are left
 // alone, as they may go on within their lease.
 func (r *reign) powerless(m *ledger.Machine, pulse map[string]time.Duration) bool {
-	return m.NoConn && m.CallFails > 1 && len(r.deafTo) == 0 && !r.isDark(m.Zone) && pulse[m.Zone] > m.FailedAt
+	return m.NoConn && m.CallFails > 1 && len(r.deafTo) == 0 && !r.isDark(m.Zone) && pulse[m.Zone] > m.FailedAt &&
+		r.soonElsewhere(m)
+}
+
+// soonElsewhere says whether a machine's replicas fetch their images in less than
+// a lease. The machine may only be cut off, and come back with them: a wrong guess
+// costs the fetch, a right one gains the rest of the lease.
+func (r *reign) soonElsewhere(m *ledger.Machine) bool {
+	t := r.c.typeOf(m.Type)
+	if t == nil {
+		return false
+	}
+	for _, a := range m.Attempts {
+		if s := a.Job.Spec; s.Service && s.ImageGB > t.FetchGBPerS*r.c.cfg.Lease().Seconds() {
+			return false
+		}
+	}
+	return true
 }
 
 // pulse tells, by zone, since when a tenth of its machines, two at least, have
