A suspicion gives reachable machines time for a sign of life; full score of all six

Cause, found by reading: three deaf machines missed at once, in a fleet to whose others there was nothing to say, ended a leadership before anybody could answer a probe. Guard seen to fail its test.

--- a/internal/coordination/fleet_test.go
+++ b/internal/coordination/fleet_test.go
@@ -10,7 +10,7 @@
 )
 
 // The leader loses the workers while the other controllers do not: it hands over
-// before any lease runs out. Two deaf machines are no reason to.
+// before any lease runs out. A few deaf machines are no reason to, also at once.
 func TestLeaderWithoutWorkersHandsOver(t *testing.T) {
 	for _, deaf := range []bool{false, true} {
 		w := newWorld(t, 51)
@@ -23,7 +23,7 @@
 		lead := w.leader()
 		deafOnes := map[string]bool{}
 		for _, k := range w.fleet() {
-			if len(deafOnes) < leastDeaf-1 && len(k.tasks) > 0 {
+			if len(deafOnes) < leastDeaf && len(k.tasks) > 0 {
 				deafOnes[k.addr()] = true
 			}
 		}
@@ -50,6 +50,36 @@
 	}
 }
 
+// Several deaf machines missed at once, while there was nothing to say to others,
+// give those others time for a sign of life first.
+func TestSuspicionWaitsForProbes(t *testing.T) {
+	w := newWorld(t, 57)
+	c := w.nodes[w.awaitLeader()].core
+	r := c.reign
+	lease := c.cfg.Lease()
+	miss := func() {
+		for _, id := range []string{"i-1", "i-2", "i-3"} {
+			r.missed(id, c.now)
+		}
+	}
+	r.reachedAt, c.now = c.now, c.now+lease
+	miss()
+	if r.outOfReach() {
+		t.Error("out of reach before the others could be asked")
+	}
+	c.now += lease / 20
+	r.reached(c.now)
+	if r.outOfReach() {
+		t.Error("out of reach though a machine answered")
+	}
+	c.now += lease
+	miss()
+	c.now += lease/20 + second
+	if !r.outOfReach() {
+		t.Error("not out of reach though none answered")
+	}
+}
+
 // With a lease longer than the way round all controllers, a zone's workers find
 // their controller again when it has ended in a cut together with all others: its
 // machines are not given up (loss, credit checks' fleet: 158 machines were).
@@ -233,7 +263,7 @@
 		}
 	}
 	m.FailedAt = now - 2*second
-	r.missed("i-900007")
+	r.missed("i-900007", now)
 	if r.powerless(m, r.pulse()) {
 		t.Error("powerless, though others hear what we can't reach")
 	}
--- a/internal/coordination/reach.go
+++ b/internal/coordination/reach.go
@@ -21,6 +21,7 @@
 type reach struct {
 	reachedAt time.Duration   // last direct sign of any worker
 	deafTo    map[string]bool // machines missed since
+	suspectAt time.Duration   // when the first of them was
 }
 
 // reached notes a direct sign of life of a worker.
@@ -32,9 +33,9 @@
 }
 
 // missed notes a machine that others heard while our request went unanswered.
-func (r *reach) missed(id string) {
+func (r *reach) missed(id string, now time.Duration) {
 	if r.deafTo == nil {
-		r.deafTo = map[string]bool{}
+		r.deafTo, r.suspectAt = map[string]bool{}, now
 	}
 	r.deafTo[id] = true
 }
@@ -49,8 +50,11 @@
 
 // outOfReach says whether the workers are there for others and not for us.
 func (r *reign) outOfReach() bool {
-	// Once it has stepped down, others have had their chance.
-	return len(r.deafTo) >= leastDeaf && r.c.now > r.reachedAt+r.c.cfg.Lease()/10 && r.c.now >= r.c.abstain
+	// Several deaf machines may be missed at once while there was nothing to say to
+	// others: those that can be reached answer a probe well within a twentieth of a
+	// lease. Once it has stepped down, others have had their chance.
+	return len(r.deafTo) >= leastDeaf && r.c.now > r.reachedAt+r.c.cfg.Lease()/10 &&
+		r.c.now > r.suspectAt+r.c.cfg.Lease()/20 && r.c.now >= r.c.abstain
 }
 
 // leastDeaf is how many machines have to be missed before a leader gives up: one
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -495,7 +495,7 @@
 		if res.Status != 0 {
 			r.reached(c.now)
 		} else if m.Heard > called {
-			r.missed(m.ID)
+			r.missed(m.ID, c.now)
 		}
 		r.calling--
 		if doubtful {
