--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -250,8 +250,8 @@
 // Tick is the time between two looks at what time alone tells.
 func (c *Config) Tick() time.Duration { return c.LeaderTTL() / 15 }
 
-// Touch is the time between two signs of life of a controller to the leader.
-func (c *Config) Touch() time.Duration { return c.LeaderTTL() / 3 }
+// Heartbeat is the time between two signs of life of a controller to the leader.
+func (c *Config) Heartbeat() time.Duration { return c.LeaderTTL() / 3 }
 
 // Coast is how long a leader may go on answering workers after it sent the
 // last lease renewal that was confirmed, and how long a zone's silence is taken
--- a/internal/coordination/cloud.go
+++ b/internal/coordination/cloud.go
@@ -36,7 +36,7 @@
 	return cloudState{renting: map[string]*rental{}, short: map[sched.Pool]shortage{}, tombs: map[string]time.Duration{}}
 }
 
-func (r *reign) keepCloud() {
+func (r *term) keepCloud() {
 	c := r.c
 	for id, at := range r.tombs {
 		if c.now > at+10*c.cfg.ListLag()+10*c.cfg.Lease() {
@@ -50,14 +50,14 @@
 	}
 }
 
-func (r *reign) listPage(after string, asked time.Duration, seen map[string]bool) {
+func (r *term) listPage(after string, asked time.Duration, seen map[string]bool) {
 	c := r.c
 	path := "/machines?limit=500"
 	if after != "" {
 		path += "&after=" + after
 	}
 	c.cloudCall("GET", path, nil, c.cfg.Lease()/4, func(res Result) {
-		if c.reign != r {
+		if c.term != r {
 			return
 		}
 		var list protocol.MachineList
@@ -79,7 +79,7 @@
 	})
 }
 
-func (r *reign) onListed(l *protocol.ListedMachine) {
+func (r *term) onListed(l *protocol.ListedMachine) {
 	c := r.c
 	if r.tombs[l.ID] != 0 {
 		return
@@ -114,7 +114,7 @@
 // missing drops machines that are gone: a list describes a moment at most
 // twice the lag before it was asked for, and one that surely existed by then
 // would be in it.
-func (r *reign) missing(asked time.Duration, seen map[string]bool) {
+func (r *term) missing(asked time.Duration, seen map[string]bool) {
 	for _, m := range r.machines() {
 		if !seen[m.ID] && asked > m.Exists+2*r.c.cfg.ListLag()+r.c.cfg.ListLag()/5 {
 			r.bury(m, "no longer listed")
@@ -123,7 +123,7 @@
 }
 
 // bury takes a machine that is proved gone out of the books.
-func (r *reign) bury(m *ledger.Machine, why string) {
+func (r *term) bury(m *ledger.Machine, why string) {
 	if r.Machines[m.ID] != m {
 		return
 	}
@@ -138,7 +138,7 @@
 
 // giveBack returns a machine. The mark is durable before the deletion leaves,
 // so that a late deletion hits nothing in use.
-func (r *reign) giveBack(m *ledger.Machine, why string) {
+func (r *term) giveBack(m *ledger.Machine, why string) {
 	if m.Returning {
 		return
 	}
@@ -147,7 +147,7 @@
 	r.record(m, writeDone, func() { m.Returned = true })
 }
 
-func (r *reign) deletions() {
+func (r *term) deletions() {
 	c := r.c
 	if r.deleting || c.now < r.deleteAt || !c.cloud.has(c.now, 1) {
 		return
@@ -163,7 +163,7 @@
 	}
 	r.deleting = true
 	c.cloudCall("POST", "/machines/delete", protocol.Rented{Machines: names}, c.cfg.Lease()/2, func(res Result) {
-		if c.reign != r {
+		if c.term != r {
 			return
 		}
 		r.deleting = false
@@ -181,18 +181,18 @@
 
 // rent asks for machines. The name holds the token and a counter: no node ever
 // uses it again.
-func (r *reign) rent(p sched.Pool, count int) {
+func (r *term) rent(p sched.Pool, count int) {
 	r.hires++
 	r.hire(&rental{sent: r.c.now, req: protocol.Rent{Request: fmt.Sprintf("r-%d-%d", r.token, r.hires),
 		Type: p.Type, Zone: p.Zone, Spot: p.Spot, Count: min(count, 50)}}, p)
 }
 
-func (r *reign) hire(q *rental, p sched.Pool) {
+func (r *term) hire(q *rental, p sched.Pool) {
 	c := r.c
 	r.renting[q.req.Request] = q
 	c.log.Info("renting", "request", q.req.Request, "type", p.Type, "zone", p.Zone, "spot", p.Spot, "count", q.req.Count)
 	c.cloudCall("POST", "/machines", q.req, c.cfg.Lease()/2, func(res Result) {
-		if c.reign != r {
+		if c.term != r {
 			return
 		}
 		var got protocol.Rented
@@ -239,7 +239,7 @@
 }
 
 // runShort backs off from a pool that was refused or only partly filled.
-func (r *reign) runShort(p sched.Pool) {
+func (r *term) runShort(p sched.Pool) {
 	s := r.short[p]
 	s.times = min(s.times+1, 4)
 	s.until = r.c.now + r.c.cfg.Lease()*time.Duration(s.times)/2
--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -34,10 +34,10 @@
 
 	requests, changes, cloud bucket
 
-	view   view
-	reign  *reign
-	hunt   *campaign
-	deputy deputy
+	view      view
+	term      *term
+	candidacy *candidacy
+	deputy    deputy
 
 	waiters map[uint64]*waiter
 
@@ -90,8 +90,8 @@
 	case Request:
 		c.request(ev)
 	}
-	if c.reign != nil {
-		c.reign.settle()
+	if c.term != nil {
+		c.term.settle()
 	}
 	return c.out
 }
@@ -101,8 +101,8 @@
 	c.keepTypes()
 	c.keepView()
 	c.keepDeputy()
-	if c.reign != nil {
-		c.reign.tick()
+	if c.term != nil {
+		c.term.tick()
 	}
 }
 
--- a/internal/coordination/deputy.go
+++ b/internal/coordination/deputy.go
@@ -19,7 +19,7 @@
 //
 // The safety of it is the leader's. It takes no lease in a zone for over by time
 // alone unless every controller of that zone has told it since, in answer to a
-// stamp of its own, that it had served nobody for a lease. A process that ends
+// reading of its clock, that it had served nobody for a lease. A process that ends
 // forgets what it served, so a new incarnation counts as having served until it
 // was heard. While such a controller is silent, only the cloud's word proves that
 // a machine there is gone. It needs no disk and no leave given in time: deputies
@@ -27,9 +27,9 @@
 
 // deputy is what a controller that does not lead knows of the leader.
 type deputy struct {
-	leader string // who answered as the leader, or is said to lead
-	token  uint64 // of the last answer, with its stamp
-	stamp  uint64
+	leader      string // who answered as the leader, or is said to lead
+	token       uint64 // of the last answer, with the leader's clock
+	leaderClock uint64
 	// served: the last answer given to a worker in the leader's stead.
 	served   time.Duration
 	serving  bool
@@ -61,8 +61,8 @@
 	if c.view.leader != nil {
 		d.highest = max(d.highest, c.view.leader.Token)
 	}
-	if c.reign != nil {
-		*d = deputy{highest: max(d.highest, c.reign.token), served: d.served}
+	if c.term != nil {
+		*d = deputy{highest: max(d.highest, c.term.token), served: d.served}
 		return
 	}
 	if d.busy || c.now < d.next || len(c.cfg.Siblings) == 0 {
@@ -78,19 +78,19 @@
 	}
 	d.busy = true
 	sent := c.now
-	ask := protocol.Touch{From: c.cfg.Label, Incarnation: c.incarnation, Token: d.highest, ServedMS: -1, UptimeMS: c.now.Milliseconds()}
+	ask := protocol.Heartbeat{From: c.cfg.Label, Incarnation: c.incarnation, Token: d.highest, ServedMS: -1, UptimeMS: c.now.Milliseconds()}
 	if d.token == d.highest {
-		ask.Stamp = d.stamp
+		ask.LeaderClock = d.leaderClock
 	}
 	if d.served > 0 {
 		ask.ServedMS = (c.now - d.served).Milliseconds()
 	}
-	c.call(ToPeer, addr, "POST", "/touch", protocol.EncodePeer(ask), c.cfg.Lease()/10, func(res Result) {
-		if c.reign != nil {
+	c.call(ToPeer, addr, "POST", "/heartbeat", protocol.EncodePeer(ask), c.cfg.Lease()/10, func(res Result) {
+		if c.term != nil {
 			return
 		}
-		d.busy, d.next = false, sent+c.cfg.Touch()
-		var g protocol.TouchReply
+		d.busy, d.next = false, sent+c.cfg.Heartbeat()
+		var g protocol.HeartbeatReply
 		ok := res.Status == 200 && protocol.DecodePeer(res.Body, &g) == nil && g.Token >= d.highest
 		if ok && g.Leader != "" {
 			d.highest, d.leader = max(d.highest, g.Token), g.Leader
@@ -104,7 +104,7 @@
 			c.log.Info("the leader is heard again", "leader", g.Leader, "token", g.Token)
 		}
 		d.failed, d.serving, d.heard = false, false, c.now
-		d.token, d.stamp = g.Token, g.Stamp
+		d.token, d.leaderClock = g.Token, g.LeaderClock
 	})
 }
 
@@ -167,7 +167,7 @@
 	c.call(ToPeer, c.addrOf(leader), "POST", "/forward", relay, min(c.cfg.Lease()/8, forwardWithin), func(res Result) {
 		var reply protocol.RelayReply
 		switch {
-		case c.reign != nil:
+		case c.term != nil:
 			c.refuse(from)
 		case res.Status == 200 && protocol.DecodePeer(res.Body, &reply) == nil && reply.Status >= 200 && reply.Status <= 599:
 			c.reply(from, reply.Status, reply.Body, reply.RetryAfter)
@@ -187,7 +187,7 @@
 // reporter names the controller that the worker is to report to: one of its own
 // zone that is in touch with us, or none. A worker that comes back from there
 // can't reach it, and is left alone for a while.
-func (r *reign) reporter(m *ledger.Machine, msg *protocol.Report) string {
+func (r *term) reporter(m *ledger.Machine, msg *protocol.Report) string {
 	c := r.c
 	if m.Zone == c.cfg.Zone || m.Zone == "" || msg.Token != r.token || c.now < r.since+c.cfg.Lease()/2 || c.now < m.DirectUntil {
 		return ""
@@ -243,32 +243,32 @@
 type peer struct {
 	zone        string
 	incarnation string
-	contact     time.Duration // when it was first heard in this reign
+	contact     time.Duration // when it was first heard in this term
 	asked       time.Duration // and last
 	started     time.Duration // when its process did, by our clock
 	// clear: up to here it had served nobody later than served.
 	clear, served time.Duration
 }
 
-// onTouch answers a controller that stays in touch with the leader.
-func (c *Core) onTouch(from asker, body []byte) {
-	var ask protocol.Touch
+// onHeartbeat answers a controller that stays in touch with the leader.
+func (c *Core) onHeartbeat(from asker, body []byte) {
+	var ask protocol.Heartbeat
 	if protocol.DecodePeer(body, &ask) != nil || c.addrOf(ask.From) == "" {
 		c.reply(from, 400, nil, 0)
 		return
 	}
-	r := c.reign
+	r := c.term
 	if r != nil && ask.Token > r.token {
-		c.depart("another controller knows a later leader")
+		c.endTerm("another controller knows a later leader")
 		r = nil
 	}
-	g := protocol.TouchReply{Token: c.deputy.highest}
+	g := protocol.HeartbeatReply{Token: c.deputy.highest}
 	if r == nil {
 		g.Leader = c.leaderLabel()
 		c.reply(from, 200, protocol.EncodePeer(g), 0)
 		return
 	}
-	g.Leader, g.Token, g.Stamp = c.cfg.Label, r.token, uint64(c.now)
+	g.Leader, g.Token, g.LeaderClock = c.cfg.Label, r.token, uint64(c.now)
 	p := r.peers[ask.From]
 	p.asked = c.now
 	if p.contact == 0 {
@@ -281,15 +281,15 @@
 	if ask.ServedMS >= 0 {
 		p.served = max(p.served, c.now-time.Duration(ask.ServedMS)*time.Millisecond)
 	}
-	if ask.Token == r.token && ask.Stamp != 0 {
-		p.clear = max(p.clear, time.Duration(ask.Stamp))
+	if ask.Token == r.token && ask.LeaderClock != 0 {
+		p.clear = max(p.clear, time.Duration(ask.LeaderClock))
 	}
 	c.reply(from, 200, protocol.EncodePeer(g), 0)
 }
 
 // leaseOver says whether the worker's lease is proved over: nobody can have
 // answered it for that long.
-func (r *reign) leaseOver(m *ledger.Machine) bool {
+func (r *term) leaseOver(m *ledger.Machine) bool {
 	c := r.c
 	lease := config.Drift(c.cfg.Lease()) + c.cfg.Lease()/50
 	last := max(m.Answered, m.FreshAt)
@@ -323,7 +323,7 @@
 // findDark looks for zones that are cut off: nearly all machines there are
 // silent, those of other zones are not, and a controller of the zone, silent
 // too, may be keeping their leases.
-func (r *reign) findDark() {
+func (r *term) findDark() {
 	c := r.c
 	type count struct{ up, silent int }
 	zones := map[string]*count{}
@@ -389,7 +389,7 @@
 // Its workers then went through all the others before it was back, which takes
 // longer than a lease. Its machines are returned, as their tasks can go on
 // elsewhere only with the cloud's word.
-func (r *reign) forsaken(zone string) bool {
+func (r *term) forsaken(zone string) bool {
 	c := r.c
 	if !r.isDark(zone) || c.now < r.since+c.cfg.Lease() {
 		return false
@@ -439,7 +439,7 @@
 }
 
 // isDark says whether the zone is cut off.
-func (r *reign) isDark(zone string) bool {
+func (r *term) isDark(zone string) bool {
 	_, is := r.dark[zone]
 	return is
 }
--- a/internal/coordination/fleet_test.go
+++ b/internal/coordination/fleet_test.go
@@ -55,7 +55,7 @@
 func TestSuspicionWaitsForProbes(t *testing.T) {
 	w := newWorld(t, 57)
 	c := w.nodes[w.awaitLeader()].core
-	r := c.reign
+	r := c.term
 	lease := c.cfg.Lease()
 	miss := func() {
 		for _, id := range []string{"i-1", "i-2", "i-3"} {
@@ -107,7 +107,7 @@
 	}
 	w.run(55 * second)
 	lead = w.leader()
-	if r := w.nodes[lead].core.reign; !r.isDark("b") {
+	if r := w.nodes[lead].core.term; !r.isDark("b") {
 		t.Fatal("the zone is not dark: the test shows nothing")
 	}
 	for _, id := range w.cloud.deleted {
@@ -127,7 +127,7 @@
 	lead := w.awaitLeader()
 	c := w.nodes[lead].core
 	fds := c.cfg.Cluster.Resources.FDs
-	r := c.reign
+	r := c.term
 	c.out = nil
 	for i := range 2 * fds {
 		m := r.AddMachine(fmt.Sprintf("i-9%05d", i))
@@ -154,7 +154,7 @@
 	count := func(machines int) (tick, report float64) {
 		w := newWorld(t, 53)
 		c := w.nodes[w.awaitLeader()].core
-		r := c.reign
+		r := c.term
 		j := r.AddJob(&protocol.Spec{UID: "j-1", Class: "web", Team: "red", Service: true, Tasks: 2 * machines, Cores: 1, MemoryGB: 1}, c.wall)
 		j.Stored = true
 		for i := range machines {
@@ -244,7 +244,7 @@
 // there was heard since the call failed.
 func TestNothingIsPowerlessInASilentZone(t *testing.T) {
 	w := newWorld(t, 55)
-	r := w.nodes[w.awaitLeader()].core.reign
+	r := w.nodes[w.awaitLeader()].core.term
 	w.run(20 * second) // the types are known
 	now := time.Minute
 	for i := range 40 {
@@ -274,7 +274,7 @@
 func TestRoomIsKeptWhileMachinesAreLate(t *testing.T) {
 	w := newWorld(t, 56)
 	c := w.nodes[w.awaitLeader()].core
-	r := c.reign
+	r := c.term
 	w.run(20 * second) // the types are known and the list is read
 	add := func(uid string, service bool, tasks int) *ledger.Job {
 		j := r.AddJob(&protocol.Spec{UID: uid, Class: uid, Team: "red", Service: service, Tasks: tasks, Cores: 8, MemoryGB: 1}, c.wall)
--- a/internal/coordination/leader.go
+++ b/internal/coordination/leader.go
@@ -50,21 +50,21 @@
 	v.gen++
 }
 
-// campaign is one try to become leader.
-type campaign struct {
+// candidacy is one try to become leader.
+type candidacy struct {
 	lease uint64
 	sent  time.Duration // when the lease was asked for
 	next  time.Duration
 	busy  bool
 }
 
-func (c *Core) depart(why string) {
-	r := c.reign
+func (c *Core) endTerm(why string) {
+	r := c.term
 	if r == nil {
 		return
 	}
 	c.log.Info("no longer leader", "token", r.token, "why", why)
-	c.reign = nil
+	c.term = nil
 	r.refuseWaiting()
 	// Whatever else the view says may be old: read it again before acting.
 	c.view.leader, c.view.leaderless = nil, c.now
@@ -74,10 +74,10 @@
 // keepView keeps the leadership keys in sight: a list, then a watch after it.
 func (c *Core) keepView() {
 	v := &c.view
-	if c.reign == nil && v.known && v.leader == nil && !c.standsBack() {
+	if c.term == nil && v.known && v.leader == nil && !c.standsBack() {
 		c.campaign()
 	}
-	if v.busy || c.now < v.next || c.reign != nil || !c.requests.has(c.now, 1) {
+	if v.busy || c.now < v.next || c.term != nil || !c.requests.has(c.now, 1) {
 		return
 	}
 	v.busy = true
@@ -158,20 +158,20 @@
 		c.log.Info("leader seen", "leader", rec.Label, "token", rec.Token)
 	}
 	v.leader = rec
-	if c.reign != nil {
+	if c.term != nil {
 		// A watch that was open when we won tells of ourselves, or of somebody
 		// who came after us.
-		if rec.Token > c.reign.token {
-			c.depart("a later leader's key")
+		if rec.Token > c.term.token {
+			c.endTerm("a later leader's key")
 		}
 		return
 	}
 	if rec.Label != c.cfg.Label {
 		return
 	}
-	if rec.Incarnation == c.incarnation && c.hunt != nil && rec.Lease == c.hunt.lease {
+	if rec.Incarnation == c.incarnation && c.candidacy != nil && rec.Lease == c.candidacy.lease {
 		// Our own transaction, whose answer was lost, did apply.
-		c.ascend(rec, version)
+		c.assume(rec, version)
 		return
 	}
 	// An earlier process of ours, or a transaction of ours that we gave up,
@@ -191,10 +191,10 @@
 // campaign tries to become leader: a lease, then one transaction that raises
 // the counter and puts the leader key, if nobody did so meanwhile.
 func (c *Core) campaign() {
-	if c.hunt == nil {
-		c.hunt = &campaign{}
+	if c.candidacy == nil {
+		c.candidacy = &candidacy{}
 	}
-	h := c.hunt
+	h := c.candidacy
 	if h.busy || c.now < h.next || !c.requests.has(c.now, 1) {
 		return
 	}
@@ -210,7 +210,7 @@
 				return
 			}
 			h.lease, h.sent = lease.Lease, sent
-			if c.view.known && c.view.leader == nil && c.reign == nil {
+			if c.view.known && c.view.leader == nil && c.term == nil {
 				c.campaign()
 			}
 		})
@@ -227,7 +227,7 @@
 		}}
 	c.stateCall("POST", "/multi", txn, ttl/2, func(r Result) {
 		h.busy = false
-		if c.hunt != h || c.reign != nil {
+		if c.candidacy != h || c.term != nil {
 			// The watch told of our own key before this answer came: a process
 			// ended here by taking over twice.
 			return
@@ -236,7 +236,7 @@
 		if r.Status == 200 && protocol.Decode(r.Body, &reply) == nil {
 			v.counter, v.counterVersion = rec.Token, reply.Revision
 			v.leader = &rec
-			c.ascend(&rec, reply.Revision)
+			c.assume(&rec, reply.Revision)
 			return
 		}
 		h.next = c.now + c.pause()
@@ -249,21 +249,21 @@
 	})
 }
 
-func (c *Core) ascend(rec *leaderRecord, version uint64) {
-	h := c.hunt
-	c.hunt = nil
+func (c *Core) assume(rec *leaderRecord, version uint64) {
+	h := c.candidacy
+	c.candidacy = nil
 	c.log.Info("leader", "token", rec.Token, "lease", rec.Lease)
-	c.reign = newReign(c, rec.Token, rec.Lease, version, h.sent)
-	c.reign.load()
+	c.term = newTerm(c, rec.Token, rec.Lease, version, h.sent)
+	c.term.load()
 }
 
 // keepLease renews the leader's lease well before it runs out, counted from
 // when the renewal was sent.
-func (r *reign) keepLease() {
+func (r *term) keepLease() {
 	c := r.c
 	ttl := c.cfg.LeaderTTL()
 	if c.now > r.confirmed+c.cfg.Coast() && !r.certain() {
-		c.depart("no renewal of the lease for as long as a leader may coast")
+		c.endTerm("no renewal of the lease for as long as a leader may coast")
 		return
 	}
 	if r.renewing || c.now < r.renewAt {
@@ -274,7 +274,7 @@
 	path := fmt.Sprintf("/leases/%d/extend", r.lease)
 	c.stateCall("POST", path, nil, ttl/3, func(res Result) {
 		r.renewing = false
-		if c.reign != r {
+		if c.term != r {
 			return
 		}
 		switch res.Status {
@@ -285,7 +285,7 @@
 			r.confirmed = max(r.confirmed, sent)
 			r.renewAt = sent + ttl/5
 		case 404:
-			c.depart("the lease has ended")
+			c.endTerm("the lease has ended")
 		default:
 			r.renewAt = c.now + ttl/10
 			if !r.certain() && !r.coasting {
@@ -301,17 +301,17 @@
 // certain says whether nobody else can have become leader: the lease, counted
 // from the sending of its last confirmed renewal and shortened by the clocks'
 // drift, still runs.
-func (r *reign) certain() bool {
+func (r *term) certain() bool {
 	return r.c.now+config.Drift(r.c.cfg.LeaderTTL())-r.c.cfg.LeaderTTL() < r.confirmed+r.c.cfg.LeaderTTL()
 }
 
 // load reads all books after the election was won: whatever earlier leaders
 // wrote is there by now, and nothing of theirs can be added any more.
-func (r *reign) load() {
+func (r *term) load() {
 	r.loadPage(0, "")
 }
 
-func (r *reign) loadPage(step int, after string) {
+func (r *term) loadPage(step int, after string) {
 	c := r.c
 	if step == len(loadOrder) {
 		r.begin()
@@ -323,7 +323,7 @@
 		path += "&after=" + url.QueryEscape(after)
 	}
 	c.stateCall("GET", path, nil, c.cfg.LeaderTTL(), func(res Result) {
-		if c.reign != r {
+		if c.term != r {
 			return
 		}
 		var items protocol.Items
--- a/internal/coordination/messages.go
+++ b/internal/coordination/messages.go
@@ -19,14 +19,14 @@
 
 // The operations.
 const (
-	OpSubmit  Op = "submit"
-	OpPoll    Op = "poll"
-	OpCancel  Op = "cancel"
-	OpReady   Op = "ready"
-	OpReport  Op = "report"
-	OpRelay   Op = "relay"   // a user's request passed on by another controller
-	OpForward Op = "forward" // a worker's report passed on by its zone's controller
-	OpTouch   Op = "touch"   // another controller stays in touch with the leader
+	OpSubmit    Op = "submit"
+	OpPoll      Op = "poll"
+	OpCancel    Op = "cancel"
+	OpReady     Op = "ready"
+	OpReport    Op = "report"
+	OpRelay     Op = "relay"     // a user's request passed on by another controller
+	OpForward   Op = "forward"   // a worker's report passed on by its zone's controller
+	OpHeartbeat Op = "heartbeat" // another controller stays in touch with the leader
 )
 
 // Request is a message that wants a Reply with its ID.
--- a/internal/coordination/reach.go
+++ b/internal/coordination/reach.go
@@ -42,14 +42,14 @@
 
 // probes says whether a machine is asked for a sign of life, as others did not
 // answer though they are there: one that lately reported by another controller.
-func (r *reign) probes(m *ledger.Machine) bool {
+func (r *term) probes(m *ledger.Machine) bool {
 	c := r.c
 	return len(r.deafTo) > 0 && !r.deafTo[m.ID] && m.Fresh && c.now < m.Heard+2*c.cfg.Report() &&
 		c.now > r.reachedAt+c.cfg.Lease()/20
 }
 
 // outOfReach says whether the workers are there for others and not for us.
-func (r *reign) outOfReach() bool {
+func (r *term) outOfReach() bool {
 	// Several deaf machines may be missed at once while there was nothing to say to
 	// others: those that can be reached answer a probe well within a twentieth of a
 	// lease. Once it has stepped down, others have had their chance.
@@ -63,12 +63,12 @@
 
 // stepDown ends the leadership and its lease, so that another controller takes
 // over at once. This one stands back as long as the others have a chance to.
-func (r *reign) stepDown() {
+func (r *term) stepDown() {
 	c := r.c
 	c.log.Info("stepping down: workers answer others, not us", "token", r.token, "machines", len(r.deafTo))
 	c.abstain = c.now + 4*c.cfg.Lease()
 	c.view.ended = r.lease
-	c.depart("it can't reach the workers")
+	c.endTerm("it can't reach the workers")
 	c.stateCall("DELETE", fmt.Sprintf("/leases/%d", r.lease), nil, c.cfg.LeaderTTL()/2, func(Result) {})
 }
 
--- a/internal/coordination/rules_test.go
+++ b/internal/coordination/rules_test.go
@@ -77,7 +77,7 @@
 		w.run(second)
 		w.lateCancelled()
 	}
-	if w.nodes[old].core.reign != nil {
+	if w.nodes[old].core.term != nil {
 		t.Error("the old leader coasts without end")
 	}
 	w.script = nil
@@ -247,7 +247,7 @@
 
 func (w *world) awaitNode() int {
 	for i, n := range w.nodes {
-		if n.alive && n.core.reign != nil {
+		if n.alive && n.core.term != nil {
 			return i
 		}
 	}
@@ -717,10 +717,10 @@
 func TestNewIncarnationMayHaveServed(t *testing.T) {
 	w := newWorld(t, 35)
 	lead := w.awaitLeader()
-	r := w.nodes[lead].core.reign
+	r := w.nodes[lead].core.term
 	touch := func(incarnation string, served int64) {
-		body := protocol.EncodePeer(protocol.Touch{From: "n2", Incarnation: incarnation, Token: r.token, ServedMS: served})
-		w.ask(lead, Request{Op: OpTouch, Body: body}, func(Reply) {})
+		body := protocol.EncodePeer(protocol.Heartbeat{From: "n2", Incarnation: incarnation, Token: r.token, ServedMS: served})
+		w.ask(lead, Request{Op: OpHeartbeat, Body: body}, func(Reply) {})
 	}
 	if lead == 2 {
 		t.Fatal("the leader is the peer")
@@ -757,7 +757,7 @@
 		t.Fatal("no worker of the other zone, or the leader is there")
 	}
 	w.until(20*second, "it reports to its zone's controller", func() bool { return far.node == 2 })
-	r := w.nodes[lead].core.reign
+	r := w.nodes[lead].core.term
 	w.crash(2)
 	w.run(4 * second)
 	w.boot(2)
--- a/internal/coordination/schedule.go
+++ b/internal/coordination/schedule.go
@@ -22,7 +22,7 @@
 	job *ledger.Job
 }
 
-func (r *reign) noteArrival(j *ledger.Job) {
+func (r *term) noteArrival(j *ledger.Job) {
 	a := r.arrivals[j.Spec.Class]
 	if a == nil {
 		a = &arrivals{}
@@ -37,7 +37,7 @@
 func shareOf(j *ledger.Job, capacity sched.Need) float64 { return sched.Share(j.Need, capacity) }
 
 // capacity is what the ready machines hold, or one of each if there are none.
-func (r *reign) capacity() sched.Need {
+func (r *term) capacity() sched.Need {
 	var n sched.Need
 	for _, m := range r.Machines {
 		if m.Up && !m.Returning {
@@ -54,7 +54,7 @@
 
 // usable says whether tasks may be started on the machine: it has reported to
 // this leader, lately, and nothing speaks against it.
-func (r *reign) usable(m *ledger.Machine) bool {
+func (r *term) usable(m *ledger.Machine) bool {
 	c := r.c
 	return m.Fresh && !m.Returning && !m.Notice && c.now >= m.AsideUntil && c.now >= m.DrainUntil && m.Deaf < 2 && m.CallFails < 2 &&
 		c.now < m.Heard+c.cfg.Lease()/4+2*c.cfg.Report() && m.Size.Cores > 0 && len(m.Strays) == 0
@@ -71,7 +71,7 @@
 
 // snapshot renders the books for the scheduler. Waiting tasks are listed only
 // as far as they could matter now.
-func (r *reign) snapshot(running, booting bool) *sched.Snapshot {
+func (r *term) snapshot(running, booting bool) *sched.Snapshot {
 	c := r.c
 	s := &sched.Snapshot{Teams: map[string]*sched.Team{}, UpperCap: c.cfg.Operator.Green.UpperCap, Capacity: r.capacity()}
 	for name, t := range r.Teams {
@@ -153,7 +153,7 @@
 }
 
 // schedule is called at every tick.
-func (r *reign) schedule() {
+func (r *term) schedule() {
 	c := r.c
 	g := c.cfg.Operator.Green
 	r.accrue()
@@ -184,7 +184,7 @@
 }
 
 // heardAll: no round stops anything until the fleet was heard or is silent.
-func (r *reign) heardAll() bool {
+func (r *term) heardAll() bool {
 	if !r.listed {
 		return false
 	}
@@ -197,7 +197,7 @@
 }
 
 // accrue books the service attained since the last time.
-func (r *reign) accrue() {
+func (r *term) accrue() {
 	c := r.c
 	dt := (c.now - r.accrueAt).Seconds()
 	if dt < c.cfg.Lease().Seconds()/20 {
@@ -214,7 +214,7 @@
 
 // fill starts what waits, as rank and room allow. Starts leave only once they
 // are in the books of the state service.
-func (r *reign) fill() {
+func (r *term) fill() {
 	r.fillDirty = false
 	if !r.certain() || len(r.c.types) == 0 {
 		return
@@ -230,7 +230,7 @@
 	}
 }
 
-func (r *reign) start(j *ledger.Job, index int, m *ledger.Machine) {
+func (r *term) start(j *ledger.Job, index int, m *ledger.Machine) {
 	c := r.c
 	if cl := r.claims[m.ID]; cl.job == j.Spec.UID {
 		if cl.tasks--; cl.tasks > 0 {
@@ -263,7 +263,7 @@
 }
 
 // round is GREEN's: jobs gain slots, and tasks ranked past capacity stop.
-func (r *reign) round() {
+func (r *term) round() {
 	c := r.c
 	for _, j := range r.Jobs {
 		if !j.Spec.Service {
@@ -294,7 +294,7 @@
 }
 
 // plan rents what waiting and expected work needs, and returns what it doesn't.
-func (r *reign) plan() {
+func (r *term) plan() {
 	c := r.c
 	if len(c.types) == 0 || !r.listed || !r.certain() {
 		return
@@ -338,7 +338,7 @@
 // where their images are: long-lived replicas, and the last tasks of batches when
 // the load falls, would keep them for their few. The larger the fleet, the more
 // machines it empties at a time.
-func (r *reign) consolidate() {
+func (r *term) consolidate() {
 	c := r.c
 	if c.now < r.drainAt || !r.certain() || r.manyLate() {
 		return
@@ -416,7 +416,7 @@
 // manyLate says whether more than one machine in fifty with tasks does not answer:
 // the room that others have to spare is about to be needed. Thirty machines were
 // once emptied while 54 hung, ten seconds before their leases were over.
-func (r *reign) manyLate() bool {
+func (r *term) manyLate() bool {
 	late, busy := 0, 0
 	for _, m := range r.Machines {
 		if len(m.Attempts) == 0 || m.Returning || r.isDark(m.Zone) {
@@ -433,7 +433,7 @@
 // movable lists a machine's tasks as jobs of one task each, if all of them are
 // replicas that have run for a while or, on a machine that is half empty, tasks
 // that can save.
-func (r *reign) movable(m *ledger.Machine, free float64) []*sched.Job {
+func (r *term) movable(m *ledger.Machine, free float64) []*sched.Job {
 	var out []*sched.Job
 	for _, a := range m.Sorted() {
 		service := a.Job.Spec.Service
@@ -454,7 +454,7 @@
 }
 
 // review returns machines that are of no use any more.
-func (r *reign) review(needed map[string]bool) {
+func (r *term) review(needed map[string]bool) {
 	c := r.c
 	silent, up := 0, 0
 	for _, m := range r.Machines {
@@ -526,7 +526,7 @@
 // heard since and we reach all that others hear. The cloud's deletion proves it
 // much sooner than its lease; hanging machines take connections, and are left
 // alone, as they may go on within their lease.
-func (r *reign) powerless(m *ledger.Machine, pulse map[string]time.Duration) bool {
+func (r *term) powerless(m *ledger.Machine, pulse map[string]time.Duration) bool {
 	return m.NoConn && m.CallFails > 1 && len(r.deafTo) == 0 && !r.isDark(m.Zone) && pulse[m.Zone] > m.FailedAt &&
 		r.soonElsewhere(m)
 }
@@ -534,7 +534,7 @@
 // soonElsewhere says whether a machine's replicas fetch their images in less than
 // a lease. The machine may only be cut off, and come back with them: a wrong guess
 // costs the fetch, a right one gains the rest of the lease.
-func (r *reign) soonElsewhere(m *ledger.Machine) bool {
+func (r *term) soonElsewhere(m *ledger.Machine) bool {
 	t := r.c.typeOf(m.Type)
 	if t == nil {
 		return false
@@ -549,7 +549,7 @@
 
 // pulse tells, by zone, since when a tenth of its machines, two at least, have
 // been heard: a zone that has just been cut off has none after the cut.
-func (r *reign) pulse() map[string]time.Duration {
+func (r *term) pulse() map[string]time.Duration {
 	heard := map[string][]time.Duration{}
 	for _, m := range r.Machines {
 		if m.Up && !m.Returning {
@@ -566,20 +566,20 @@
 	return out
 }
 
-// silentFor is how long nothing new was heard of a machine in this reign.
-func (r *reign) silentFor(m *ledger.Machine) time.Duration {
+// silentFor is how long nothing new was heard of a machine in this term.
+func (r *term) silentFor(m *ledger.Machine) time.Duration {
 	return r.c.now - max(m.Heard, r.since, r.lit[m.Zone])
 }
 
 // overdue reports whether a machine is late and can't be reached: its tasks
 // will probably be needed elsewhere.
-func (r *reign) overdue(m *ledger.Machine) bool {
+func (r *term) overdue(m *ledger.Machine) bool {
 	return m.CallFails > 1 && r.silentFor(m) > r.c.cfg.Lease()*2/5 && !r.isDark(m.Zone)
 }
 
 // doubles stand for the replicas on machines that are overdue, so that their
 // next machines boot while the proof that they are gone is still awaited.
-func (r *reign) doubles() []*sched.Job {
+func (r *term) doubles() []*sched.Job {
 	var out []*sched.Job
 	for _, m := range r.machines() {
 		if !r.overdue(m) {
@@ -600,7 +600,7 @@
 // keepLimits leaves a little of each team's limit to its services: as much as
 // arrives in three rounds. Batches that fill a limit to the brim make each new
 // replica wait for a round's stop and a save, and some aims are a second.
-func (r *reign) keepLimits(teams map[string]*sched.Team) {
+func (r *term) keepLimits(teams map[string]*sched.Team) {
 	window := 4 * r.c.bootS()
 	if window == 0 {
 		return
@@ -617,7 +617,7 @@
 
 // expected are phantom tasks for what arrives while a machine would boot, for
 // classes whose aims are shorter than that.
-func (r *reign) expected() []*sched.Job {
+func (r *term) expected() []*sched.Job {
 	c := r.c
 	boot := c.bootS()
 	window := 4 * boot
@@ -666,7 +666,7 @@
 }
 
 // aimOf is the shortest waiting time that the users aim at for a class.
-func (r *reign) aimOf(class string) float64 {
+func (r *term) aimOf(class string) float64 {
 	aim := 0.0
 	for _, o := range r.c.cfg.Cluster.Objectives {
 		if o.Kind == "wait" && o.Class == class && (aim == 0 || o.WithinS < aim) {
@@ -680,7 +680,7 @@
 // times that the users aim at, with its tasks started now and running for half
 // of what their owner says, as estimates are often wrong by half. Infinite: it
 // has no deadline, or late: none of those times can be met any more.
-func (r *reign) timeLeft(j *ledger.Job) (left float64, late bool) {
+func (r *term) timeLeft(j *ledger.Job) (left float64, late bool) {
 	left = math.Inf(1)
 	if j.Spec.Service || j.Spec.DeadlineS <= 0 {
 		return left, false
@@ -696,7 +696,7 @@
 }
 
 // deadlines are the multiples of a class's deadlines that the users aim at.
-func (r *reign) deadlines(class string) []float64 {
+func (r *term) deadlines(class string) []float64 {
 	out := []float64{1}
 	for _, o := range r.c.cfg.Cluster.Objectives {
 		if o.Kind == "deadline" && o.Class == class && o.Times > 0 {
@@ -707,7 +707,7 @@
 }
 
 // writeCounters stores the attained service in a batch, for a successor.
-func (r *reign) writeCounters() {
+func (r *term) writeCounters() {
 	limit := r.c.cfg.ValueBytes() / (2 * ledger.EntryBytes)
 	var batch []map[string]ledger.CounterRow
 	for _, uid := range sortedKeys(r.Jobs) {
@@ -736,7 +736,7 @@
 func counterKey(i int) string { return ledger.CounterPrefix + strconv.Itoa(i) }
 
 // overview logs how the fleet stands, for those who follow an incident.
-func (r *reign) overview() {
+func (r *term) overview() {
 	up, booting, idle := 0, 0, 0
 	for _, m := range r.Machines {
 		switch {
--- a/internal/coordination/sim_test.go
+++ b/internal/coordination/sim_test.go
@@ -262,7 +262,7 @@
 		case ToPeer:
 			for k := range w.nodes {
 				if c.Addr == fmt.Sprintf("10.0.0.%d:1", k) {
-					op := map[string]Op{"/relay": OpRelay, "/touch": OpTouch, "/forward": OpForward}[c.Path]
+					op := map[string]Op{"/relay": OpRelay, "/heartbeat": OpHeartbeat, "/forward": OpForward}[c.Path]
 					w.ask(k, Request{Op: op, Body: c.Body}, func(r Reply) {
 						if r.Status != 0 {
 							reply(r.Status, r.Body)
@@ -276,7 +276,7 @@
 
 func (w *world) leader() int {
 	for i, n := range w.nodes {
-		if n.alive && n.core.reign != nil && n.core.reign.ready && n.core.reign.certain() {
+		if n.alive && n.core.term != nil && n.core.term.ready && n.core.term.certain() {
 			return i
 		}
 	}
--- a/internal/coordination/store.go
+++ b/internal/coordination/store.go
@@ -56,14 +56,14 @@
 	took *hdrhistogram.Histogram
 }
 
-// newStore makes the store of a new reign. Times are in milliseconds, up to a
+// newStore makes the store of a new term. Times are in milliseconds, up to a
 // minute.
 func newStore() store {
 	return store{versions: map[string]uint64{}, pending: map[string]*write{}, took: hdrhistogram.New(1, 60_000, 2)}
 }
 
 // mark asks for a key's record to be written.
-func (r *reign) mark(key string, kind int, render func() any, then func()) {
+func (r *term) mark(key string, kind int, render func() any, then func()) {
 	w := r.pending[key]
 	if w == nil {
 		w = &write{key: key, kind: kind}
@@ -81,7 +81,7 @@
 }
 
 // unmark takes back a write that has not been put into a transaction.
-func (r *reign) unmark(key string) bool {
+func (r *term) unmark(key string) bool {
 	w := r.pending[key]
 	if w == nil {
 		return false
@@ -94,7 +94,7 @@
 const txnBytes = 60 << 10 // of the protocol's 64 KiB
 
 // compose makes the next transaction of what piled up, within the limits.
-func (r *reign) compose() *txn {
+func (r *term) compose() *txn {
 	c := r.c
 	limits := c.cfg.Cluster.State
 	t := &txn{made: c.now}
@@ -156,7 +156,7 @@
 }
 
 // flush sends the next transaction, if none is under way.
-func (r *reign) flush() {
+func (r *term) flush() {
 	c := r.c
 	if !r.ready || !r.certain() {
 		return
@@ -183,9 +183,9 @@
 	c.stateCall("POST", "/multi", t.body, timeout, func(res Result) { r.onTxn(t, res) })
 }
 
-func (r *reign) onTxn(t *txn, res Result) {
+func (r *term) onTxn(t *txn, res Result) {
 	c := r.c
-	if c.reign != r {
+	if c.term != r {
 		return
 	}
 	t.flying = false
@@ -203,11 +203,11 @@
 		}
 		switch {
 		case slices.Contains(reply.Failed, keyLeader):
-			c.depart("another leader's key")
+			c.endTerm("another leader's key")
 		case !t.uncertain:
 			// Nobody else may write our keys: the books are not what we think.
 			c.log.Error("versions differ", "keys", fmt.Sprint(reply.Failed))
-			c.depart("the books differ from memory")
+			c.endTerm("the books differ from memory")
 		case len(t.puts) == 0:
 			r.applied(t, 0)
 		default:
@@ -233,8 +233,8 @@
 
 // onReadback tells the revision of a transaction whose answer was lost: its
 // keys changed, and only this leader can have changed them.
-func (r *reign) onReadback(t *txn, res Result) {
-	if r.c.reign != r {
+func (r *term) onReadback(t *txn, res Result) {
+	if r.c.term != r {
 		return
 	}
 	t.flying = false
@@ -243,13 +243,13 @@
 	case res.Status == 200 && protocol.Decode(res.Body, &it) == nil:
 		r.applied(t, it.Version)
 	case res.Status == 404:
-		r.c.depart("the books differ from memory")
+		r.c.endTerm("the books differ from memory")
 	default:
 		t.retryAt = r.c.now + r.c.pause()
 	}
 }
 
-func (r *reign) applied(t *txn, revision uint64) {
+func (r *term) applied(t *txn, revision uint64) {
 	for _, k := range t.puts {
 		r.versions[k] = revision
 	}
--- a/internal/coordination/reign.go
+++ b/internal/coordination/term.go
@@ -9,9 +9,9 @@
 	"claybarrow/internal/sched"
 )
 
-// reign is all that a leader knows and does from its election to its end. It
+// term is all that a leader knows and does from its election to its end. It
 // is dropped whole: nothing of it outlives the leadership.
-type reign struct {
+type term struct {
 	c     *Core
 	token uint64
 	lease uint64
@@ -69,8 +69,8 @@
 
 var loadOrder = []string{ledger.JobPrefix, ledger.DonePrefix, ledger.MachinePrefix, ledger.CounterPrefix}
 
-func newReign(c *Core, token, lease, version uint64, confirmed time.Duration) *reign {
-	r := &reign{c: c, token: token, lease: lease, version: version, confirmed: confirmed, since: c.now,
+func newTerm(c *Core, token, lease, version uint64, confirmed time.Duration) *term {
+	r := &term{c: c, token: token, lease: lease, version: version, confirmed: confirmed, since: c.now,
 		renewAt:    c.now + c.cfg.LeaderTTL()/8,
 		Books:      ledger.New(c.cfg.ValueBytes()),
 		proposals:  map[string]*proposal{},
@@ -99,9 +99,9 @@
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
-func (r *reign) later(at time.Duration, do func()) { r.timers = append(r.timers, timer{at, do}) }
+func (r *term) later(at time.Duration, do func()) { r.timers = append(r.timers, timer{at, do}) }
 
-func (r *reign) loadItem(it protocol.Item) error {
+func (r *term) loadItem(it protocol.Item) error {
 	switch {
 	case strings.HasPrefix(it.Key, ledger.JobPrefix):
 		var rec ledger.JobRecord
@@ -111,9 +111,9 @@
 		uid := strings.TrimPrefix(it.Key, ledger.JobPrefix)
 		switch rec.State {
 		case protocol.Done:
-			r.Finals[uid] = ledger.Final{Tasks: rec.Tasks}
+			r.Terminal[uid] = ledger.TerminalState{Tasks: rec.Tasks}
 		case protocol.Cancelled:
-			r.Finals[uid] = ledger.Final{Cancelled: true}
+			r.Terminal[uid] = ledger.TerminalState{Cancelled: true}
 		default:
 			j := r.AddJob(rec.Spec, rec.Submitted)
 			j.Stored = true
@@ -141,7 +141,7 @@
 	return nil
 }
 
-func (r *reign) loadMachine(id string, rec ledger.MachineRecord) {
+func (r *term) loadMachine(id string, rec ledger.MachineRecord) {
 	m := r.AddMachine(id)
 	m.Type, m.Zone, m.Spot, m.Addr = rec.Type, rec.Zone, rec.Spot, rec.Addr
 	m.Recorded = true
@@ -165,7 +165,7 @@
 // loadCounters takes the stored counters and tops them up by their own age: a
 // job that held its slots meanwhile must not look younger than it is and set
 // off stops.
-func (r *reign) loadCounters(rec ledger.Counters) {
+func (r *term) loadCounters(rec ledger.Counters) {
 	age := max(0, float64(r.c.wall-rec.At)/1000)
 	for uid, row := range rec.Jobs {
 		j := r.Jobs[uid]
@@ -182,7 +182,7 @@
 }
 
 // begin starts the work of a leader once the books are read.
-func (r *reign) begin() {
+func (r *term) begin() {
 	c := r.c
 	r.ready = true
 	for _, uid := range sortedKeys(r.Jobs) {
@@ -199,12 +199,12 @@
 			}
 		}
 	}
-	c.log.Info("books read", "token", r.token, "jobs", len(r.Jobs), "finals", len(r.Finals), "machines", len(r.Machines))
+	c.log.Info("books read", "token", r.token, "jobs", len(r.Jobs), "terminal", len(r.Terminal), "machines", len(r.Machines))
 	r.fillDirty = true
 }
 
 // newerElsewhere says whether the books have a later attempt of the same task.
-func (r *reign) newerElsewhere(a *ledger.Attempt) bool {
+func (r *term) newerElsewhere(a *ledger.Attempt) bool {
 	if a.Job.HeldOf(a.Index) < 2 {
 		return false
 	}
@@ -218,10 +218,10 @@
 	return false
 }
 
-func (r *reign) tick() {
+func (r *term) tick() {
 	c := r.c
 	r.keepLease()
-	if c.reign != r {
+	if c.term != r {
 		return
 	}
 	if len(r.timers) > 0 {
@@ -248,8 +248,8 @@
 }
 
 // settle runs after every message: what piled up leaves.
-func (r *reign) settle() {
-	if r.c.reign != r || !r.ready {
+func (r *term) settle() {
+	if r.c.term != r || !r.ready {
 		return
 	}
 	// What is decided while a transaction is under way could only leave with the
@@ -260,13 +260,13 @@
 	r.flush()
 }
 
-func (r *reign) nextTry() uint64 {
+func (r *term) nextTry() uint64 {
 	// The token in the high bits makes attempts unique for ever.
 	r.lastTry++
 	return r.token<<24 | r.lastTry
 }
 
-func (r *reign) sizeOf(typ string) sched.Need {
+func (r *term) sizeOf(typ string) sched.Need {
 	if t, ok := r.c.typeInfo[typ]; ok {
 		return sched.Need{Cores: t.Cores, Accel: t.Accelerators, Mem: t.MemoryGB}
 	}
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -47,13 +47,13 @@
 	case OpForward:
 		var relay protocol.Relay
 		from.relay = true
-		if c.reign == nil || protocol.DecodePeer(q.Body, &relay) != nil {
+		if c.term == nil || protocol.DecodePeer(q.Body, &relay) != nil {
 			c.refuse(from)
 			return
 		}
 		c.onReport(from, relay.Body)
-	case OpTouch:
-		c.onTouch(from, q.Body)
+	case OpHeartbeat:
+		c.onHeartbeat(from, q.Body)
 	case OpRelay:
 		var relay protocol.Relay
 		if protocol.DecodePeer(q.Body, &relay) != nil {
@@ -61,14 +61,14 @@
 			return
 		}
 		from.relay = true
-		if c.reign == nil {
+		if c.term == nil {
 			c.refuse(from)
 			return
 		}
-		c.reign.user(from, Op(relay.Op), relay.UID, relay.Body)
+		c.term.user(from, Op(relay.Op), relay.UID, relay.Body)
 	default:
-		if c.reign != nil {
-			c.reign.user(from, q.Op, q.UID, q.Body)
+		if c.term != nil {
+			c.term.user(from, q.Op, q.UID, q.Body)
 			return
 		}
 		c.relay(from, q)
@@ -79,8 +79,8 @@
 // A controller is fit for requests while it knows a leader, or lost the last
 // one only a moment ago; what can't be decided is answered 503 at once.
 func (c *Core) isReady() bool {
-	if c.reign != nil {
-		return c.reign.ready || c.now < c.reign.since+c.cfg.Lease()
+	if c.term != nil {
+		return c.term.ready || c.now < c.term.since+c.cfg.Lease()
 	}
 	if !c.view.known && c.view.leader == nil && c.view.leaderless == 0 {
 		return false
@@ -140,7 +140,7 @@
 }
 
 // wait notes that the asker is answered later, or refused at its deadline.
-func (r *reign) wait(from asker) bool {
+func (r *term) wait(from asker) bool {
 	if len(r.c.waiters) >= r.c.cfg.Cluster.Resources.FDs/2 {
 		r.c.reply(from, 429, nil, comeBack)
 		return false
@@ -150,7 +150,7 @@
 }
 
 // refuseWaiting answers all that wait, at once and with when to come back.
-func (r *reign) refuseWaiting() {
+func (r *term) refuseWaiting() {
 	for _, id := range slices.Sorted(maps.Keys(r.c.waiters)) {
 		w := r.c.waiters[id]
 		delete(r.c.waiters, id)
@@ -159,7 +159,7 @@
 }
 
 // waiting says whether the asker still waits, and ends that.
-func (r *reign) waiting(from asker) bool {
+func (r *term) waiting(from asker) bool {
 	if r.c.waiters[from.id] == nil {
 		return false
 	}
@@ -167,7 +167,7 @@
 	return true
 }
 
-func (r *reign) user(from asker, op Op, uid string, body []byte) {
+func (r *term) user(from asker, op Op, uid string, body []byte) {
 	switch op {
 	case OpSubmit:
 		r.submit(from, body)
@@ -180,8 +180,8 @@
 	}
 }
 
-func (r *reign) finalStanding(uid string) (protocol.Standing, bool) {
-	f, ok := r.Finals[uid]
+func (r *term) terminalStanding(uid string) (protocol.Standing, bool) {
+	f, ok := r.Terminal[uid]
 	if !ok {
 		return protocol.Standing{}, false
 	}
@@ -191,7 +191,7 @@
 	return protocol.Standing{UID: uid, State: protocol.Done, Done: f.Tasks}, true
 }
 
-func (r *reign) activeStanding(j *ledger.Job) protocol.Standing {
+func (r *term) activeStanding(j *ledger.Job) protocol.Standing {
 	s := protocol.Standing{UID: j.Spec.UID, State: protocol.Pending, Done: j.Done, Running: j.Running}
 	if j.Running > 0 {
 		s.State = protocol.Active
@@ -199,11 +199,11 @@
 	return s
 }
 
-func (r *reign) submit(from asker, body []byte) {
+func (r *term) submit(from asker, body []byte) {
 	c := r.c
 	uid, spec, err := protocol.ParseSubmission(body)
 	// A job accepted before is answered first, whatever its repeat holds.
-	if s, ok := r.finalStanding(uid); ok {
+	if s, ok := r.terminalStanding(uid); ok {
 		c.standing(from, 200, s)
 		return
 	}
@@ -257,7 +257,7 @@
 
 // dropStale takes back submissions that nobody waits for any more, if they
 // have not left: their users were told to come back.
-func (r *reign) dropStale() {
+func (r *term) dropStale() {
 	for _, uid := range sortedKeys(r.proposals) {
 		p := r.proposals[uid]
 		if slices.ContainsFunc(p.wants, func(a asker) bool { return r.c.waiters[a.id] != nil }) {
@@ -271,7 +271,7 @@
 }
 
 // neverRuns says why a job can never run here, or nothing.
-func (r *reign) neverRuns(s *protocol.Spec) string {
+func (r *term) neverRuns(s *protocol.Spec) string {
 	c := r.c
 	team := r.Teams[s.Team]
 	if team == nil {
@@ -301,9 +301,9 @@
 // find returns an accepted job that is not over. For all else it answers: final
 // states never change and may be told even by a leader that can't know whether
 // it still is one; the rest only by one that is, with complete books.
-func (r *reign) find(from asker, uid string) *ledger.Job {
+func (r *term) find(from asker, uid string) *ledger.Job {
 	c := r.c
-	if s, ok := r.finalStanding(uid); ok {
+	if s, ok := r.terminalStanding(uid); ok {
 		c.standing(from, 200, s)
 		return nil
 	}
@@ -321,7 +321,7 @@
 	return nil
 }
 
-func (r *reign) poll(from asker, uid string) {
+func (r *term) poll(from asker, uid string) {
 	j := r.find(from, uid)
 	switch {
 	case j == nil:
@@ -333,7 +333,7 @@
 	}
 }
 
-func (r *reign) cancel(from asker, uid string) {
+func (r *term) cancel(from asker, uid string) {
 	c := r.c
 	j := r.find(from, uid)
 	if j == nil || !r.wait(from) {
@@ -360,22 +360,22 @@
 // is proved gone. A deputy in a zone that is cut off may keep a task alive for
 // longer than cancel_s, but only of a job whose user has not been told. A user
 // who has not been told asks again, so nothing is stored before.
-func (r *reign) settleCancel(j *ledger.Job) {
+func (r *term) settleCancel(j *ledger.Job) {
 	if !j.Cancelling || j.Finishing || j.HeldTotal > 0 {
 		return
 	}
 	uid := j.Spec.UID
 	j.Finishing = true
 	r.mark(ledger.JobPrefix+uid, writeUser, func() any { return j.Record() }, func() {
-		r.Finals[uid] = ledger.Final{Cancelled: true}
+		r.Terminal[uid] = ledger.TerminalState{Cancelled: true}
 		r.dropChunks(j)
 		r.answerCancels(uid)
 		delete(r.Jobs, uid)
 	})
 }
 
-func (r *reign) answerCancels(uid string) {
-	s, _ := r.finalStanding(uid)
+func (r *term) answerCancels(uid string) {
+	s, _ := r.terminalStanding(uid)
 	for _, a := range r.cancels[uid] {
 		if r.waiting(a) {
 			r.c.standing(a, 200, s)
@@ -385,7 +385,7 @@
 }
 
 // finish writes a job's final state; its user is told once that is durable.
-func (r *reign) finish(j *ledger.Job) {
+func (r *term) finish(j *ledger.Job) {
 	if j.Finishing {
 		return
 	}
@@ -393,14 +393,14 @@
 	j.Finishing = true
 	r.mark(ledger.JobPrefix+uid, writeUser, func() any { return j.Record() }, func() {
 		r.c.log.Info("done", "job", uid)
-		r.Finals[uid] = ledger.Final{Tasks: j.Spec.Tasks}
+		r.Terminal[uid] = ledger.TerminalState{Tasks: j.Spec.Tasks}
 		r.dropChunks(j)
 		r.answerCancels(uid)
 		delete(r.Jobs, uid)
 	})
 }
 
-func (r *reign) dropChunks(j *ledger.Job) {
+func (r *term) dropChunks(j *ledger.Job) {
 	for i := 0; i < j.Spec.Tasks; i += r.Chunk {
 		key := r.DoneKey(j, i)
 		if r.versions[key] != 0 || r.pending[key] != nil {
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -13,7 +13,7 @@
 func sortedKeys[V any](m map[string]V) []string { return slices.Sorted(maps.Keys(m)) }
 
 // machines lists the machines in a fixed order, so runs replay.
-func (r *reign) machines() []*ledger.Machine { return r.SortedMachines() }
+func (r *term) machines() []*ledger.Machine { return r.SortedMachines() }
 
 // onReport takes a worker's report.
 func (c *Core) onReport(from asker, body []byte) {
@@ -22,7 +22,7 @@
 		c.reply(from, 400, nil, 0)
 		return
 	}
-	r := c.reign
+	r := c.term
 	if r == nil {
 		if c.standsIn(&msg) {
 			c.standIn(from, &msg)
@@ -45,7 +45,7 @@
 		return
 	}
 	m, fresh := r.observe(&msg, true)
-	if c.reign != r {
+	if c.term != r {
 		c.refuse(from)
 		return
 	}
@@ -69,10 +69,10 @@
 
 // observe takes a worker's report, sent by itself or as an answer to a direct
 // request. It returns false for what is not the machine's newest message.
-func (r *reign) observe(msg *protocol.Report, reported bool) (*ledger.Machine, bool) {
+func (r *term) observe(msg *protocol.Report, reported bool) (*ledger.Machine, bool) {
 	c := r.c
 	if msg.Token > r.token {
-		c.depart("a worker has seen a higher token")
+		c.endTerm("a worker has seen a higher token")
 		return nil, false
 	}
 	if r.tombs[msg.Machine] != 0 {
@@ -140,7 +140,7 @@
 }
 
 // compare sets the books against the newest message.
-func (r *reign) compare(m *ledger.Machine, msg *protocol.Report, ours bool) {
+func (r *term) compare(m *ledger.Machine, msg *protocol.Report, ours bool) {
 	seen := map[ledger.Key]bool{}
 	for _, t := range msg.Tasks {
 		key := ledger.Key{Task: t.Task, Try: t.Attempt}
@@ -194,7 +194,7 @@
 
 // foreign notes an attempt that the books did not have on that machine. Its
 // presence blocks a second start; it is halted.
-func (r *reign) foreign(m *ledger.Machine, key ledger.Key) *ledger.Attempt {
+func (r *term) foreign(m *ledger.Machine, key ledger.Key) *ledger.Attempt {
 	uid, index, ok := ledger.ParseTask(key.Task)
 	if !ok {
 		return nil
@@ -219,7 +219,7 @@
 }
 
 // onExit takes the end of an attempt.
-func (r *reign) onExit(m *ledger.Machine, key ledger.Key, t protocol.TaskReport) {
+func (r *term) onExit(m *ledger.Machine, key ledger.Key, t protocol.TaskReport) {
 	if g := m.Exited[key]; g != nil {
 		return
 	}
@@ -269,7 +269,7 @@
 // onError tells a faulty machine from a faulty job: a job that fails on many
 // machines waits longer and longer; a machine where several jobs fail is set
 // aside and returned.
-func (r *reign) onError(m *ledger.Machine, j *ledger.Job, key ledger.Key) {
+func (r *term) onError(m *ledger.Machine, j *ledger.Job, key ledger.Key) {
 	c := r.c
 	if j.FailedOn == nil {
 		j.FailedOn = map[string]bool{}
@@ -290,7 +290,7 @@
 
 // backOff delays a failing job, and counts the time as attained service: a job
 // that fails at once would keep the top rank for ever otherwise.
-func (r *reign) backOff(j *ledger.Job) {
+func (r *term) backOff(j *ledger.Job) {
 	j.Failures++
 	wait := r.c.cfg.Report() * time.Duration(int64(1)<<min(j.Failures-1, 5))
 	j.NotBefore = max(j.NotBefore, r.c.now+wait)
@@ -298,7 +298,7 @@
 }
 
 // gone takes an attempt that is proved gone out of the books.
-func (r *reign) gone(a *ledger.Attempt, why string) {
+func (r *term) gone(a *ledger.Attempt, why string) {
 	m := a.Machine
 	r.Drop(a)
 	if len(m.Attempts) == 0 {
@@ -317,7 +317,7 @@
 }
 
 // record marks the machine's record to be written.
-func (r *reign) record(m *ledger.Machine, kind int, then func()) {
+func (r *term) record(m *ledger.Machine, kind int, then func()) {
 	r.mark(ledger.MachinePrefix+m.ID, kind, func() any {
 		if r.Machines[m.ID] != m {
 			return nil
@@ -328,7 +328,7 @@
 }
 
 // halt has an attempt stopped. What never left is dropped at once.
-func (r *reign) halt(a *ledger.Attempt, grace float64, why string) {
+func (r *term) halt(a *ledger.Attempt, grace float64, why string) {
 	if a.Halt && grace >= a.Grace {
 		return
 	}
@@ -360,7 +360,7 @@
 
 // commands lists what the worker is to do now. Directly sent ones go once;
 // those in a report's answer fill in where the direct way fails.
-func (r *reign) commands(m *ledger.Machine, inReply bool) []protocol.Command {
+func (r *term) commands(m *ledger.Machine, inReply bool) []protocol.Command {
 	c := r.c
 	if inReply && m.Calling || nothingToSay(m) {
 		return nil
@@ -427,7 +427,7 @@
 	return cmp.Or(cmp.Compare(a.Task, b.Task), cmp.Compare(a.Try, b.Try))
 }
 
-func (r *reign) sent(a *ledger.Attempt, m *ledger.Machine, inReply bool) {
+func (r *term) sent(a *ledger.Attempt, m *ledger.Machine, inReply bool) {
 	a.Sent, a.Session = true, m.Session
 	if inReply {
 		a.RunSeq = m.ReportSeq
@@ -437,16 +437,16 @@
 }
 
 // doubtful says whether a direct request to the machine may well hang.
-func (r *reign) doubtful(m *ledger.Machine) bool { return !m.Fresh || m.CallFails > 0 }
+func (r *term) doubtful(m *ledger.Machine) bool { return !m.Fresh || m.CallFails > 0 }
 
 // callWithin bounds a direct request to a worker: one that takes longer is as
 // good as unanswered, however long the workers' lease.
 const callWithin = 1600 * time.Millisecond
 
 // kick sends what there is to send directly, one request at a time.
-func (r *reign) kick(m *ledger.Machine) {
+func (r *term) kick(m *ledger.Machine) {
 	c := r.c
-	if m.Calling || m.Addr == "" || c.now < m.NextCall || !r.ready || c.reign != r {
+	if m.Calling || m.Addr == "" || c.now < m.NextCall || !r.ready || c.term != r {
 		return
 	}
 	// An empty request brings our token to a machine that may be up, and tells
@@ -488,7 +488,7 @@
 	}
 	called := c.now
 	c.call(ToWorker, m.Addr, "POST", "/commands", body, min(c.cfg.Lease()/10, callWithin), func(res Result) {
-		if c.reign != r {
+		if c.term != r {
 			return
 		}
 		m.Calling = false
@@ -528,7 +528,7 @@
 			return
 		}
 		r.observe(&msg, false)
-		if c.reign != r {
+		if c.term != r {
 			return
 		}
 		if res.Status == 409 {
@@ -544,14 +544,14 @@
 }
 
 // watchMachines looks at what time alone tells.
-func (r *reign) watchMachines() {
+func (r *term) watchMachines() {
 	c := r.c
 	for _, m := range r.machines() {
 		if m.Notice {
 			r.beforeNotice(m)
 		}
 		r.kick(m)
-		if c.reign != r {
+		if c.term != r {
 			return
 		}
 		if len(m.Attempts) == 0 && m.Session <= m.DeadSession {
@@ -574,7 +574,7 @@
 }
 
 // beforeNotice has tasks with checkpoints saved before the machine is taken.
-func (r *reign) beforeNotice(m *ledger.Machine) {
+func (r *term) beforeNotice(m *ledger.Machine) {
 	c := r.c
 	for _, a := range m.Sorted() {
 		s := a.Job.Spec
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -125,7 +125,7 @@
 	Heard, Answered     time.Duration
 	FreshAt             time.Duration // when it first showed our token
 	Fresh               bool
-	Known               bool // heard of in this reign
+	Known               bool // heard of in this term
 	// DeadSession and older ones are proved over.
 	DeadSession uint64
 	Deaf        int // answered reports that show an old token, or lapses
@@ -167,8 +167,8 @@
 	Greeted  bool
 }
 
-// Final is what is kept of a job that is over.
-type Final struct {
+// TerminalState is what is kept of a job that is over.
+type TerminalState struct {
 	Cancelled bool
 	Tasks     int
 }
@@ -176,7 +176,7 @@
 // Books are all of it.
 type Books struct {
 	Jobs     map[string]*Job
-	Finals   map[string]Final
+	Terminal map[string]TerminalState
 	Machines map[string]*Machine
 	Teams    map[string]*sched.Team
 	// Chunk is how many tasks' completion one record holds.
@@ -187,7 +187,7 @@
 
 // New makes empty books. valueBytes is the store's limit for one value.
 func New(valueBytes int) *Books {
-	return &Books{Jobs: map[string]*Job{}, Finals: map[string]Final{}, Machines: map[string]*Machine{},
+	return &Books{Jobs: map[string]*Job{}, Terminal: map[string]TerminalState{}, Machines: map[string]*Machine{},
 		Teams: map[string]*sched.Team{}, Chunk: max(64, valueBytes/2*6/64*64)}
 }
 
--- a/internal/protocol/wire.go
+++ b/internal/protocol/wire.go
@@ -229,24 +229,24 @@
 	RetryAfter int    `cbor:"3,keyasint,omitempty"`
 }
 
-// Touch keeps a controller in touch with the leader. Token is the highest known
-// to it, Stamp the one of the leader's last answer under that token, and
+// Heartbeat keeps a controller in touch with the leader. Token is the highest known
+// to it, LeaderClock the one of the leader's last answer under that token, and
 // ServedMS how long ago it last answered a worker in the leader's stead (-1:
 // never).
-type Touch struct {
+type Heartbeat struct {
 	From        string `cbor:"1,keyasint"`
 	Incarnation string `cbor:"2,keyasint"`
 	Token       uint64 `cbor:"3,keyasint,omitempty"`
-	Stamp       uint64 `cbor:"4,keyasint,omitempty"`
+	LeaderClock uint64 `cbor:"4,keyasint,omitempty"`
 	ServedMS    int64  `cbor:"5,keyasint"`
 	UptimeMS    int64  `cbor:"6,keyasint,omitempty"` // of the process
 }
 
-// TouchReply tells who leads; the leader's own has a stamp.
-type TouchReply struct {
-	Leader string `cbor:"1,keyasint,omitempty"`
-	Token  uint64 `cbor:"2,keyasint,omitempty"`
-	Stamp  uint64 `cbor:"3,keyasint,omitempty"`
+// HeartbeatReply tells who leads; the leader's own has a reading of its clock.
+type HeartbeatReply struct {
+	Leader      string `cbor:"1,keyasint,omitempty"`
+	Token       uint64 `cbor:"2,keyasint,omitempty"`
+	LeaderClock uint64 `cbor:"3,keyasint,omitempty"`
 }
 
 // Encode writes MessagePack. Values of our own types cannot fail to encode.
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -222,7 +222,7 @@
 func (n *Node) peerRoutes() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /relay", n.handler(coordination.OpRelay, true))
-	mux.HandleFunc("POST /touch", n.handler(coordination.OpTouch, true))
+	mux.HandleFunc("POST /heartbeat", n.handler(coordination.OpHeartbeat, true))
 	mux.HandleFunc("POST /forward", n.handler(coordination.OpForward, true))
 	return mux
 }
@@ -274,7 +274,7 @@
 		queue := n.asks
 		leaveAt := usersGo
 		switch op {
-		case coordination.OpForward, coordination.OpTouch:
+		case coordination.OpForward, coordination.OpHeartbeat:
 			queue, leaveAt = n.reports, 100
 		case coordination.OpReport:
 			queue, leaveAt = n.reports, workersGo
