--- /dev/null
+++ b/internal/coordination/checker_test.go
@@ -0,0 +1,181 @@
+package coordination
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"claybarrow/internal/protocol"
+)
+
+// checker holds what the rules are counted from: what users asked and were told,
+// and what ran where. It is part of every world, so every test has it. Tests
+// assert on nothing else: neither on books nor on who leads.
+type checker struct {
+	wished   map[string]bool          // users asked to cancel these
+	invalid  map[string]bool          // must be refused
+	accepted map[string]time.Duration // when the user was first told so
+	answered map[string]time.Duration // when a question was last answered
+	hungry   map[string]time.Duration // since when it waits though there is room
+	turn     int
+	// calm is since when all troubles are over; 0: they are not.
+	calm time.Duration
+	// lateCopy tells how much later a copy of a report arrives; 0: none does.
+	lateCopy func() time.Duration
+	// ended is told of each task's completion.
+	ended func(uid string)
+}
+
+// What the operators allow once all troubles are over.
+const (
+	forgottenAfter = 75 * time.Second
+	waitsAtMost    = 90 * time.Second
+	cancelWithin   = 35 * time.Second // cancel_s of testConfig
+	machineCores   = 8.0              // of the cloud's only type
+)
+
+func newChecker() checker {
+	return checker{wished: map[string]bool{}, invalid: map[string]bool{}, accepted: map[string]time.Duration{},
+		answered: map[string]time.Duration{}, hungry: map[string]time.Duration{}}
+}
+
+// watch looks at the rules every second, and polls for every accepted job every
+// five, as its user does.
+func (w *world) watch() {
+	var look func()
+	look = func() {
+		w.lateCancelled()
+		w.lookForForgotten()
+		w.lookForWaiting()
+		w.at(time.Second, look)
+	}
+	w.at(time.Second, look)
+}
+
+func (w *world) over(uid string) bool {
+	return w.told[uid] == protocol.Done || w.told[uid] == protocol.Cancelled
+}
+
+// noteAnswer begins the polling of a job when its user is first told of it.
+func (w *world) noteAnswer(uid string) {
+	w.answered[uid] = w.now
+	if _, known := w.accepted[uid]; known {
+		return
+	}
+	w.accepted[uid] = w.now
+	var poll func()
+	poll = func() {
+		if w.over(uid) {
+			return
+		}
+		w.turn++
+		w.user(w.turn%3, OpPoll, uid, nil)
+		w.at(5*time.Second, poll)
+	}
+	w.at(5*time.Second, poll)
+}
+
+func (w *world) checkAnswer(op Op, uid string, status int) {
+	switch {
+	case w.invalid[uid] && (status == 200 || status == 201):
+		w.breaks("an invalid submission was accepted: %s", uid)
+	case w.specs[uid] == nil && status == 200:
+		w.breaks("invented: %s", uid)
+	case w.told[uid] != "" && (status == 400 || status == 422):
+		w.breaks("forgotten: %s answered %d to %s", uid, status, op)
+	}
+}
+
+func (w *world) lookForForgotten() {
+	if w.calm == 0 {
+		return
+	}
+	for _, uid := range slices.Sorted(maps.Keys(w.accepted)) {
+		if since := max(w.answered[uid], w.calm); !w.over(uid) && w.now > since+forgottenAfter {
+			w.breaks("forgotten: no question about %s was answered since %v", uid, since)
+			w.answered[uid] = w.now
+		}
+	}
+}
+
+// lookForWaiting counts how long a job has had no task anywhere though a machine
+// that fits has room and its team is under its limit.
+func (w *world) lookForWaiting() {
+	if w.calm == 0 {
+		clear(w.hungry)
+		return
+	}
+	used, held := map[string]float64{}, map[string]int{}
+	for _, k := range w.fleet() {
+		for _, t := range k.tasks {
+			if t.state != protocol.Exited && !k.gone {
+				used[w.specs[t.uid]["owner"].(string)] += w.specs[t.uid]["cores"].(float64)
+				held[t.uid]++
+			}
+		}
+	}
+	for _, uid := range slices.Sorted(maps.Keys(w.accepted)) {
+		spec := w.specs[uid]
+		need, owner := spec["cores"].(float64), spec["owner"].(string)
+		limit := map[string]float64{"red": 32, "blue": 16}[owner]
+		if w.over(uid) || w.wished[uid] || held[uid] > 0 || used[owner]+need > limit || !w.hasRoom(spec) {
+			delete(w.hungry, uid)
+			continue
+		}
+		if _, known := w.hungry[uid]; !known {
+			w.hungry[uid] = w.now
+		}
+		if w.now > w.hungry[uid]+waitsAtMost {
+			w.breaks("waiting: %s has waited since %v though there is room", uid, w.hungry[uid])
+			w.hungry[uid] = w.now
+		}
+	}
+}
+
+func (w *world) hasRoom(spec map[string]any) bool {
+	for _, k := range w.fleet() {
+		if !k.up || k.gone || k.cut || k.hung || k.deaf || k.mute || k.spot && !spec["borrowed"].(bool) ||
+			spec["yard"] != nil && spec["yard"] != k.zone {
+			continue
+		}
+		free := machineCores
+		for _, t := range k.tasks {
+			if t.state != protocol.Exited {
+				free -= w.specs[t.uid]["cores"].(float64)
+			}
+		}
+		if free >= spec["cores"].(float64) {
+			return true
+		}
+	}
+	return false
+}
+
+// settle ends all troubles, waits for as long as the operators' bounds reach, and
+// then ends what is left: services are cancelled, batches have to become done.
+func (w *world) settle() {
+	w.t.Helper()
+	w.script, w.reports, w.lateCopy, w.ended = nil, nil, nil, nil
+	w.state.down, w.state.refuse, w.cloud.down = false, map[int]bool{}, false
+	for _, k := range w.fleet() {
+		k.cut, k.deaf, k.mute = false, false, false
+	}
+	for i, n := range w.nodes {
+		if !n.alive {
+			w.boot(i)
+		}
+	}
+	w.calm = w.now
+	w.run(waitsAtMost + 30*time.Second)
+	for _, uid := range slices.Sorted(maps.Keys(w.accepted)) {
+		if w.specs[uid]["shape"] == "service" && !w.over(uid) {
+			w.cancel(uid)
+		}
+	}
+	for _, uid := range slices.Sorted(maps.Keys(w.accepted)) {
+		w.until(400*time.Second, uid+" is over", func() bool { return w.over(uid) })
+	}
+	// Until a told cancellation's bound is over everywhere.
+	w.run(cancelWithin + 5*time.Second)
+	w.keptRules()
+}
--- a/internal/coordination/deputy.go
+++ b/internal/coordination/deputy.go
@@ -292,7 +292,8 @@
 func (r *term) leaseOver(m *ledger.Machine) bool {
 	c := r.c
 	lease := config.Drift(c.cfg.Lease()) + c.cfg.Lease()/50
-	last := max(m.Answered, m.FreshAt)
+	// An earlier term of our own may have answered it until we were elected.
+	last := max(m.Answered, m.FreshAt, r.since)
 	for _, p := range r.peers {
 		if p.zone == m.Zone || m.Zone == "" {
 			last = max(last, p.served)
--- a/internal/coordination/fleet_test.go
+++ b/internal/coordination/fleet_test.go
@@ -286,7 +286,7 @@
 	for i := range 4 {
 		m := r.AddMachine(fmt.Sprintf("i-9%05d", i))
 		m.Type, m.Zone, m.Addr, m.Size = "m8", "a", fmt.Sprintf("10.2.0.%d:1", i), r.sizeOf("m8")
-		m.Known, m.Fresh, m.Up, m.Session, m.Heard = true, true, true, 1, c.now
+		m.Known, m.Fresh, m.Up, m.Session, m.Heard, m.Answered = true, true, true, 1, c.now, c.now
 		if i < 3 {
 			a := r.Put(m, web, i, r.nextTry(), c.now)
 			a.Durable, a.Sent, a.Acked, a.State, a.Session = true, true, true, protocol.Running, 1
--- a/internal/coordination/leader.go
+++ b/internal/coordination/leader.go
@@ -257,6 +257,11 @@
 	c.term.load()
 }
 
+// leaderRecord is the leader key's value in this term.
+func (r *term) leaderRecord() leaderRecord {
+	return leaderRecord{Label: r.c.cfg.Label, Incarnation: r.c.incarnation, Token: r.token, Lease: r.lease}
+}
+
 // keepLease renews the leader's lease well before it runs out, counted from
 // when the renewal was sent.
 func (r *term) keepLease() {
@@ -301,8 +306,11 @@
 // certain says whether nobody else can have become leader: the lease, counted
 // from the sending of its last confirmed renewal and shortened by the clocks'
 // drift, still runs.
-func (r *term) certain() bool {
-	return r.c.now+config.Drift(r.c.cfg.LeaderTTL())-r.c.cfg.LeaderTTL() < r.confirmed+r.c.cfg.LeaderTTL()
+func (r *term) certain() bool { return r.c.now < r.certainUntil() }
+
+func (r *term) certainUntil() time.Duration {
+	ttl := r.c.cfg.LeaderTTL()
+	return r.confirmed + 2*ttl - config.Drift(ttl)
 }
 
 // load reads all books after the election was won: whatever earlier leaders
--- /dev/null
+++ b/internal/coordination/meetings_test.go
@@ -0,0 +1,663 @@
+package coordination
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"claybarrow/internal/protocol"
+)
+
+// The meetings of troubles that the operators have named, one test for each, and
+// random ones of two or three. All are judged by the checker alone.
+
+// mess is what the network does while a meeting lasts.
+type mess struct {
+	w *world
+	// apart are controllers without state service and other controllers.
+	apart map[int]bool
+	// noOrders are controllers whose direct commands reach nobody.
+	noOrders map[int]bool
+	// Shares of calls: transactions carried out late and never answered, direct
+	// commands held up for seconds, direct commands whose answer is lost.
+	lateWrites, heldOrders, lostAnswers float64
+	// slowState and slowLinks delay each call by up to so much.
+	slowState, slowLinks time.Duration
+}
+
+func (w *world) mess() *mess {
+	m := &mess{w: w, apart: map[int]bool{}, noOrders: map[int]bool{}}
+	w.script = m.fate
+	return m
+}
+
+func (m *mess) chance(share float64) bool { return share > 0 && m.w.rng.Float64() < share }
+
+func (m *mess) upTo(d time.Duration) time.Duration {
+	if d <= 0 {
+		return 0
+	}
+	return time.Duration(m.w.rng.Int64N(int64(d)))
+}
+
+func (m *mess) fate(node int, c Call) fate {
+	f := fate{hold: m.upTo(m.slowLinks)}
+	switch c.Target {
+	case ToState:
+		if m.apart[node] {
+			return fate{lost: true}
+		}
+		f.hold += m.upTo(m.slowState)
+		if c.Path == "/multi" && m.chance(m.lateWrites) {
+			return fate{answerLost: true, hold: 2*second + m.upTo(10*second)}
+		}
+	case ToPeer:
+		to := -1
+		fmt.Sscanf(c.Addr, "10.0.0.%d:", &to)
+		if m.apart[node] || m.apart[to] {
+			return fate{lost: true}
+		}
+	case ToWorker:
+		if m.noOrders[node] {
+			return fate{lost: true}
+		}
+		if m.chance(m.heldOrders) {
+			return fate{hold: 2*second + m.upTo(25*second), answerLost: m.chance(0.5)}
+		}
+		f.answerLost = m.chance(m.lostAnswers)
+	}
+	return f
+}
+
+// crowd submits work of all kinds: replicas of both teams, spread and not, and
+// arrays that take long or save slowly. It waits until most of it runs.
+func (w *world) crowd() {
+	w.t.Helper()
+	w.runs = func(task string) time.Duration { return time.Duration(20+len(task)*13%60) * second }
+	w.submit("j-s1", map[string]any{"shape": "service", "shards": 2, "apart": true, "cores": 4.0})
+	w.submit("j-s2", map[string]any{"shape": "service", "shards": 2, "cores": 2.0, "owner": "blue", "rank": "high"})
+	w.submit("j-s3", map[string]any{"shape": "service", "shards": 1, "cores": 4.0, "yard": "b"})
+	w.submit("j-b1", map[string]any{"shards": 4, "cores": 2.0, "saveEveryS": 10.0, "saveTakesS": 4.0, "borrowed": true})
+	w.submit("j-b22", map[string]any{"shards": 3, "cores": 2.0, "owner": "blue", "together": true})
+	w.submit("j-b333", map[string]any{"shards": 2, "cores": 1.0, "yard": "a"})
+	w.until(90*second, "all services run", func() bool {
+		return w.running("j-s1") == 2 && w.running("j-s2") == 2 && w.running("j-s3") == 1 && w.running("j-b1") > 0
+	})
+}
+
+// cancelSome has users call off jobs, at once, each asking for as long as users do.
+func (w *world) cancelSome(uids ...string) {
+	for _, uid := range uids {
+		w.cancel(uid)
+	}
+}
+
+// some picks a share of the machines that are up.
+func (w *world) some(share float64) []*simWorker {
+	var out []*simWorker
+	for _, k := range w.fleet() {
+		if k.up && !k.gone && w.rng.Float64() < share {
+			out = append(out, k)
+		}
+	}
+	return out
+}
+
+// bounce ends a controller and starts it again.
+func (w *world) bounce(i int, after time.Duration) {
+	w.crash(i)
+	w.at(after, func() {
+		if !w.nodes[i].alive {
+			w.boot(i)
+		}
+	})
+}
+
+// aLeader is whoever leads, or the first controller.
+func (w *world) aLeader() int { return max(0, w.leader()) }
+
+// meeting plays a test at several seeds.
+func meeting(t *testing.T, seeds int, play func(w *world, m *mess)) {
+	t.Helper()
+	for seed := range seeds {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			w := newWorld(t, uint64(1000+seed))
+			m := w.mess()
+			w.crowd()
+			play(w, m)
+			w.settle()
+		})
+	}
+}
+
+func (w *world) ms(least, most int) time.Duration {
+	return time.Duration(least+w.rng.IntN(most-least+1)) * time.Millisecond
+}
+
+// The gap: the state service refuses the leader alone, another controller
+// confirms cancellations, then the service is down for all for longer than
+// cancel_s, while the workers go on reporting to the old leader.
+func TestMeetingGap(t *testing.T) {
+	meeting(t, 12, func(w *world, m *mess) {
+		old := w.awaitLeader()
+		if w.rng.IntN(2) == 0 {
+			// The others can't even reach the workers to tell them.
+			for i := range 3 {
+				m.noOrders[i] = i != old
+			}
+		}
+		for _, k := range w.some(0.3) {
+			switch w.rng.IntN(3) {
+			case 0:
+				k.hang(w.ms(2000, 30_000))
+			case 1:
+				k.deaf = true
+			}
+		}
+		w.state.refuse[old] = true
+		w.at(w.ms(0, 2500), func() { w.cancelSome("j-s1", "j-b1", "j-s2") })
+		w.run(w.ms(1500, 12_000))
+		w.state.outage(time.Duration(40+w.rng.IntN(40)) * second)
+		w.run(w.ms(0, 12_000))
+		w.state.refuse[old] = false
+		w.run(90 * second)
+	})
+}
+
+// Jobs are cancelled at the very moment at which the state service refuses the
+// leader alone, and a second later it is out for longer than cancel_s.
+func TestMeetingCancelAtRefusal(t *testing.T) {
+	meeting(t, 8, func(w *world, m *mess) {
+		old := w.awaitLeader()
+		w.cancelSome("j-s1", "j-s3")
+		w.state.refuse[old] = true
+		w.cancelSome("j-b1", "j-s2")
+		w.run(w.ms(500, 1500))
+		w.state.outage(45 * second)
+		w.run(60 * second)
+	})
+}
+
+// Controllers hand over and back, all end, and one returns, also within a second.
+func TestMeetingHandOverAndBack(t *testing.T) {
+	meeting(t, 6, func(w *world, m *mess) {
+		for range 8 {
+			w.bounce(w.aLeader(), w.ms(50, 900))
+			w.run(w.ms(300, 4000))
+		}
+		w.cancelSome("j-s1")
+		for i := range 3 {
+			w.crash(i)
+		}
+		w.run(w.ms(50, 900))
+		w.boot(w.rng.IntN(3))
+		w.run(w.ms(200, 5000))
+		w.cancelSome("j-b1")
+		for i := range 3 {
+			w.bounce(i, w.ms(50, 6000))
+		}
+		w.run(30 * second)
+	})
+}
+
+// A leader ends while machines with long tasks can't be reached, or don't hear
+// the new leader's answer.
+func TestMeetingLeaderEndsMachinesAway(t *testing.T) {
+	meeting(t, 8, func(w *world, m *mess) {
+		for n, k := range w.some(0.6) {
+			if n%2 == 0 {
+				k.cut = true
+				w.at(w.ms(3000, 40_000), func() { k.cut = false })
+			} else {
+				k.deaf = true
+				w.at(w.ms(3000, 60_000), func() { k.deaf = false })
+			}
+		}
+		w.bounce(w.aLeader(), w.ms(500, 8000))
+		w.run(w.ms(0, 6000))
+		w.cancelSome("j-s1", "j-b1")
+		w.run(70 * second)
+	})
+}
+
+// A machine stays deaf from before the take-over on: no message of it can prove
+// what is gone there, and a job that waits for it must not wait for ever.
+func TestMeetingDeafSinceTakeOver(t *testing.T) {
+	meeting(t, 4, func(w *world, m *mess) {
+		for _, k := range w.fleet() {
+			if k.up && len(k.tasks) > 0 {
+				k.deaf = true
+			}
+		}
+		w.bounce(w.aLeader(), 2*second)
+		w.run(second)
+		w.cancelSome("j-s2")
+		w.until(60*second, "j-s2 is called off", func() bool { return w.told["j-s2"] == protocol.Cancelled })
+		w.until(60*second, "j-s3 runs elsewhere", func() bool {
+			for _, k := range w.fleet() {
+				for _, task := range k.tasks {
+					if task.uid == "j-s3" && task.state == protocol.Running && !k.deaf && !k.gone {
+						return true
+					}
+				}
+			}
+			return false
+		})
+	})
+}
+
+// The state service answers slowly, or refuses the leader alone and then
+// everybody for longer than cancel_s, while users cancel and ask.
+func TestMeetingSlowThenRefused(t *testing.T) {
+	meeting(t, 8, func(w *world, m *mess) {
+		m.slowState = w.ms(300, 900)
+		w.cancelSome("j-s1")
+		w.run(10 * second)
+		old := w.aLeader()
+		w.state.refuse[old] = true
+		w.cancelSome("j-b1")
+		w.run(w.ms(1000, 6000))
+		w.state.outage(40 * second)
+		w.cancelSome("j-s2")
+		w.submit("j-n1", map[string]any{"shards": 2, "cores": 1.0})
+		w.run(50 * second)
+		m.slowState = 0
+	})
+}
+
+// There is more work than room, urgent and not, over slow links.
+func TestMeetingOverload(t *testing.T) {
+	meeting(t, 4, func(w *world, m *mess) {
+		m.slowLinks = 400 * time.Millisecond
+		for i := range 12 {
+			rank := []string{"idle", "normal", "high", "production"}[i%4]
+			shape, shards := "batch", 1+w.rng.IntN(5)
+			if i%5 == 0 {
+				shape, shards = "service", 1
+			}
+			w.submit(fmt.Sprintf("j-o%d", i), map[string]any{"shape": shape, "shards": shards, "cores": float64(1 + w.rng.IntN(4)),
+				"owner": []string{"red", "blue"}[i%2], "rank": rank, "saveEveryS": 5.0, "saveTakesS": 2.0})
+			w.run(w.ms(100, 3000))
+		}
+		w.bounce(w.aLeader(), w.ms(200, 3000))
+		w.cancelSome("j-o3", "j-o5", "j-s1")
+		w.run(60 * second)
+	})
+}
+
+// All controllers are away for longer than lease_s.
+func TestMeetingAllAway(t *testing.T) {
+	meeting(t, 6, func(w *world, m *mess) {
+		w.cancelSome("j-s1", "j-b1")
+		w.run(w.ms(0, 400))
+		for i := range 3 {
+			w.crash(i)
+		}
+		w.run(w.ms(11_000, 40_000))
+		for i := range 3 {
+			w.at(w.ms(0, 4000), func() {
+				if !w.nodes[i].alive {
+					w.boot(i)
+				}
+			})
+		}
+		w.run(60 * second)
+	})
+}
+
+// A leader is cut from the state service and from the other controllers while
+// workers and users still reach it, and jobs are cancelled through the new one.
+func TestMeetingLeaderApart(t *testing.T) {
+	meeting(t, 8, func(w *world, m *mess) {
+		old := w.awaitLeader()
+		m.apart[old] = true
+		if w.rng.IntN(2) == 0 {
+			for i := range 3 {
+				m.noOrders[i] = i != old
+			}
+		}
+		w.run(w.ms(1500, 8000))
+		w.cancelSome("j-s1", "j-b1", "j-s2")
+		w.submit("j-n1", map[string]any{"shards": 2, "cores": 2.0})
+		w.run(w.ms(20_000, 80_000))
+		m.apart[old] = false
+		w.run(20 * second)
+	})
+}
+
+// A report is held back until a new leader has acted, and then arrives there.
+func TestMeetingHeldReport(t *testing.T) {
+	meeting(t, 6, func(w *world, m *mess) {
+		type copied struct {
+			k    *simWorker
+			body []byte
+		}
+		var held []copied
+		for _, k := range w.fleet() {
+			if k.up && !k.gone {
+				held = append(held, copied{k, protocol.Encode(k.message())})
+				if w.rng.IntN(2) == 0 {
+					k.cut = true
+					w.at(w.ms(2000, 25_000), func() { k.cut = false })
+				}
+			}
+		}
+		w.cancelSome("j-s1")
+		w.bounce(w.aLeader(), w.ms(500, 4000))
+		w.run(w.ms(2500, 15_000))
+		w.cancelSome("j-b1")
+		for range 3 {
+			for _, h := range held {
+				for i := range 3 {
+					w.ask(i, Request{Op: OpReport, Body: h.body}, func(Reply) {})
+				}
+			}
+			w.run(w.ms(1000, 20_000))
+		}
+		w.run(20 * second)
+	})
+}
+
+// Jobs of two or three tasks end far apart across a change of leader.
+func TestMeetingTasksEndFarApart(t *testing.T) {
+	meeting(t, 6, func(w *world, m *mess) {
+		w.runs = func(task string) time.Duration {
+			return time.Duration(5+35*int(task[len(task)-1]-'0')) * second
+		}
+		for i := range 3 {
+			w.submit(fmt.Sprintf("j-f%d", i), map[string]any{"shards": 2 + i%2, "cores": 1.0})
+		}
+		w.run(w.ms(8000, 14_000))
+		m.lateWrites = 0.2
+		w.bounce(w.aLeader(), w.ms(200, 5000))
+		w.run(w.ms(10_000, 25_000))
+		w.bounce(w.aLeader(), w.ms(200, 5000))
+		w.run(30 * second)
+	})
+}
+
+// A cancellation, a question or a repeated submission meets the end of a job's
+// last task, with no other trouble.
+func TestMeetingAtTheEnd(t *testing.T) {
+	meeting(t, 8, func(w *world, m *mess) {
+		w.ended = func(uid string) {
+			switch w.rng.IntN(3) {
+			case 0:
+				w.at(w.ms(0, 1200), func() { w.cancel(uid) })
+			case 1:
+				w.at(w.ms(0, 1200), func() { w.user(w.rng.IntN(3), OpPoll, uid, nil) })
+			case 2:
+				w.at(w.ms(0, 1200), func() { w.user(w.rng.IntN(3), OpSubmit, uid, nil) })
+			}
+		}
+		for i := range 6 {
+			w.submit(fmt.Sprintf("j-e%d", i), map[string]any{"shards": 1 + i%3, "cores": 1.0})
+			w.run(w.ms(0, 3000))
+		}
+		w.run(90 * second)
+	})
+}
+
+// A zone with workers and a controller is cut off for longer than lease_s.
+func TestMeetingZoneCut(t *testing.T) {
+	meeting(t, 8, func(w *world, m *mess) {
+		inB := func(addr string) bool {
+			if strings.HasPrefix(addr, "10.0.0.") {
+				return strings.HasPrefix(addr, "10.0.0.2:")
+			}
+			k := w.byAddr(addr)
+			return k != nil && k.zone == "b"
+		}
+		w.script = func(node int, c Call) fate {
+			there := c.Target == ToPeer || c.Target == ToWorker
+			return fate{lost: node == 2 && !there || there && inB(c.Addr) != (node == 2)}
+		}
+		w.reports = func(k *simWorker, node int) fate { return fate{lost: (k.zone == "b") != (node == 2)} }
+		w.cancelSome("j-s1", "j-s3")
+		if w.rng.IntN(2) == 0 {
+			w.bounce(w.rng.IntN(3), w.ms(200, 4000))
+		}
+		w.run(w.ms(12_000, 60_000))
+		w.script, w.reports = m.fate, nil
+		w.run(20 * second)
+	})
+}
+
+// Workers can't open connections to any controller, while direct commands still
+// reach them: they must not be filled again and again.
+func TestMeetingMute(t *testing.T) {
+	meeting(t, 6, func(w *world, m *mess) {
+		var mute []*simWorker
+		for _, k := range w.some(0.6) {
+			k.mute = true
+			mute = append(mute, k)
+		}
+		w.cancelSome("j-b1")
+		w.run(w.ms(3000, 12_000))
+		if w.rng.IntN(2) == 0 {
+			w.bounce(w.aLeader(), w.ms(200, 4000))
+		}
+		w.run(25 * second)
+		began := map[*simWorker]int{}
+		for _, k := range mute {
+			began[k] = k.lives
+		}
+		w.run(60 * second)
+		for _, k := range mute {
+			if k.lives > began[k]+2 {
+				w.breaks("a mute machine was given %d tasks, all of which die with its lease", k.lives-began[k])
+			}
+		}
+		// Their work runs elsewhere.
+		for _, uid := range []string{"j-s1", "j-s2", "j-s3"} {
+			n := 0
+			for _, k := range w.fleet() {
+				for _, task := range k.tasks {
+					if task.uid == uid && task.state == protocol.Running && !k.mute && !k.gone {
+						n++
+					}
+				}
+			}
+			if n == 0 {
+				w.breaks("%s runs on mute machines alone", uid)
+			}
+		}
+	})
+}
+
+// An old report arrives after newer ones, also from an earlier session or attempt.
+func TestMeetingOldReports(t *testing.T) {
+	meeting(t, 8, func(w *world, m *mess) {
+		w.lateCopy = func() time.Duration {
+			if w.rng.IntN(3) == 0 {
+				return w.ms(2000, 45_000)
+			}
+			return 0
+		}
+		for _, k := range w.some(0.4) {
+			k.cut = true // a new session, while copies of the earlier one are on their way
+			w.at(w.ms(9000, 16_000), func() { k.cut = false })
+		}
+		w.run(w.ms(4000, 14_000))
+		w.cancelSome("j-s1")
+		w.bounce(w.aLeader(), w.ms(200, 4000))
+		w.run(25 * second)
+		w.cancelSome("j-b1", "j-s2")
+		w.run(40 * second)
+	})
+}
+
+// A team is at its limit when the leader changes, some of its machines can't be
+// asked, and a cancellation falls into that spell.
+func TestMeetingTeamAtItsLimit(t *testing.T) {
+	meeting(t, 8, func(w *world, m *mess) {
+		for i := range 6 {
+			w.submit(fmt.Sprintf("j-l%d", i), map[string]any{"shape": "service", "shards": 2, "cores": 2.0, "owner": "blue"})
+		}
+		w.run(40 * second)
+		for _, k := range w.some(0.5) {
+			k.cut = true
+			w.at(w.ms(5000, 30_000), func() { k.cut = false })
+		}
+		w.bounce(w.aLeader(), w.ms(500, 5000))
+		w.run(w.ms(500, 5000))
+		w.cancelSome("j-l0", "j-l1", "j-s2")
+		w.submit("j-n1", map[string]any{"shape": "service", "shards": 2, "cores": 2.0, "owner": "blue", "rank": "high"})
+		w.run(60 * second)
+	})
+}
+
+// A command or its answer is held up for seconds, and the machine then goes on.
+func TestMeetingHeldCommands(t *testing.T) {
+	meeting(t, 10, func(w *world, m *mess) {
+		m.heldOrders, m.lostAnswers = 0.4, 0.2
+		for i := range 4 {
+			w.submit(fmt.Sprintf("j-h%d", i), map[string]any{"shards": 2, "cores": 1.0})
+			w.run(w.ms(500, 3000))
+			for _, k := range w.some(0.3) {
+				k.hang(w.ms(1000, 14_000))
+			}
+			if i == 1 {
+				w.cancelSome("j-s1", "j-h0")
+			}
+			if i == 2 {
+				w.bounce(w.aLeader(), w.ms(200, 4000))
+				w.cancelSome("j-b1", "j-h1")
+			}
+		}
+		w.run(40 * second)
+	})
+}
+
+// Leaders change ten times in two minutes, also inside an outage.
+func TestMeetingTenLeaders(t *testing.T) {
+	meeting(t, 6, func(w *world, m *mess) {
+		for i := range 10 {
+			if i == 4 {
+				w.state.outage(w.ms(5000, 30_000))
+			}
+			w.bounce(w.aLeader(), w.ms(100, 9000))
+			if i%3 == 0 {
+				w.cancelSome([]string{"j-s1", "j-b1", "j-s2", "j-b22"}[i/3])
+			}
+			w.run(w.ms(9000, 13_000))
+		}
+	})
+}
+
+// Jobs bound to one zone, arrays too, lose machines.
+func TestMeetingBoundToAZone(t *testing.T) {
+	meeting(t, 6, func(w *world, m *mess) {
+		w.submit("j-z1", map[string]any{"shards": 4, "cores": 2.0, "yard": "b"})
+		w.submit("j-z2", map[string]any{"shards": 3, "cores": 2.0, "together": true})
+		w.run(w.ms(5000, 20_000))
+		for _, k := range w.fleet() {
+			if !k.gone && k.up && (k.zone == "b" || w.rng.IntN(3) == 0) {
+				switch w.rng.IntN(3) {
+				case 0:
+					k.die()
+				case 1:
+					k.cut = true
+					w.at(w.ms(5000, 30_000), func() { k.cut = false })
+				case 2:
+					k.hang(w.ms(3000, 20_000))
+				}
+			}
+		}
+		w.bounce(w.aLeader(), w.ms(300, 6000))
+		w.run(50 * second)
+	})
+}
+
+// Transactions without an answer are carried out late, after newer ones of the
+// same controller.
+func TestMeetingLateTransactions(t *testing.T) {
+	meeting(t, 10, func(w *world, m *mess) {
+		m.lateWrites = 0.35
+		for i := range 5 {
+			w.submit(fmt.Sprintf("j-t%d", i), map[string]any{"shards": 1 + w.rng.IntN(3), "cores": 1.0, "shape": []string{"batch", "service"}[i%2]})
+			w.run(w.ms(500, 6000))
+			if i == 1 {
+				w.cancelSome("j-t0", "j-s1")
+			}
+			if i == 3 {
+				w.bounce(w.aLeader(), w.ms(300, 4000))
+				w.cancelSome("j-t1", "j-b1")
+			}
+		}
+		w.run(60 * second)
+	})
+}
+
+// Random meetings of two or three troubles, each with a fixed seed.
+func TestMeetingsAtRandom(t *testing.T) {
+	for seed := range uint64(24) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			w := newWorld(t, 5000+seed)
+			m := w.mess()
+			w.crowd()
+			for range 2 + w.rng.IntN(2) {
+				w.trouble(m, w.ms(8000, 60_000))
+				w.run(w.ms(0, 6000))
+			}
+			w.cancelSome([]string{"j-s1", "j-s2", "j-b1", "j-b22"}[w.rng.IntN(4)])
+			w.submit("j-n1", map[string]any{"shards": 2, "cores": 2.0})
+			w.run(w.ms(5000, 60_000))
+			w.settle()
+		})
+	}
+}
+
+// trouble begins one of the listed troubles, for so long.
+func (w *world) trouble(m *mess, lasts time.Duration) {
+	node := w.aLeader()
+	if w.rng.IntN(3) == 0 {
+		node = w.rng.IntN(3)
+	}
+	switch w.rng.IntN(13) {
+	case 0:
+		w.state.outage(lasts)
+	case 1:
+		w.state.refuse[node] = true
+		w.at(lasts, func() { w.state.refuse[node] = false })
+	case 2:
+		m.apart[node] = true
+		w.at(lasts, func() { m.apart[node] = false })
+	case 3:
+		w.bounce(node, min(lasts, w.ms(50, 12_000)))
+	case 4:
+		for i := range 3 {
+			w.bounce(i, w.ms(50, 12_000))
+		}
+	case 5:
+		for _, k := range w.some(0.4) {
+			k.deaf = true
+			w.at(lasts, func() { k.deaf = false })
+		}
+	case 6:
+		for _, k := range w.some(0.4) {
+			k.mute = true
+			w.at(lasts, func() { k.mute = false })
+		}
+	case 7:
+		for _, k := range w.some(0.4) {
+			k.cut = true
+			w.at(lasts, func() { k.cut = false })
+		}
+	case 8:
+		for _, k := range w.some(0.4) {
+			k.hang(min(lasts, w.ms(1000, 15_000)))
+		}
+	case 9:
+		m.lateWrites = 0.3
+		w.at(lasts, func() { m.lateWrites = 0 })
+	case 10:
+		w.lateCopy = func() time.Duration { return w.ms(2000, 40_000) }
+	case 11:
+		m.heldOrders, m.lostAnswers = 0.3, 0.2
+		w.at(lasts, func() { m.heldOrders, m.lostAnswers = 0, 0 })
+	case 12:
+		w.ended = func(uid string) { w.at(w.ms(0, 500), func() { w.cancel(uid) }) }
+	}
+}
--- a/internal/coordination/messages.go
+++ b/internal/coordination/messages.go
@@ -58,6 +58,9 @@
 	Status     int
 	Body       []byte
 	RetryAfter int // seconds, 0: none
+	// Until is when the answer stops being true for sure, by the steady clock; 0:
+	// never. A process that stood still after the decision must not send it.
+	Until time.Duration
 }
 
 // Target is whom a Call goes to.
--- a/internal/coordination/schedule.go
+++ b/internal/coordination/schedule.go
@@ -57,7 +57,30 @@
 func (r *term) usable(m *ledger.Machine) bool {
 	c := r.c
 	return m.Fresh && !m.Returning && !m.Notice && c.now >= m.AsideUntil && c.now >= m.DrainUntil && m.Deaf < 2 && m.CallFails < 2 &&
-		c.now < m.Heard+c.cfg.Lease()/4+2*c.cfg.Report() && m.Size.Cores > 0 && len(m.Strays) == 0
+		c.now < m.Heard+c.cfg.Lease()/4+2*c.cfg.Report() && !r.unreported(m, c.cfg.Lease()/2) &&
+		m.Size.Cores > 0 && len(m.Strays) == 0
+}
+
+// unreported says whether no report of the machine has been answered for as long,
+// whatever it answers to direct requests: those don't renew its lease, and it is
+// about to kill all its tasks. Such a machine was filled anew after each lease.
+func (r *term) unreported(m *ledger.Machine, spell time.Duration) bool {
+	return r.c.now > max(m.Answered, m.FreshAt)+spell
+}
+
+// mute says whether a machine answers us but can reach no controller, as far as
+// can be known: those of its zone are in touch, so none stands in for us there.
+func (r *term) mute(m *ledger.Machine) bool {
+	c := r.c
+	if !m.Fresh || m.CallFails > 0 || m.Heard < c.now-2*c.cfg.Report()-c.cfg.Lease()/10 || !r.unreported(m, c.cfg.Lease()*11/20) {
+		return false
+	}
+	for _, p := range r.peers {
+		if p.zone == m.Zone && c.now > p.asked+c.cfg.Lease()/8 {
+			return false
+		}
+	}
+	return true
 }
 
 func schedJob(j *ledger.Job) *sched.Job {
@@ -100,6 +123,12 @@
 		if c.now >= j.NotBefore {
 			sj.Waiting, sj.Resume = j.Waiting(512)
 		}
+		if j.HeldTotal > 0 || j.Cancelling || j.Finishing {
+			j.HungryAt = 0
+		} else if j.HungryAt == 0 {
+			j.HungryAt = c.now
+		}
+		sj.Starved = j.HungryAt > 0 && c.now > j.HungryAt+seconds(c.bootS())
 		sj.Claims = min(claims[uid], len(sj.Waiting))
 		if len(sj.Waiting) == 0 && !running {
 			continue
@@ -502,6 +531,11 @@
 			// leader did hear is left alone: cut off or hanging, its tasks go
 			// on until its lease ends, and it may come back.
 			r.giveBack(m, "not heard since the take-over")
+		case m.Deaf > 2 && m.CallFails > 1 && m.FreshAt == 0 && len(m.Attempts) > 0 && c.now > r.since+c.cfg.Lease():
+			// It reports and never shows our token: it hears no answer, so its
+			// lease is over, but no message of it can prove that what an earlier
+			// leader started there is gone.
+			r.giveBack(m, "it has not heard us since the take-over")
 		case !lonely && m.CallFails > 0 && r.silentFor(m) > 3*c.cfg.Lease():
 			r.giveBack(m, "silent")
 		case r.silentFor(m) > c.cfg.Lease()*2/5:
--- a/internal/coordination/sim_test.go
+++ b/internal/coordination/sim_test.go
@@ -71,6 +71,7 @@
 	told    map[string]string        // what users were told last
 	stopped map[string]time.Duration // when users were told of a cancellation
 	broken  []string
+	checker
 	// script decides the fate of a call from a node; nil: all goes well.
 	script func(node int, c Call) fate
 	// reports decides whether a worker's report and its answer get through.
@@ -91,7 +92,7 @@
 
 func newWorld(t *testing.T, seed uint64) *world {
 	w := &world{t: t, rng: rand.New(rand.NewPCG(seed, 1)), workers: map[string]*simWorker{}, specs: map[string]map[string]any{},
-		told: map[string]string{}, stopped: map[string]time.Duration{},
+		told: map[string]string{}, stopped: map[string]time.Duration{}, checker: newChecker(),
 		runs: func(string) time.Duration { return 30 * time.Second }}
 	w.state = &simState{w: w, items: map[string]*simItem{}, leases: map[uint64]*simLease{}, refuse: map[int]bool{}}
 	w.cloud = &simCloud{w: w, answers: map[string][]string{}}
@@ -100,6 +101,7 @@
 		w.nodes = append(w.nodes, &simNode{})
 		w.boot(i)
 	}
+	w.watch()
 	return w
 }
 
@@ -154,7 +156,9 @@
 }
 
 func (w *world) breaks(format string, args ...any) {
-	w.broken = append(w.broken, fmt.Sprintf("%v: ", w.now)+fmt.Sprintf(format, args...))
+	if len(w.broken) < 20 {
+		w.broken = append(w.broken, fmt.Sprintf("%v: ", w.now)+fmt.Sprintf(format, args...))
+	}
 }
 
 func (w *world) keptRules() {
@@ -257,6 +261,10 @@
 			reply(w.cloud.serve(c))
 		case ToWorker:
 			if wk := w.byAddr(c.Addr); wk != nil && wk.reachable() {
+				if wk.hung {
+					wk.held = append(wk.held, func() { reply(wk.serve(c)) })
+					return
+				}
 				reply(wk.serve(c))
 			}
 		case ToPeer:
@@ -306,6 +314,9 @@
 	if op == OpSubmit {
 		req.Body = protocol.Encode(w.specs[uid])
 	}
+	if op == OpCancel {
+		w.wished[uid] = true
+	}
 	w.ask(node, req, func(r Reply) {
 		var s protocol.Standing
 		if r.Status == 200 || r.Status == 201 {
@@ -313,7 +324,9 @@
 				w.breaks("an answer can't be read: %v", err)
 			}
 			w.tell(uid, s)
+			w.noteAnswer(uid)
 		}
+		w.checkAnswer(op, uid, r.Status)
 		if r.Status == 404 && w.told[uid] != "" {
 			w.breaks("forgotten: %s", uid)
 		}
@@ -341,6 +354,9 @@
 	}
 	if s.State == protocol.Cancelled && before != s.State {
 		w.stopped[uid] = w.now
+		if !w.wished[uid] {
+			w.breaks("went_back: %s is called cancelled, and nobody asked for it", uid)
+		}
 	}
 	w.told[uid] = s.State
 }
@@ -678,6 +694,11 @@
 	busy                bool
 	lives               int
 	copies              [][]byte
+	// deaf: reports arrive, answers and direct commands don't. mute: the other way
+	// round. hung: it does nothing until it goes on, or for ever. held are the
+	// commands that came meanwhile.
+	deaf, mute, hung bool
+	held             []func()
 }
 
 // fleet lists the workers in a fixed order, so runs repeat.
@@ -699,7 +720,24 @@
 }
 
 func (k *simWorker) addr() string    { return "10.1." + strings.TrimLeft(k.id[2:], "0") + ":9000" }
-func (k *simWorker) reachable() bool { return k.up && !k.gone && !k.cut }
+func (k *simWorker) reachable() bool { return k.up && !k.gone && !k.cut && !k.deaf }
+
+// hang stops a machine for a while. What comes meanwhile is executed when it goes
+// on, if its lease still runs then.
+func (k *simWorker) hang(d time.Duration) {
+	k.hung = true
+	k.w.at(d, func() {
+		k.hung = false
+		held := k.held
+		k.held = nil
+		if k.gone {
+			return
+		}
+		for _, do := range held {
+			do()
+		}
+	})
+}
 
 func (k *simWorker) boot() {
 	if k.gone {
@@ -746,7 +784,7 @@
 	}
 	w := k.w
 	next := func(d time.Duration) { w.at(d, k.report) }
-	if k.cut {
+	if k.cut || k.hung {
 		next(time.Second)
 		return
 	}
@@ -754,8 +792,17 @@
 	if w.reports != nil {
 		f = w.reports(k, k.node)
 	}
+	f.lost = f.lost || k.mute
+	f.answerLost = f.answerLost || k.deaf
 	body := protocol.Encode(k.message())
 	k.copies = append(k.copies, body)
+	if w.lateCopy != nil {
+		if late := w.lateCopy(); late > 0 {
+			// A copy goes to whichever controller; its answer reaches nobody.
+			to := w.rng.IntN(3)
+			w.at(late, func() { w.ask(to, Request{Op: OpReport, Body: body}, func(Reply) {}) })
+		}
+	}
 	sent, session := w.now, k.session
 	if f.lost {
 		k.node = (k.node + 1) % 3
@@ -764,7 +811,7 @@
 	}
 	w.at(latency, func() {
 		w.ask(k.node, Request{Op: OpReport, Body: body}, func(r Reply) {
-			if f.answerLost || k.gone {
+			if f.answerLost || k.gone || k.hung || k.deaf {
 				next(4 * time.Second)
 				return
 			}
@@ -831,9 +878,19 @@
 				})
 			}
 		case protocol.VerbHalt:
-			if t != nil && t.state != protocol.Exited {
-				t.state, t.cause = protocol.Exited, protocol.CauseHalted
+			if t == nil || t.state == protocol.Exited {
+				continue
+			}
+			if takes := w.specs[t.uid]["saveTakesS"].(float64); t.state == protocol.Running && takes > 0 && c.GraceS >= takes {
+				t.state = protocol.Saving
+				w.at(time.Duration(takes*float64(time.Second)), func() {
+					if t.state == protocol.Saving {
+						t.state, t.cause = protocol.Exited, protocol.CauseHalted
+					}
+				})
+				continue
 			}
+			t.state, t.cause = protocol.Exited, protocol.CauseHalted
 		case protocol.VerbClear:
 			if t != nil && t.state == protocol.Exited {
 				delete(k.tasks, name)
@@ -847,13 +904,15 @@
 	w := k.w
 	spec := w.specs[t.uid]
 	t.state = protocol.Running
-	if told, ok := w.stopped[t.uid]; ok && w.now > told+35*time.Second {
+	// Stricter than the protocol's page, which allows cancel_s: "from then on no
+	// task of the job may be started".
+	if _, told := w.stopped[t.uid]; told {
 		w.breaks("ran_cancelled: %s starts", task)
 	}
 	zones, total, used := map[string]int{}, 0, map[string]float64{}
 	for _, o := range w.workers {
 		for name, x := range o.tasks {
-			if x.state != protocol.Running || o.gone {
+			if (x.state != protocol.Running && x.state != protocol.Saving) || o.gone {
 				continue
 			}
 			other, _, _ := strings.Cut(name, "@")
@@ -882,15 +941,24 @@
 		return
 	}
 	life := t.began
-	w.at(w.runs(task), func() {
+	var end func()
+	end = func() {
+		if k.hung {
+			w.at(tick, end) // it does not execute its tasks meanwhile
+			return
+		}
 		if !k.gone && t.state == protocol.Running && t.began == life && k.tasks[fmt.Sprintf("%s@%d", task, t.try)] == t {
 			t.state, t.cause = protocol.Exited, protocol.CauseDone
 			if w.cloud.finished == nil {
 				w.cloud.finished = map[string]bool{}
 			}
 			w.cloud.finished[task] = true
+			if w.ended != nil {
+				w.ended(t.uid)
+			}
 		}
-	})
+	}
+	w.at(w.runs(task), end)
 }
 
 // running counts a job's tasks on machines.
@@ -898,7 +966,7 @@
 	n := 0
 	for _, k := range w.fleet() {
 		for _, t := range k.tasks {
-			if t.uid == uid && t.state == protocol.Running && !k.gone {
+			if t.uid == uid && (t.state == protocol.Running || t.state == protocol.Saving) && !k.gone {
 				n++
 			}
 		}
--- a/internal/coordination/term.go
+++ b/internal/coordination/term.go
@@ -1,6 +1,7 @@
 package coordination
 
 import (
+	"fmt"
 	"strings"
 	"time"
 
@@ -115,8 +116,11 @@
 		case protocol.Cancelled:
 			r.Terminal[uid] = ledger.TerminalState{Cancelled: true}
 		default:
+			if rec.Spec == nil {
+				return fmt.Errorf("state %q without a job", rec.State)
+			}
 			j := r.AddJob(rec.Spec, rec.Submitted)
-			j.Stored = true
+			j.Stored, j.Cancelling = true, rec.State == ledger.Cancelling
 			r.noteArrival(j)
 		}
 	case strings.HasPrefix(it.Key, ledger.DonePrefix):
@@ -190,11 +194,12 @@
 		if j.Done == j.Spec.Tasks {
 			r.finish(j)
 		}
+		r.settleCancel(j)
 	}
 	for _, m := range r.machines() {
 		m.Size = r.sizeOf(m.Type)
 		for _, a := range m.Sorted() {
-			if a.Job.IsDone(a.Index) || r.newerElsewhere(a) {
+			if a.Job.IsDone(a.Index) || a.Job.Cancelling || r.newerElsewhere(a) {
 				r.halt(a, 0, "not wanted after the take-over")
 			}
 		}
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -19,11 +19,21 @@
 )
 
 func (c *Core) reply(to asker, status int, body []byte, retryAfter int) {
+	c.replyUntil(to, status, body, retryAfter, 0)
+}
+
+func (c *Core) replyUntil(to asker, status int, body []byte, retryAfter int, until time.Duration) {
 	if to.relay {
 		body = protocol.EncodePeer(protocol.RelayReply{Status: status, Body: body, RetryAfter: retryAfter})
 		status, retryAfter = 200, 0
 	}
-	c.out = append(c.out, Reply{ID: to.id, Status: status, Body: body, RetryAfter: retryAfter})
+	c.out = append(c.out, Reply{ID: to.id, Status: status, Body: body, RetryAfter: retryAfter, Until: until})
+}
+
+// tell answers with what only a leader may say, and only as long as it is certain
+// to be one.
+func (r *term) tell(to asker, status int, s protocol.Standing) {
+	r.c.replyUntil(to, status, protocol.Encode(s), 0, r.certainUntil())
 }
 
 // refuse answers at once that it can't be decided now.
@@ -212,7 +222,7 @@
 		return
 	}
 	if j := r.Jobs[uid]; j != nil && j.Stored {
-		c.standing(from, 200, r.activeStanding(j))
+		r.tell(from, 200, r.activeStanding(j))
 		return
 	}
 	if err != nil {
@@ -249,7 +259,7 @@
 		r.fillDirty = true
 		for _, w := range p.wants {
 			if r.waiting(w) {
-				c.standing(w, 201, r.activeStanding(j))
+				r.tell(w, 201, r.activeStanding(j))
 			}
 		}
 	})
@@ -312,7 +322,7 @@
 	case !r.ready || !r.certain():
 		c.refuse(from)
 	case j == nil:
-		c.reply(from, 404, nil, 0)
+		c.replyUntil(from, 404, nil, 0, r.certainUntil())
 	case !j.Stored:
 		c.refuse(from) // about to be accepted: not durable yet
 	default:
@@ -322,14 +332,10 @@
 }
 
 func (r *term) poll(from asker, uid string) {
-	j := r.find(from, uid)
-	switch {
-	case j == nil:
-	case j.Finishing:
-		// About to be done or cancelled: not durable yet.
-		r.c.refuse(from)
-	default:
-		r.c.standing(from, 200, r.activeStanding(j))
+	// One that is about to be done or cancelled is told so once that is durable;
+	// until then what it was before is still true for its user.
+	if j := r.find(from, uid); j != nil {
+		r.tell(from, 200, r.activeStanding(j))
 	}
 }
 
@@ -339,12 +345,14 @@
 	if j == nil || !r.wait(from) {
 		return
 	}
-	r.cancels[uid] = append(r.cancels[uid], from)
+	waiting := slices.DeleteFunc(r.cancels[uid], func(a asker) bool { return c.waiters[a.id] == nil })
+	r.cancels[uid] = append(waiting, from)
 	if j.Cancelling || j.Finishing {
 		return // answered when that is durable
 	}
 	c.log.Info("cancelling", "job", uid)
 	j.Cancelling = true
+	r.mark(ledger.JobPrefix+uid, writeUser, func() any { return j.Record() }, nil)
 	// Nothing it does from here on is of use.
 	for _, m := range r.machines() {
 		for _, a := range m.Sorted() {
@@ -356,10 +364,11 @@
 	r.settleCancel(j)
 }
 
-// settleCancel records a cancellation, and then tells of it, once the last task
-// is proved gone. A deputy in a zone that is cut off may keep a task alive for
-// longer than cancel_s, but only of a job whose user has not been told. A user
-// who has not been told asks again, so nothing is stored before.
+// settleCancel records the end of a cancelled job, and then tells of it, once its
+// last task is proved gone. A deputy in a zone that is cut off may keep a task
+// alive for longer than cancel_s, but only of a job whose user has not been told.
+// The wish itself is stored at once: a user who has not been told asks again, but
+// gives up after a while, and the job must not run on after a change of leader.
 func (r *term) settleCancel(j *ledger.Job) {
 	if !j.Cancelling || j.Finishing || j.HeldTotal > 0 {
 		return
@@ -390,7 +399,8 @@
 		return
 	}
 	uid := j.Spec.UID
-	j.Finishing = true
+	// What ended before it could be cancelled is done.
+	j.Finishing, j.Cancelling = true, false
 	r.mark(ledger.JobPrefix+uid, writeUser, func() any { return j.Record() }, func() {
 		r.c.log.Info("done", "job", uid)
 		r.Terminal[uid] = ledger.TerminalState{Tasks: j.Spec.Tasks}
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -180,8 +180,13 @@
 		// Proofs of absence: a later session than any run of it named, or a
 		// message with our token after its run was answered. Without our token
 		// the message may be old, and a run of an earlier leader under way.
+		// Of one that is to be stopped it is also enough that no run of it can be
+		// on its way: none was lost, and a report was sent after the last answer
+		// that carried one. Without this a task whose runs had all been refused
+		// was waited for until its machine's session ended.
 		lapsed := !a.Loaded && a.Session < m.Session
-		if lapsed || (ours && (a.Acked || a.Loaded) && a.Flying == 0) {
+		never := a.Halt && !a.Lost && m.ReportSeq > a.RunSeq
+		if lapsed || (ours && (a.Acked || a.Loaded || never) && a.Flying == 0) {
 			r.gone(a, "absent from the machine's report")
 		}
 	}
@@ -190,6 +195,12 @@
 			delete(m.Exited, key)
 		}
 	}
+	for key := range m.Strays {
+		// Gone or ended: with any left the machine takes no work.
+		if m.Exited[key] != nil || ours && !seen[key] {
+			delete(m.Strays, key)
+		}
+	}
 }
 
 // foreign notes an attempt that the books did not have on that machine. Its
@@ -238,7 +249,7 @@
 	switch t.Cause {
 	case protocol.CauseDone:
 		j.Failures, m.Errors = 0, 0
-		if j.Cancelling || j.Spec.Service {
+		if j.Spec.Service || j.Cancelling && j.Finishing {
 			break
 		}
 		m.Images[j.Spec.Image] = true
@@ -246,7 +257,7 @@
 			g.Ready = false
 			ready := func() { g.Ready = true }
 			if j.Done == j.Spec.Tasks {
-				r.finish(j)
+				r.finish(j) // also if its cancellation was under way
 				r.mark(ledger.JobPrefix+uid, writeUser, func() any { return j.Record() }, ready)
 			} else {
 				r.mark(r.DoneKey(j, index), writeDone, func() any { return r.DoneChunk(j, index) }, ready)
@@ -292,7 +303,8 @@
 // that fails at once would keep the top rank for ever otherwise.
 func (r *term) backOff(j *ledger.Job) {
 	j.Failures++
-	wait := r.c.cfg.Report() * time.Duration(int64(1)<<min(j.Failures-1, 5))
+	// At most a lease: a job that waits for longer with room beside it is stuck.
+	wait := min(r.c.cfg.Report()*time.Duration(int64(1)<<min(j.Failures-1, 5)), r.c.cfg.Lease())
 	j.NotBefore = max(j.NotBefore, r.c.now+wait)
 	j.Scale.Attained += wait.Seconds() * shareOf(j, r.capacity())
 }
@@ -550,6 +562,12 @@
 		if m.Notice {
 			r.beforeNotice(m)
 		}
+		if len(m.Attempts) > 0 && r.mute(m) {
+			// Its lease runs out: what is there goes on elsewhere sooner.
+			for _, a := range m.Sorted() {
+				r.halt(a, a.Job.Spec.SaveS, "the machine reaches no controller")
+			}
+		}
 		r.kick(m)
 		if c.term != r {
 			return
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -23,7 +23,8 @@
 	Submitted int64 // time of day, ms
 	// Stored: the job's record is durable, the user may be told so.
 	Stored bool
-	// Cancelling: no starts any more, and whatever runs is stopped.
+	// Cancelling: no starts any more, and whatever runs is stopped, by this leader
+	// or a later one: the wish is stored.
 	Cancelling bool
 	// Finishing: all tasks are done, or cancelled and proved gone, and the last
 	// record is being written.
@@ -41,6 +42,9 @@
 	firstOpen int
 	resume    map[int]bool // interrupted tasks, which go on first
 
+	// HungryAt is since when it has waited with no task anywhere, 0: it does not.
+	HungryAt time.Duration
+
 	// Failures in a row and when the next start may be made.
 	Failures  int
 	FailedOn  map[string]bool
@@ -338,7 +342,12 @@
 	CounterPrefix = "k/"
 )
 
-// JobRecord is a job in the state service; S is empty, "done" or "aborted".
+// Cancelling is the stored state of a job whose user has asked to cancel it and
+// has not been told so: no attempt may be started, those there are stopped.
+const Cancelling = "cancelling"
+
+// JobRecord is a job in the state service; S is empty, "cancelling", "done" or
+// "aborted".
 type JobRecord struct {
 	State     string         `msgpack:"s,omitempty"`
 	Tasks     int            `msgpack:"n,omitempty"`
@@ -394,6 +403,8 @@
 		return JobRecord{State: protocol.Cancelled}
 	case j.Finishing:
 		return JobRecord{State: protocol.Done, Tasks: j.Spec.Tasks}
+	case j.Cancelling:
+		return JobRecord{State: Cancelling, Submitted: j.Submitted, Spec: j.Spec}
 	}
 	return JobRecord{Submitted: j.Submitted, Spec: j.Spec}
 }
--- a/internal/protocol/wire.go
+++ b/internal/protocol/wire.go
@@ -271,9 +271,13 @@
 	// A header that claims four thousand million elements made the decoder ask
 	// for memory that ended the process. Skipping allocates nothing, and fails
 	// where the body is shorter than its headers say.
-	if err := msgpack.NewDecoder(bytes.NewReader(b)).Skip(); err != nil {
+	body := bytes.NewReader(b)
+	if err := msgpack.NewDecoder(body).Skip(); err != nil {
 		return fmt.Errorf("malformed: %w", err)
 	}
+	if body.Len() > 0 {
+		return fmt.Errorf("malformed: %d bytes after the end", body.Len())
+	}
 	return msgpack.Unmarshal(b, v)
 }
 
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -98,6 +98,8 @@
 	Claims int
 	// Patient: it has waited so long that no rented machine will come.
 	Patient bool
+	// Starved: it has had no task anywhere for longer than a boot.
+	Starved bool
 }
 
 // Rank is attained service over degradation: the least goes first.
@@ -218,6 +220,16 @@
 			}
 		}
 	}
+	// Room kept for what may come, or left of a limit, is no reason for a batch to
+	// go without a single task for as long as there is no other.
+	for _, j := range s.Jobs {
+		if t := s.Teams[j.Team]; j.Starved && !j.Service && j.Held == 0 && len(j.Waiting) > 0 && t != nil && t.InLimit(j.Need) {
+			if m := s.best(j); m != nil {
+				out = append(out, Placement{j, j.Waiting[0], m})
+				s.take(j, m)
+			}
+		}
+	}
 	for _, j := range s.Jobs {
 		if j.Phantom {
 			s.reserve(j)
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -297,6 +297,10 @@
 		}
 		select {
 		case reply := <-a.answer:
+			if reply.Until > 0 && n.now().Steady > reply.Until {
+				// The process stood still since: another leader may know better.
+				reply = coordination.Reply{Status: http.StatusServiceUnavailable, RetryAfter: 1}
+			}
 			if reply.RetryAfter > 0 {
 				w.Header().Set("Retry-After", strconv.Itoa(reply.RetryAfter))
 			}
