--- /dev/null
+++ b/internal/coordination/guards_test.go
@@ -0,0 +1,287 @@
+package coordination
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"claybarrow/internal/ledger"
+	"claybarrow/internal/protocol"
+)
+
+// A user asks once to cancel, is told to come back and never does; the leader
+// ends. The successor goes on with it all the same.
+func TestCancellationOutlivesTheLeader(t *testing.T) {
+	w := newWorld(t, 70)
+	w.submit("j-1", map[string]any{"shape": "service", "shards": 2})
+	w.until(60*second, "replicas run", func() bool { return w.running("j-1") == 2 })
+	lead := w.awaitLeader()
+	for _, k := range w.fleet() {
+		k.cut = true
+	}
+	asked := 0
+	w.user(lead, OpCancel, "j-1", func(status int, _ protocol.Standing) {
+		if asked++; status != 503 {
+			t.Errorf("told %d before the proof", status)
+		}
+	})
+	w.run(2 * second)
+	if w.told["j-1"] == protocol.Cancelled || asked != 1 {
+		t.Fatalf("told %q after %d answers", w.told["j-1"], asked)
+	}
+	w.crash(lead)
+	for _, k := range w.fleet() {
+		k.cut = false
+	}
+	w.until(40*second, "the successor has called it off", func() bool { return w.told["j-1"] == protocol.Cancelled })
+	if w.running("j-1") != 0 {
+		t.Error("a replica still runs")
+	}
+	w.settle()
+}
+
+// All tasks of a job end while its cancellation waits for the proof: it is done.
+func TestEndedBeforeItWasCancelled(t *testing.T) {
+	w := newWorld(t, 71)
+	w.runs = func(string) time.Duration { return 6 * second }
+	w.submit("j-1", map[string]any{"shards": 2, "cores": 4.0})
+	w.until(60*second, "it runs", func() bool { return w.running("j-1") == 2 })
+	for _, k := range w.fleet() {
+		k.cut = true
+		w.at(8*second, func() { k.cut = false })
+	}
+	w.cancel("j-1")
+	w.awaitTold(30*second, "j-1", protocol.Done)
+	w.settle()
+}
+
+// A transaction that created keys has no answer, its repeat applies, the keys are
+// deleted again, and then the first copy arrives: absent keys have the version
+// that it asks for, so only the leader key keeps it from applying.
+func TestLateCreationAfterDeletion(t *testing.T) {
+	w := newWorld(t, 72)
+	w.awaitLeader()
+	var held []string
+	w.script = func(_ int, c Call) fate {
+		var txn protocol.Txn
+		if c.Path != "/multi" || protocol.Decode(c.Body, &txn) != nil || len(held) > 0 {
+			return fate{}
+		}
+		for _, ch := range txn.Then {
+			if !strings.HasPrefix(ch.Put, ledger.MachinePrefix) {
+				return fate{}
+			}
+		}
+		for _, ch := range txn.Then {
+			held = append(held, ch.Put)
+		}
+		return fate{hold: 120 * second, answerLost: true}
+	}
+	w.submit("j-1", map[string]any{"shape": "service", "shards": 2})
+	w.until(60*second, "replicas run", func() bool { return w.running("j-1") == 2 })
+	w.cancel("j-1")
+	absent := func() bool {
+		for _, k := range held {
+			if w.state.items[k] != nil {
+				return false
+			}
+		}
+		return len(held) > 0
+	}
+	w.until(100*second, "the machines are gone from the store", absent)
+	w.run(60 * second)
+	if !absent() {
+		t.Errorf("%v came back", held)
+	}
+	w.settle()
+}
+
+// The state service calls larger transactions malformed, from a moment that
+// nobody announced: nothing that users were told is lost, and work goes on.
+func TestMalformedTransactionsAreSplit(t *testing.T) {
+	w := newWorld(t, 73)
+	w.awaitLeader()
+	n := 0
+	w.script = func(_ int, c Call) fate {
+		n++
+		// Some tries have no answer: those may have applied before the 400.
+		return fate{answerLost: c.Path == "/multi" && n%7 == 0}
+	}
+	w.at(15*second, func() { w.state.malformed = func(txn protocol.Txn) bool { return len(txn.Then) > 3 } })
+	for i := range 10 {
+		uid := fmt.Sprintf("j-%d", i)
+		w.at(time.Duration(i/5)*14*second, func() { w.submit(uid, map[string]any{"shards": 3, "cores": 1.0}) })
+	}
+	w.run(30 * second)
+	for i := range 10 {
+		w.awaitTold(200*second, fmt.Sprintf("j-%d", i), protocol.Done)
+	}
+	w.settle()
+}
+
+// A record that is refused by itself is given up: its user is told to come back,
+// and the others' are not held up by it.
+func TestRefusedRecordHoldsUpNobody(t *testing.T) {
+	w := newWorld(t, 74)
+	w.awaitLeader()
+	w.run(2 * second)
+	w.state.malformed = func(txn protocol.Txn) bool {
+		for _, ch := range txn.Then {
+			if ch.Put == ledger.JobPrefix+"j-1" {
+				return true
+			}
+		}
+		return false
+	}
+	w.submit("j-1", nil)
+	w.submit("j-2", nil)
+	w.awaitTold(100*second, "j-2", protocol.Done)
+	if w.told["j-1"] != "" {
+		t.Errorf("j-1 is %q", w.told["j-1"])
+	}
+	w.state.malformed = nil
+	w.submit("j-1", nil)
+	w.awaitTold(100*second, "j-1", protocol.Done)
+	w.settle()
+}
+
+// A task that no book knows ends on the only machine with room: the machine takes
+// work again.
+func TestStrayIsForgottenWhenGone(t *testing.T) {
+	w := newWorld(t, 75)
+	w.submit("j-1", map[string]any{"shape": "service", "cores": 2.0})
+	w.until(60*second, "the replica runs", func() bool { return w.running("j-1") == 1 })
+	w.cloud.down = true // nothing else can be rented
+	w.spec("j-9", nil)
+	for _, k := range w.fleet() {
+		k.tasks["j-9/0@7"] = &simTask{uid: "j-9", try: 7, state: protocol.Running}
+	}
+	w.run(5 * second)
+	w.calm = w.now
+	w.submit("j-2", map[string]any{"cores": 2.0})
+	w.awaitTold(60*second, "j-2", protocol.Done)
+	w.settle()
+}
+
+// A machine reaches no controller any more while commands still reach it: what it
+// has goes on elsewhere before its lease ends, where there is room.
+func TestMuteMachineIsLeftInTime(t *testing.T) {
+	w := newWorld(t, 76)
+	w.submit("j-1", map[string]any{"shape": "service", "shards": 2, "cores": 4.0, "apart": true})
+	w.until(60*second, "replicas run", func() bool { return w.running("j-1") == 2 })
+	w.run(5 * second)
+	k := w.fleet()[0]
+	k.mute = true
+	w.run(8500 * time.Millisecond) // of a lease of 10 s
+	for name, task := range k.tasks {
+		if task.state == protocol.Running {
+			t.Errorf("%s is still on a machine that is about to end its session", name)
+		}
+	}
+	w.until(15*second, "both run elsewhere", func() bool { return w.running("j-1") == 2 })
+	w.settle()
+}
+
+// A run left in a report's answer that was lost, and nothing else carried it: the
+// next report without the task proves that a cancelled task never ran there.
+func TestLostAnswerOfACancelledTask(t *testing.T) {
+	w := newWorld(t, 77)
+	c := w.nodes[w.awaitLeader()].core
+	r := c.term
+	w.run(20 * second)
+	j := r.AddJob(&protocol.Spec{UID: "j-1", Class: "x", Team: "red", Tasks: 1, Cores: 1, MemoryGB: 1}, c.wall)
+	j.Stored, j.Cancelling = true, true
+	m := r.AddMachine("i-900000")
+	m.Type, m.Zone, m.Known, m.Fresh, m.Up = "m8", "a", true, true, true
+	m.Session, m.Seq, m.ReportSeq, m.Token = 1, 10, 10, r.token
+	a := r.Put(m, j, 0, r.nextTry(), c.now)
+	a.Durable, a.Sent, a.Session, a.RunSeq, a.Halt = true, true, 1, 10, true
+	report := func(seq uint64, reported bool) {
+		r.observe(&protocol.Report{Machine: m.ID, Type: "m8", Zone: "a", Session: 1, Seq: seq, Token: r.token}, reported)
+	}
+	report(11, false) // an answer to a direct request: the run may still be in the other
+	if j.HeldTotal != 1 {
+		t.Fatal("an answer to a direct request was taken for a proof")
+	}
+	report(12, true)
+	if j.HeldTotal != 0 {
+		t.Error("a task that can't start any more is still waited for")
+	}
+}
+
+// A job that keeps failing is tried again at least once a lease.
+func TestBackOffIsBounded(t *testing.T) {
+	w := newWorld(t, 78)
+	c := w.nodes[w.awaitLeader()].core
+	j := c.term.AddJob(&protocol.Spec{UID: "j-1", Team: "red", Tasks: 1, Cores: 1}, c.wall)
+	for range 20 {
+		c.term.backOff(j)
+	}
+	if j.NotBefore > c.now+c.cfg.Lease() {
+		t.Errorf("waits for %v", j.NotBefore-c.now)
+	}
+}
+
+// A leader that has just been elected has no proof by time yet, also where it has
+// no siblings: an earlier term of its own may have answered the worker.
+func TestNoProofByTimeAtOnce(t *testing.T) {
+	w := newWorld(t, 79)
+	w.run(40 * second)
+	c := w.nodes[w.awaitLeader()].core
+	r := c.term
+	r.peers, r.since = map[string]*peer{}, c.now
+	if r.leaseOver(r.AddMachine("i-900000")) {
+		t.Error("a lease is called over at the election")
+	}
+}
+
+// What the protocol calls invalid is refused, whatever else goes on, and a repeat
+// of an accepted job gets its state whatever its body holds.
+func TestOddRequests(t *testing.T) {
+	w := newWorld(t, 80)
+	w.awaitLeader()
+	w.run(5 * second)
+	w.submit("j-1", map[string]any{"shards": 2})
+	w.until(30*second, "accepted", func() bool { return w.told["j-1"] != "" })
+	odd := map[string]struct {
+		change map[string]any
+		status int
+	}{
+		"j-11": {map[string]any{"cores": 9.0}, 422}, // no machine is that large
+		"j-12": {map[string]any{"ramGb": 33.0}, 422},
+		"j-13": {map[string]any{"accelerators": 1.0}, 422},
+		"j-14": {map[string]any{"owner": "green"}, 422},
+		"j-15": {map[string]any{"shape": "service", "shards": 5, "cores": 8.0}, 422}, // 40 of 32 cores
+		"j-16": {map[string]any{"flavours": []string{"m9"}}, 422},
+		"j-17": {map[string]any{"flavours": []string{}}, 422},
+		"j-18": {map[string]any{"yard": "c"}, 422},
+		"j-19": {map[string]any{"shards": 0}, 400},
+		"j-20": {map[string]any{"rank": nil}, 400},
+		"j-21": {map[string]any{"tier": nil}, 400},
+	}
+	for uid, tc := range odd {
+		w.spec(uid, tc.change)
+		w.invalid[uid] = true
+		for node := range 3 {
+			w.user(node, OpSubmit, uid, func(status int, _ protocol.Standing) {
+				if status != tc.status {
+					t.Errorf("%v: %d, want %d", tc.change, status, tc.status)
+				}
+			})
+		}
+		w.run(second)
+	}
+	w.specs["j-1"]["rank"] = "top" // a damaged repeat
+	for node := range 3 {
+		w.user(node, OpSubmit, "j-1", func(status int, _ protocol.Standing) {
+			if status != 200 {
+				t.Errorf("a repeat got %d", status)
+			}
+		})
+	}
+	w.run(second)
+	w.awaitTold(60*second, "j-1", protocol.Done)
+	w.cancel("j-1") // called done for good
+	w.settle()
+}
--- a/internal/coordination/sim_test.go
+++ b/internal/coordination/sim_test.go
@@ -416,6 +416,8 @@
 	watches  []func() bool
 	down     bool
 	refuse   map[int]bool
+	// malformed says which transactions are called so; nil: none.
+	malformed func(protocol.Txn) bool
 }
 
 func (s *simState) change(key string, it *simItem) {
@@ -567,6 +569,10 @@
 	if len(t.Then) > 32 || len(t.If) > 128 || len(c.Body) > protocol.MaxBody {
 		s.w.breaks("a transaction over the limits: %d changes, %d conditions", len(t.Then), len(t.If))
 	}
+	if s.malformed != nil && s.malformed(t) {
+		reply(400, nil)
+		return
+	}
 	var failed []string
 	for _, cond := range t.If {
 		have := uint64(0)
--- a/internal/protocol/submission_test.go
+++ b/internal/protocol/submission_test.go
@@ -43,12 +43,26 @@
 	}
 }
 
+// Each field has to be there; those that may be null may also be left out.
+func TestMissingFields(t *testing.T) {
+	mayBeNull := map[string]bool{"flavours": true, "yard": true, "dueS": true, "later": true}
+	for field := range submission(nil) {
+		without := submission(nil)
+		delete(without, field)
+		for how, m := range map[string]map[string]any{"missing": without, "null": submission(map[string]any{field: nil})} {
+			if _, _, err := ParseSubmission(Encode(m)); (err == nil) != mayBeNull[field] {
+				t.Errorf("%s %s: %v", field, how, err)
+			}
+		}
+	}
+}
+
 func TestMalformedBodies(t *testing.T) {
 	deep := bytes.Repeat([]byte{0x91}, 60_000)
 	for name, body := range map[string][]byte{
 		"empty": nil, "text": []byte("hello"), "list": Encode([]int{1}), "cut": Encode(submission(nil))[:40],
 		"deep": deep, "deep pairs": bytes.Repeat([]byte{0x92, 0xc0}, 30_000), "huge array": {0xdd, 0xff, 0xff, 0xff, 0xff}, "huge map": {0xdf, 0xff, 0xff, 0xff, 0xff},
-		"large": make([]byte, MaxBody+1), "number keys": Encode(map[int]int{1: 2}),
+		"large": make([]byte, MaxBody+1), "bytes after the end": append(Encode(submission(nil)), 0xc0), "number keys": Encode(map[int]int{1: 2}),
 	} {
 		if _, s, err := ParseSubmission(body); err == nil || s != nil {
 			t.Errorf("%s was taken", name)
--- a/internal/sched/sched_test.go
+++ b/internal/sched/sched_test.go
@@ -469,3 +469,20 @@
 		t.Errorf("%v, want the two that were interrupted and three of the younger job", got)
 	}
 }
+
+// Room kept for expected work, and what batches leave of a limit, starve no batch:
+// one that has had no task anywhere for longer than a boot gets one, not more.
+func TestStarvedBatchTakesKeptRoom(t *testing.T) {
+	for _, starved := range []bool{false, true} {
+		expected := batch("~web", 8, func(j *Job) { j.Service, j.Phantom, j.Team = true, true, "" })
+		s := snap(machines(box, "a"), expected, batch("b", 3, func(j *Job) { j.Starved = starved }))
+		s.Teams["red"].Kept = Need{Cores: 100}
+		want := 0
+		if starved {
+			want = 1
+		}
+		if got := started(s.Fill())["b"]; got != want {
+			t.Errorf("starved %v: %d tasks started, want %d", starved, got, want)
+		}
+	}
+}
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -72,6 +72,37 @@
 	}
 }
 
+// fixed answers every request with the same reply.
+type fixed struct{ coordination.Reply }
+
+func (f fixed) Handle(_ coordination.Clock, ev coordination.Event) []coordination.Effect {
+	if q, ok := ev.(coordination.Request); ok {
+		f.ID = q.ID
+		return []coordination.Effect{f.Reply}
+	}
+	return nil
+}
+
+// An answer that was decided before a standstill, and is sent after the leader's
+// lease may have ended, is replaced: another leader may have told otherwise.
+func TestAnswerAfterAStandstill(t *testing.T) {
+	n := node(t)
+	n.start = time.Now().Add(-time.Minute) // what was decided is up to a minute old
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	n.core = fixed{coordination.Reply{Status: 404, Until: 30 * time.Second}}
+	go n.loop(ctx)
+	if w := send(n.userRoutes(), "GET", "/api/jobs/j-1", nil); w.Code != 503 || w.Header().Get("Retry-After") == "" {
+		t.Errorf("too late: %d, Retry-After %q", w.Code, w.Header().Get("Retry-After"))
+	}
+	m := node(t)
+	m.core = fixed{coordination.Reply{Status: 404, Until: time.Minute}}
+	go m.loop(ctx)
+	if w := send(m.userRoutes(), "GET", "/api/jobs/j-1", nil); w.Code != 404 {
+		t.Errorf("in time: %d", w.Code)
+	}
+}
+
 // A flood that the core can't follow is refused at once, with when to come
 // back, and the workers' queue stays open.
 func TestFlood(t *testing.T) {
