--- a/internal/coordination/guards_test.go
+++ b/internal/coordination/guards_test.go
@@ -301,7 +301,10 @@
 			return fate{}
 		}
 		lost = true
-		w.state.malformed = func(txn protocol.Txn) bool { return w.state.items[ledger.JobPrefix+"j-1"] != nil && len(txn.Then) > 1 }
+		w.state.malformed = func(txn protocol.Txn) bool {
+			return w.state.items[ledger.JobPrefix+"j-1"] != nil && len(txn.Then) > 0 && txn.Then[0].Put == ledger.JobPrefix+"j-1"
+		}
+		w.at(3*second, func() { w.state.malformed = nil })
 		return fate{answerLost: true}
 	}
 	w.submit("j-1", nil)
