Gangs run whole or not at all; limits to come are kept to from the start

Cause: the new shape "group" and an upgrade without downtime. Guards seen failing without: runs leave together, a gang in parts after a take-over, all told to stop, a lost task replaced under its number, the rest cleared, room for a starved gang, the team's limit for all of it, fewer stops of gangs. Not held by a test of its own: a task that has saved waits for the others (gang_peer_s on top of the leeway), and that a broken gang's lost tasks are not replaced meanwhile. Ruled out for now: stops to make room for a gang.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -44,6 +44,8 @@
 	ReportS float64 `json:"report_s"`
 	LeaseS  float64 `json:"lease_s"`
 	CancelS float64 `json:"cancel_s"`
+	// GangPeerS is how long tasks of a gang wait for one another when they stop.
+	GangPeerS float64 `json:"gang_peer_s"`
 }
 
 // State holds the state service's limits.
@@ -52,6 +54,32 @@
 	WriteRPS float64 `json:"write_rps"`
 	ValueKB  float64 `json:"value_kb"`
 	TxnOps   int     `json:"txn_ops"`
+	// Next are limits that will hold from some moment on, without notice.
+	Next *NextState `json:"next"`
+}
+
+// NextState holds limits to come; 0: as now.
+type NextState struct {
+	RPS      float64 `json:"rps"`
+	WriteRPS float64 `json:"write_rps"`
+	ValueKB  float64 `json:"value_kb"`
+	TxnOps   int     `json:"txn_ops"`
+}
+
+// Both is what holds now and later: the lower of each limit. It is written within
+// from the start, so that the moment of the change does not matter.
+func (s State) Both() State {
+	if n := s.Next; n != nil {
+		lower := func(now, next float64) float64 {
+			if next > 0 {
+				return min(now, next)
+			}
+			return now
+		}
+		s.RPS, s.WriteRPS, s.ValueKB = lower(s.RPS, n.RPS), lower(s.WriteRPS, n.WriteRPS), lower(s.ValueKB, n.ValueKB)
+		s.TxnOps = int(lower(float64(s.TxnOps), float64(n.TxnOps)))
+	}
+	return s
 }
 
 // Cloud holds the cloud's limits.
@@ -190,6 +218,10 @@
 		}
 	}
 	w, s, cl, r := c.Cluster.Workers, c.Cluster.State, c.Cluster.Cloud, c.Cluster.Resources
+	if n := s.Next; n != nil && !(n.RPS >= 0 && n.WriteRPS >= 0 && n.ValueKB >= 0 && n.TxnOps >= 0) {
+		return fmt.Errorf("settings: cluster.state.next: limits must be 0 or more")
+	}
+	both := s.Both()
 	g, f := c.Operator.Green, c.Operator.Fleet
 	for _, n := range []struct {
 		field    string
@@ -203,6 +235,11 @@
 		{"settings: cluster.state.write_rps", s.WriteRPS, 1, 1e9},
 		{"settings: cluster.state.value_kb", s.ValueKB, 1, 1e6},
 		{"settings: cluster.state.txn_ops", float64(s.TxnOps), 2, 1e6},
+		{"settings: cluster.state.next.rps", both.RPS, 5, 1e9},
+		{"settings: cluster.state.next.write_rps", both.WriteRPS, 1, 1e9},
+		{"settings: cluster.state.next.value_kb", both.ValueKB, 1, 1e6},
+		{"settings: cluster.state.next.txn_ops", float64(both.TxnOps), 2, 1e6},
+		{"settings: cluster.workers.gang_peer_s", w.GangPeerS, 0, 3600},
 		{"settings: cluster.cloud.rps", cl.RPS, 0.1, 1e9},
 		{"settings: cluster.cloud.list_lag_s", cl.ListLagS, 0, 3600},
 		{"settings: cluster.resources.cores", r.Cores, 0.001, 1e6},
@@ -263,5 +300,13 @@
 // ListLag is the cloud list's usual lag.
 func (c *Config) ListLag() time.Duration { return seconds(c.Cluster.Cloud.ListLagS) }
 
-// ValueBytes is the state service's limit on one value.
-func (c *Config) ValueBytes() int { return int(c.Cluster.State.ValueKB * 1024) }
+// ValueBytes is the state service's limit on one value, now and later.
+func (c *Config) ValueBytes() int { return int(c.Cluster.State.Both().ValueKB * 1024) }
+
+// LayoutBytes is what the layout of stored completions is computed from: the limit
+// as it was when the first were written, whatever it will be, as a key must not
+// change its meaning.
+func (c *Config) LayoutBytes() int { return int(c.Cluster.State.ValueKB * 1024) }
+
+// GangPeer is how long tasks of a gang wait for one another when they stop.
+func (c *Config) GangPeer() time.Duration { return seconds(c.Cluster.Workers.GangPeerS) }
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -79,3 +79,35 @@
 		t.Fatalf("coast %v, lease %v, leader's lease %v", c.Coast(), c.Lease(), c.LeaderTTL())
 	}
 }
+
+// Limits to come are lower or not there; what is lower holds from the start.
+func TestLimitsToCome(t *testing.T) {
+	next := func(v any) func(map[string]any) {
+		return func(m map[string]any) { m["cluster"].(map[string]any)["state"].(map[string]any)["next"] = v }
+	}
+	for _, tc := range []struct {
+		next        any
+		bytes, txns int
+		writes      float64
+	}{
+		{nil, 16 << 10, 32, 50},
+		{map[string]any{}, 16 << 10, 32, 50},
+		{map[string]any{"value_kb": 2.0, "txn_ops": 8, "write_rps": 42.0, "later": 1}, 2 << 10, 8, 42},
+		{map[string]any{"value_kb": 64.0}, 16 << 10, 32, 50},
+	} {
+		c, err := Parse(platform(t, next(tc.next)), nil)
+		if err != nil {
+			t.Errorf("%v: %v", tc.next, err)
+			continue
+		}
+		both := c.Cluster.State.Both()
+		if c.ValueBytes() != tc.bytes || both.TxnOps != tc.txns || both.WriteRPS != tc.writes || c.LayoutBytes() != 16<<10 {
+			t.Errorf("%v: %d bytes, %+v, layout %d", tc.next, c.ValueBytes(), both, c.LayoutBytes())
+		}
+	}
+	for field, v := range map[string]any{"txn_ops": 1, "value_kb": -1.0, "write_rps": 0.5} {
+		if _, err := Parse(platform(t, next(map[string]any{field: v})), nil); err == nil || !strings.Contains(err.Error(), "state.next") {
+			t.Errorf("%s %v: %v", field, v, err)
+		}
+	}
+}
--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -59,7 +59,7 @@
 
 // New makes a core. Random numbers are injected so that failures replay.
 func New(cfg *config.Config, rng *rand.Rand, log *slog.Logger) *Core {
-	st := cfg.Cluster.State
+	st := cfg.Cluster.State.Both()
 	return &Core{cfg: cfg, rng: rng, log: log, calls: map[uint64]func(Result){},
 		incarnation: fmt.Sprintf("%016x", rng.Uint64()),
 		// Until it hears of a leader, a new process stands in for it: one that
--- /dev/null
+++ b/internal/coordination/gang_test.go
@@ -0,0 +1,293 @@
+package coordination
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"claybarrow/internal/ledger"
+	"claybarrow/internal/protocol"
+)
+
+func group(shards int, cores float64, change map[string]any) map[string]any {
+	m := map[string]any{"shape": "group", "shards": shards, "cores": cores, "saveEveryS": 5.0, "saveTakesS": 2.0}
+	for k, v := range change {
+		m[k] = v
+	}
+	return m
+}
+
+// A gang for which there is room in part only waits whole, and runs once there is
+// room for all of it.
+func TestGangRunsWholeOrNotAtAll(t *testing.T) {
+	w := newWorld(t, 90)
+	w.submit("j-1", map[string]any{"shape": "service", "cores": 4.0})
+	w.until(60*second, "the replica runs", func() bool { return w.running("j-1") == 1 })
+	w.cloud.down = true // nothing else can be rented
+	w.submit("j-2", group(3, 2, nil))
+	for range 40 {
+		w.run(second)
+		if n := w.running("j-2"); n > 0 {
+			t.Fatalf("%d tasks of a gang of 3 are on machines", n)
+		}
+	}
+	w.cancel("j-1")
+	w.awaitTold(90*second, "j-2", protocol.Done)
+	if w.wholes["j-2"] != 1 {
+		t.Errorf("the gang began %d times", w.wholes["j-2"])
+	}
+	w.settle()
+}
+
+// A machine with a task of a running gang dies: what is left is cleared, and the
+// gang begins again, whole.
+func TestGangBeginsAgainAfterALoss(t *testing.T) {
+	w := newWorld(t, 91)
+	w.submit("j-1", group(4, 4, nil)) // two machines
+	w.until(60*second, "it runs", func() bool { return w.wholes["j-1"] == 1 })
+	w.run(3 * second)
+	for _, k := range w.fleet() {
+		if len(k.tasks) > 0 {
+			k.die()
+			break
+		}
+	}
+	w.until(60*second, "it has begun again", func() bool { return w.wholes["j-1"] == 2 })
+	w.awaitTold(60*second, "j-1", protocol.Done)
+	w.settle()
+}
+
+// A gang over two machines has to leave one of them: all its tasks are told within
+// gang_peer_s, with time enough to save.
+func TestGangStopsWhole(t *testing.T) {
+	w := newWorld(t, 92)
+	w.runs = func(string) time.Duration { return 60 * second }
+	w.submit("j-1", group(4, 4, nil))
+	w.until(60*second, "it runs", func() bool { return w.wholes["j-1"] == 1 })
+	w.run(2 * second)
+	for _, k := range w.fleet() {
+		if len(k.tasks) > 0 {
+			k.mute = true
+			break
+		}
+	}
+	w.until(20*second, "it is told to stop", func() bool { return len(w.halts["j-1"]) > 0 })
+	w.run(5 * second)
+	told := w.halts["j-1"]
+	if len(told) != 4 {
+		t.Fatalf("%d of 4 tasks were told to stop", len(told))
+	}
+	for _, h := range told {
+		if h.at > told[0].at+5*second || h.grace < 2 {
+			t.Errorf("told %v after the first, with %v s", h.at-told[0].at, h.grace)
+		}
+	}
+	w.until(60*second, "it has begun again", func() bool { return w.wholes["j-1"] == 2 })
+	w.awaitTold(90*second, "j-1", protocol.Done)
+	w.settle()
+}
+
+// Leaders end at any moment of a gang's start: it runs whole all the same, never in
+// parts under two attempts.
+func TestGangStartsAcrossLeaders(t *testing.T) {
+	for seed := range uint64(16) {
+		w := newWorld(t, 93)
+		w.submit("j-0", map[string]any{"shape": "service", "shards": 2, "cores": 2.0, "apart": true})
+		w.until(60*second, "machines are up", func() bool { return w.running("j-0") == 2 })
+		lead := w.awaitLeader()
+		w.submit("j-1", group(4, 2, nil))
+		w.run(time.Duration(seed) * 3 * time.Millisecond)
+		w.crash(lead)
+		w.at(2*second, func() { w.boot(lead) })
+		w.awaitTold(120*second, "j-1", protocol.Done)
+		w.settle()
+	}
+}
+
+// Two gangs that each need more than half of what there is run one after the
+// other, and small ones that keep coming do not starve them.
+func TestGangsTakeTurns(t *testing.T) {
+	w := newWorld(t, 94)
+	w.runs = func(string) time.Duration { return 8 * second }
+	w.submit("j-1", map[string]any{"shape": "service", "cores": 1.0, "owner": "blue"})
+	w.until(60*second, "a machine is up", func() bool { return w.running("j-1") == 1 })
+	w.cloud.down = true
+	w.submit("j-2", group(5, 1, nil))
+	w.submit("j-3", group(5, 1, map[string]any{"owner": "blue"}))
+	for i := range 8 {
+		w.submit(fmt.Sprintf("j-4%d", i), group(2, 1, nil))
+		w.run(5 * second)
+	}
+	w.awaitTold(60*second, "j-2", protocol.Done)
+	w.awaitTold(60*second, "j-3", protocol.Done)
+	w.settle()
+}
+
+// A gang is checked like other jobs, and its team's limit bounds all of it.
+func TestOddGangs(t *testing.T) {
+	w := newWorld(t, 95)
+	w.awaitLeader()
+	w.run(5 * second)
+	for uid, tc := range map[string]struct {
+		change map[string]any
+		status int
+	}{
+		"j-1": {group(5, 8, nil), 422}, // 40 of 32 cores
+		"j-2": {group(4, 8, nil), 201},
+		"j-3": {group(2, 9, nil), 422},
+		"j-4": {group(0, 1, nil), 400},
+		"j-5": {group(2, 1, map[string]any{"owner": "green"}), 422},
+	} {
+		w.spec(uid, tc.change)
+		w.invalid[uid] = tc.status >= 400
+		w.user(w.awaitLeader(), OpSubmit, uid, func(status int, _ protocol.Standing) {
+			if status != tc.status {
+				t.Errorf("%v: %d, want %d", tc.change, status, tc.status)
+			}
+		})
+		w.run(second)
+	}
+	w.settle()
+}
+
+// An old version led for a while and started a gang's tasks as if they were an
+// array's, under numbers of their own: they are cleared, and it runs whole.
+func TestGangInPartsFromAnOldVersion(t *testing.T) {
+	w := newWorld(t, 96)
+	w.submit("j-1", map[string]any{"shape": "service", "shards": 2, "cores": 4.0, "apart": true})
+	w.until(60*second, "machines are up", func() bool { return w.running("j-1") == 2 })
+	w.specs["j-2"] = w.spec("j-2", group(2, 1, nil))
+	_, spec, err := protocol.ParseSubmission(protocol.Encode(w.specs["j-2"]))
+	if err != nil {
+		t.Fatal(err)
+	}
+	w.state.items[ledger.JobPrefix+"j-2"] = &simItem{version: 1, value: protocol.Encode(ledger.JobRecord{Submitted: 1, Spec: spec})}
+	w.noteAnswer("j-2")
+	try := uint64(1 << 20)
+	for i, k := range w.fleet() {
+		it := w.state.items[ledger.MachinePrefix+k.id]
+		var rec ledger.MachineRecord
+		if it == nil || i > 1 || protocol.Decode(it.value, &rec) != nil {
+			continue
+		}
+		try++
+		rec.Attempts = append(rec.Attempts, ledger.AttemptEntry{Job: "j-2", Index: i, Try: try})
+		it.value = protocol.Encode(rec)
+		k.tasks[fmt.Sprintf("j-2/%d@%d", i, try)] = &simTask{uid: "j-2", try: try, state: protocol.Gathering}
+	}
+	w.bounce(w.awaitLeader(), second)
+	w.awaitTold(120*second, "j-2", protocol.Done)
+	w.settle()
+}
+
+// A task is lost while the others still wait for their images: it is replaced
+// under the same attempt, and the gang begins once.
+func TestGangReplacesALostTask(t *testing.T) {
+	w := newWorld(t, 97)
+	w.submit("j-0", map[string]any{"shape": "service", "shards": 3, "cores": 6.0})
+	w.until(60*second, "machines are up", func() bool { return w.running("j-0") == 3 })
+	w.pulls = func(task string) time.Duration { return 12 * second }
+	w.submit("j-1", group(2, 2, nil))
+	try := func() (out uint64) {
+		for _, k := range w.fleet() {
+			for _, task := range k.tasks {
+				if task.uid == "j-1" && !k.gone {
+					out = max(out, task.try)
+				}
+			}
+		}
+		return out
+	}
+	w.until(10*second, "it is pulling", func() bool { return try() > 0 })
+	w.run(second)
+	first := try()
+	for _, k := range w.fleet() {
+		if _, here := k.tasks[fmt.Sprintf("j-1/0@%d", first)]; here {
+			k.die()
+		}
+	}
+	w.pulls = nil
+	w.until(60*second, "it runs", func() bool { return w.wholes["j-1"] == 1 })
+	if try() != first {
+		t.Errorf("attempt %d, first %d", try(), first)
+	}
+	w.awaitTold(60*second, "j-1", protocol.Done)
+	w.settle()
+}
+
+// A gang's places take several transactions, and the state service is down after
+// the first of them: no part of the gang is started.
+func TestGangWaitsForAllItsPlaces(t *testing.T) {
+	w := newWorld(t, 98)
+	for _, cfg := range w.cfgs {
+		cfg.Cluster.State.TxnOps = 3
+	}
+	w.submit("j-0", map[string]any{"shape": "service", "shards": 4, "cores": 4.0})
+	w.submit("j-9", map[string]any{"shape": "service", "shards": 2, "cores": 4.0, "owner": "blue"})
+	w.until(60*second, "machines are up", func() bool { return w.running("j-0") == 4 && w.running("j-9") == 2 })
+	w.cancel("j-0")
+	w.cancel("j-9")
+	w.until(2*second, "they are empty", func() bool { return w.running("j-0")+w.running("j-9") == 0 })
+	written := false
+	w.script = func(_ int, c Call) fate {
+		var txn protocol.Txn
+		if c.Path == "/multi" && !written && protocol.Decode(c.Body, &txn) == nil {
+			for _, ch := range txn.Then {
+				if rec, ok := ch.Value.(map[string]any); ok && rec["t"] != nil && ch.Put[:2] == ledger.MachinePrefix {
+					written = true
+					w.at(2*latency, func() { w.state.outage(20 * second) })
+				}
+			}
+		}
+		return fate{}
+	}
+	w.submit("j-1", group(4, 6, nil)) // a machine each
+	w.until(30*second, "a part of it is written", func() bool { return written })
+	for range 18 {
+		w.run(second)
+		if n := w.running("j-1"); n > 0 && n < 4 {
+			t.Fatalf("%d of 4 tasks are on machines", n)
+		}
+	}
+	w.script = nil
+	w.awaitTold(120*second, "j-1", protocol.Done)
+	w.settle()
+}
+
+// A task of a gang that gathers is lost with the leader: what is left is cleared as
+// soon as that is known, not when the workers give it up.
+func TestGangIsClearedAfterATakeOver(t *testing.T) {
+	w := newWorld(t, 99)
+	w.submit("j-0", map[string]any{"shape": "service", "shards": 3, "cores": 6.0})
+	w.until(60*second, "machines are up", func() bool { return w.running("j-0") == 3 })
+	w.pulls = func(task string) time.Duration { return 6 * second }
+	w.submit("j-1", group(2, 2, nil))
+	at := func(k *simWorker) bool {
+		for _, task := range k.tasks {
+			if task.uid == "j-1" {
+				return true
+			}
+		}
+		return false
+	}
+	w.until(10*second, "it is pulling", func() bool {
+		n := 0
+		for _, k := range w.fleet() {
+			if at(k) {
+				n++
+			}
+		}
+		return n == 2
+	})
+	for _, k := range w.fleet() {
+		if at(k) {
+			k.die()
+			break
+		}
+	}
+	w.crash(w.awaitLeader())
+	w.pulls = nil
+	w.until(32*second, "it runs", func() bool { return w.wholes["j-1"] == 1 })
+	w.awaitTold(60*second, "j-1", protocol.Done)
+	w.settle()
+}
--- a/internal/coordination/meetings_test.go
+++ b/internal/coordination/meetings_test.go
@@ -80,6 +80,8 @@
 	w.submit("j-s3", map[string]any{"shape": "service", "shards": 1, "cores": 4.0, "yard": "b"})
 	w.submit("j-b1", map[string]any{"shards": 4, "cores": 2.0, "saveEveryS": 10.0, "saveTakesS": 4.0, "borrowed": true})
 	w.submit("j-b22", map[string]any{"shards": 3, "cores": 2.0, "owner": "blue", "together": true})
+	w.submit("j-g1", map[string]any{"shape": "group", "shards": 3, "cores": 1.0, "together": true, "saveEveryS": 5.0, "saveTakesS": 2.0})
+	w.submit("j-g2", map[string]any{"shape": "group", "shards": 2, "cores": 1.0, "owner": "blue", "rank": "high"})
 	w.submit("j-b333", map[string]any{"shards": 2, "cores": 1.0, "yard": "a"})
 	w.until(90*second, "all services run", func() bool {
 		return w.running("j-s1") == 2 && w.running("j-s2") == 2 && w.running("j-s3") == 1 && w.running("j-b1") > 0
@@ -603,6 +605,7 @@
 			}
 			w.cancelSome([]string{"j-s1", "j-s2", "j-b1", "j-b22"}[w.rng.IntN(4)])
 			w.submit("j-n1", map[string]any{"shards": 2, "cores": 2.0})
+			w.submit("j-n2", map[string]any{"shape": "group", "shards": 3, "cores": 1.0, "apart": w.rng.IntN(2) == 0})
 			w.run(w.ms(5000, 60_000))
 			w.settle()
 		})
--- a/internal/coordination/schedule.go
+++ b/internal/coordination/schedule.go
@@ -85,11 +85,16 @@
 
 func schedJob(j *ledger.Job) *sched.Job {
 	s := j.Spec
-	return &sched.Job{ID: s.UID, Class: s.Class, Team: s.Team, Image: s.Image, ImageGB: s.ImageGB, Service: s.Service,
+	sj := &sched.Job{ID: s.UID, Class: s.Class, Team: s.Team, Image: s.Image, ImageGB: s.ImageGB, Service: s.Service,
 		Priority: int(s.Priority), Submitted: j.Submitted, Need: j.Need, SaveS: s.SaveS, Spot: s.Spot, Types: j.Types,
 		Zone: s.Zone, OneZone: s.OneZone, Spread: s.Spread, Tasks: s.Tasks,
 		Held: j.HeldTotal, Upper: j.Scale.Upper && !s.Service, Slots: j.Scale.Slots,
 		Attained: j.Scale.Attained, Degradation: j.Scale.Degr}
+	if s.Gang {
+		// Gangs skip the upper queue, with degradation 1, and have no slots.
+		sj.Gang, sj.Upper, sj.Slots, sj.Degradation = true, false, s.Tasks, 1
+	}
+	return sj
 }
 
 // snapshot renders the books for the scheduler. Waiting tasks are listed only
@@ -254,12 +259,21 @@
 	}
 	s.Jobs = append(s.Jobs, r.expected()...)
 	s.Jobs = append(s.Jobs, r.doubles()...)
+	tries := map[*ledger.Job]uint64{} // a gang's tasks have one number
 	for _, p := range s.Fill() {
-		r.start(r.Jobs[p.Job.ID], p.Index, r.Machines[p.Machine.ID])
+		j := r.Jobs[p.Job.ID]
+		switch {
+		case j.Spec.Gang && tries[j] != 0:
+		case j.Spec.Gang && len(j.Gang) > 0:
+			tries[j] = j.Gang[0].Try // it replaces a lost task while the others gather
+		default:
+			tries[j] = r.nextTry()
+		}
+		r.start(j, p.Index, r.Machines[p.Machine.ID], tries[j])
 	}
 }
 
-func (r *term) start(j *ledger.Job, index int, m *ledger.Machine) {
+func (r *term) start(j *ledger.Job, index int, m *ledger.Machine, try uint64) {
 	c := r.c
 	if cl := r.claims[m.ID]; cl.job == j.Spec.UID {
 		if cl.tasks--; cl.tasks > 0 {
@@ -268,7 +282,7 @@
 			delete(r.claims, m.ID)
 		}
 	}
-	a := r.Put(m, j, index, r.nextTry(), c.now)
+	a := r.Put(m, j, index, try, c.now)
 	c.log.Debug("start", "task", a.Key().Task, "try", a.Try, "machine", m.ID)
 	r.record(m, writeStart, func() {
 		if m.Attempts[a.Key()] != a {
@@ -280,6 +294,11 @@
 			return
 		}
 		r.kick(m)
+		if j.Spec.Gang && j.Whole() {
+			for _, mate := range j.Gang {
+				r.kick(mate.Machine)
+			}
+		}
 	})
 }
 
@@ -295,7 +314,7 @@
 func (r *term) round() {
 	c := r.c
 	for _, j := range r.Jobs {
-		if !j.Spec.Service {
+		if !j.Spec.Service && !j.Spec.Gang {
 			j.Scale.Round(j.Done, j.Spec.Tasks, c.cfg.Operator.Green.Gamma)
 		}
 	}
@@ -470,7 +489,7 @@
 		if !service {
 			settled *= 0.7
 		}
-		if a.Job.Cancelling || a.Halt || a.State != protocol.Running || r.c.now < a.Since+seconds(settled) ||
+		if a.Job.Spec.Gang || a.Job.Cancelling || a.Halt || a.State != protocol.Running || r.c.now < a.Since+seconds(settled) ||
 			(!service && (a.Job.Spec.CheckpointS <= 0 || free < 0.5)) {
 			return nil
 		}
--- a/internal/coordination/store.go
+++ b/internal/coordination/store.go
@@ -110,7 +110,7 @@
 func (r *term) compose() *txn {
 	c := r.c
 	// One change is left to the leader key.
-	most := min(c.cfg.Cluster.State.TxnOps-1, r.most)
+	most := min(c.cfg.Cluster.State.Both().TxnOps-1, r.most)
 	t := &txn{made: c.now}
 	t.body.If = []protocol.Condition{{Key: keyLeader, Version: r.version}}
 	size := 1024
--- a/internal/coordination/term.go
+++ b/internal/coordination/term.go
@@ -73,7 +73,7 @@
 func newTerm(c *Core, token, lease, version uint64, confirmed time.Duration) *term {
 	r := &term{c: c, token: token, lease: lease, version: version, confirmed: confirmed, since: c.now,
 		renewAt:    c.now + c.cfg.LeaderTTL()/8,
-		Books:      ledger.New(c.cfg.ValueBytes()),
+		Books:      ledger.New(c.cfg.LayoutBytes()),
 		proposals:  map[string]*proposal{},
 		cancels:    map[string][]asker{},
 		arrivals:   map[string]*arrivals{},
@@ -199,7 +199,7 @@
 	for _, m := range r.machines() {
 		m.Size = r.sizeOf(m.Type)
 		for _, a := range m.Sorted() {
-			if a.Job.IsDone(a.Index) || a.Job.Cancelling || r.newerElsewhere(a) {
+			if a.Job.IsDone(a.Index) || a.Job.Cancelling || a.Job.Spec.Gang && !a.Job.Whole() || r.newerElsewhere(a) {
 				r.halt(a, 0, "not wanted after the take-over")
 			}
 		}
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -299,7 +299,7 @@
 		return "a task fits no allowed machine type"
 	}
 	whole := need
-	if s.Service {
+	if s.Service || s.Gang {
 		whole = need.Times(float64(s.Tasks))
 	}
 	if !(&sched.Team{Limit: team.Limit}).InLimit(whole) {
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -253,6 +253,16 @@
 			break
 		}
 		m.Images[j.Spec.Image] = true
+		if j.Spec.Gang {
+			// If one task is done, all are; what tells so is kept until it is durable.
+			for i := range j.Spec.Tasks {
+				j.MarkDone(i)
+			}
+			g.Ready = false
+			r.finish(j)
+			r.mark(ledger.JobPrefix+uid, writeUser, func() any { return j.Record() }, func() { g.Ready = true })
+			break
+		}
 		if j.MarkDone(index) || !j.Finishing {
 			g.Ready = false
 			ready := func() { g.Ready = true }
@@ -268,7 +278,11 @@
 	case protocol.CauseNoRoom, protocol.CauseBusy:
 		// The machine knows better than the books: leave it alone a moment.
 		m.AsideUntil = max(m.AsideUntil, c.now+c.cfg.Report())
-	case protocol.CauseHalted:
+	case protocol.CauseHalted, protocol.CauseMatesGone:
+	case protocol.CauseIncomplete:
+		if c.now >= j.NotBefore {
+			r.backOff(j) // once for all its tasks
+		}
 	default:
 		r.backOff(j)
 	}
@@ -322,6 +336,11 @@
 		j.Interrupted(a.Index)
 	}
 	r.settleCancel(j)
+	if why == protocol.CauseIncomplete || why == protocol.CauseMatesGone || a.Halt || !j.Gathering() {
+		// Otherwise the rest still gathers: the task starts anew under its number, as
+		// its old place is proved empty and no run can be on its way there.
+		r.haltMates(a, 0, "a task of its gang is gone")
+	}
 	if m.Recorded {
 		r.record(m, writeLazy, nil)
 	}
@@ -348,12 +367,29 @@
 		a.HaltSent = 0
 	}
 	a.Halt, a.Grace = true, grace
+	if a.Job.Spec.Gang && grace > 0 {
+		a.Grace += r.c.cfg.GangPeer().Seconds() // a task that has saved waits for the others
+	}
 	r.c.log.Debug("halt", "task", a.Key().Task, "try", a.Try, "machine", a.Machine.ID, "why", why)
 	if a.Durable && !a.Sent {
 		r.gone(a, "never sent")
-		return
+	} else {
+		r.kick(a.Machine)
+	}
+	r.haltMates(a, grace, why)
+}
+
+// haltMates has the rest of a gang stopped with one of its tasks: it stops whole,
+// and its progress is saved only if all are told within gang_peer_s.
+func (r *term) haltMates(a *ledger.Attempt, grace float64, why string) {
+	if a.Job.Finishing {
+		return // one is done, so all are
+	}
+	for _, mate := range slices.Clone(a.Job.Gang) {
+		if mate != a && mate.Try == a.Try && !mate.Halt {
+			r.halt(mate, grace, why)
+		}
 	}
-	r.kick(a.Machine)
 }
 
 // nothingToSay tells most machines of a fleet apart without any list being made:
@@ -382,7 +418,9 @@
 	for _, a := range m.Sorted() {
 		key := a.Key()
 		run := protocol.Command{Verb: protocol.VerbRun, Task: key.Task, Attempt: a.Try}
-		mayRun := a.Durable && !a.Acked && !a.Loaded && !m.Returning && r.certain()
+		mayRun := a.Durable && !a.Acked && !a.Loaded && !m.Returning && r.certain() &&
+			// A gang's runs leave together, once all its places are durable.
+			(!a.Job.Spec.Gang || a.Halt || a.Job.Whole())
 		if a.Halt {
 			if a.State == protocol.Saving && c.now < a.HaltSent+seconds(a.Grace)+2*again {
 				continue
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -41,6 +41,8 @@
 	Running   int
 	firstOpen int
 	resume    map[int]bool // interrupted tasks, which go on first
+	// Gang holds a gang's attempts, wherever they may be.
+	Gang []*Attempt
 
 	// HungryAt is since when it has waited with no task anywhere, 0: it does not.
 	HungryAt time.Duration
@@ -72,7 +74,9 @@
 	Since             time.Duration
 	// Halt: it is to be stopped. Grace is what it has for saving.
 	// Yielded: a round stopped it for work that ranks before it.
+	// Began: it was seen running, or on its way out.
 	Halt     bool
+	Began    bool
 	Yielded  bool
 	HaltSent time.Duration
 	Grace    float64
@@ -99,6 +103,7 @@
 		a.Job.Running++
 	}
 	a.State = s
+	a.Began = a.Began || s != protocol.Pulling && s != protocol.Gathering && s != ""
 }
 
 // Gone is an exited attempt that the worker still reports and that is to be
@@ -243,6 +248,16 @@
 	if j.Cancelling || j.Finishing {
 		return nil, 0
 	}
+	if j.Spec.Gang {
+		// It starts whole, and only when all of the attempt before is proved gone; a
+		// task that was lost while the others still gather is replaced.
+		for i := 0; (j.HeldTotal == 0 || j.Gathering()) && i < j.Spec.Tasks; i++ {
+			if j.held[i] == 0 {
+				out = append(out, i)
+			}
+		}
+		return out, 0
+	}
 	for _, i := range slices.Sorted(maps.Keys(j.resume)) {
 		if len(out) < limit && !j.IsDone(i) && j.held[i] == 0 {
 			out = append(out, i)
@@ -297,6 +312,9 @@
 	delete(j.resume, index)
 	j.inZone[m.Zone]++
 	j.HeldTotal++
+	if j.Spec.Gang {
+		j.Gang = append(j.Gang, a)
+	}
 	if t := b.Teams[j.Spec.Team]; t != nil {
 		t.Used = t.Used.Plus(j.Need)
 	}
@@ -316,6 +334,7 @@
 	}
 	j.inZone[m.Zone]--
 	j.HeldTotal--
+	j.Gang = slices.DeleteFunc(j.Gang, func(o *Attempt) bool { return o == a })
 	a.SetState("")
 	if t := b.Teams[j.Spec.Team]; t != nil {
 		t.Used = t.Used.Minus(j.Need)
@@ -396,6 +415,28 @@
 	Degr       float64
 }
 
+// Whole says whether a gang's attempts are one of each task, all under the same
+// number, durable and none of them to be stopped: only then may any of them run.
+func (j *Job) Whole() bool {
+	for _, a := range j.Gang {
+		if a.Try != j.Gang[0].Try || !a.Durable || a.Halt {
+			return false
+		}
+	}
+	return len(j.Gang) == j.Spec.Tasks && len(j.held) == j.Spec.Tasks
+}
+
+// Gathering says whether a gang's attempt has not begun to run, as far as known, and
+// may go on: all there is of it is durable, started by this leader and to be kept.
+func (j *Job) Gathering() bool {
+	for _, a := range j.Gang {
+		if a.Try != j.Gang[0].Try || !a.Durable || a.Loaded || a.Halt || a.Began {
+			return false
+		}
+	}
+	return len(j.Gang) > 0
+}
+
 // Record renders a job.
 func (j *Job) Record() JobRecord {
 	switch {
--- /dev/null
+++ b/internal/protocol/peers_test.go
@@ -0,0 +1,42 @@
+package protocol
+
+import (
+	"encoding/hex"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// What controllers of the version in production send one another, byte by byte:
+// read as it was meant, and written the same.
+func TestPeerMessagesOfTheProductionVersion(t *testing.T) {
+	for name, tc := range map[string]struct {
+		wrote      string
+		want, into any
+	}{
+		"heartbeat":       {"a601626e3102626162030704090520060c", &Heartbeat{From: "n1", Incarnation: "ab", Token: 7, LeaderClock: 9, ServedMS: -1, UptimeMS: 12}, &Heartbeat{}},
+		"heartbeat reply": {"a301626e3002070309", &HeartbeatReply{Leader: "n0", Token: 7, LeaderClock: 9}, &HeartbeatReply{}},
+		"relay":           {"a301667375626d697402636a2d3103420102", &Relay{Op: "submit", UID: "j-1", Body: []byte{1, 2}}, &Relay{}},
+		"relay reply":     {"a3011901f70241010301", &RelayReply{Status: 503, Body: []byte{1}, RetryAfter: 1}, &RelayReply{}},
+	} {
+		raw, err := hex.DecodeString(tc.wrote)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := DecodePeer(raw, tc.into); err != nil {
+			t.Errorf("%s: %v", name, err)
+			continue
+		}
+		if diff := cmp.Diff(tc.want, tc.into); diff != "" {
+			t.Errorf("%s is read as (-want +got):\n%s", name, diff)
+		}
+		if got := hex.EncodeToString(EncodePeer(tc.want)); got != tc.wrote {
+			t.Errorf("%s is written as %s", name, got)
+		}
+	}
+	// Fields that are not known yet do no harm.
+	var h Heartbeat
+	if err := DecodePeer(EncodePeer(map[int]any{1: "n1", 2: "ab", 5: -1, 99: "later"}), &h); err != nil || h.From != "n1" {
+		t.Errorf("a later version's heartbeat: %+v, %v", h, err)
+	}
+}
--- a/internal/protocol/wire.go
+++ b/internal/protocol/wire.go
@@ -16,16 +16,20 @@
 
 // Task and exit states of the workers.
 const (
-	Pulling = "pulling"
-	Running = "running"
-	Saving  = "saving"
-	Exited  = "exited"
+	Pulling   = "pulling"
+	Gathering = "gathering" // of a gang: waits for the other tasks of its attempt
+	Running   = "running"
+	Saving    = "saving"
+	Exited    = "exited"
 
 	CauseDone   = "done"
 	CauseHalted = "halted"
 	CauseError  = "error"
 	CauseNoRoom = "no_room"
 	CauseBusy   = "busy"
+	// Of a gang: another task of it is gone, and it was not complete in time.
+	CauseMatesGone  = "mates_gone"
+	CauseIncomplete = "incomplete"
 )
 
 // Verbs of commands.
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -5,6 +5,7 @@
 package sched
 
 import (
+	"cmp"
 	"maps"
 	"math"
 	"slices"
@@ -70,6 +71,7 @@
 	ID, Class, Team, Image string
 	ImageGB, AimS          float64 // AimS: the users' shortest aim for a start, 0: none
 	Service                bool
+	Gang                   bool // all its tasks are placed, or none
 	Priority               int
 	Submitted              int64
 	Need                   Need
@@ -223,13 +225,14 @@
 	// Room kept for what may come, or left of a limit, is no reason for a batch to
 	// go without a single task for as long as there is no other.
 	for _, j := range s.Jobs {
-		if t := s.Teams[j.Team]; j.Starved && !j.Service && j.Held == 0 && len(j.Waiting) > 0 && t != nil && t.InLimit(j.Need) {
+		if t := s.Teams[j.Team]; j.Starved && !j.Service && !j.Gang && j.Held == 0 && len(j.Waiting) > 0 && t != nil && t.InLimit(j.Need) {
 			if m := s.best(j); m != nil {
 				out = append(out, Placement{j, j.Waiting[0], m})
 				s.take(j, m)
 			}
 		}
 	}
+	out = s.feedGangs(out)
 	for _, j := range s.Jobs {
 		if j.Phantom {
 			s.reserve(j)
@@ -265,6 +268,14 @@
 			if j.Service {
 				continue
 			}
+			if j.Gang {
+				if pass < 2 {
+					out = s.placeGang(out, j, func(t *Team, whole Need) bool {
+						return t.InLimit(whole.Plus(t.Kept)) && (pass == 1 || t.InGuarantee(whole))
+					})
+				}
+				continue
+			}
 			if j.Upper && pass == 1 {
 				upper += Share(j.Need, s.Capacity) * float64(min(j.Slots, j.Tasks))
 			}
@@ -302,6 +313,103 @@
 	return out
 }
 
+// feedGangs places gangs that have waited for longer than a boot, the oldest first.
+// What there is of the room for one that does not fit is held back from all others:
+// small jobs would take it again and again. Nothing of that outlives the snapshot,
+// so gangs can't block one another.
+func (s *Snapshot) feedGangs(out []Placement) []Placement {
+	var starved []*Job
+	for _, j := range s.Jobs {
+		if j.Gang && j.Starved && len(j.Waiting) > 0 {
+			starved = append(starved, j)
+		}
+	}
+	slices.SortStableFunc(starved, func(a, b *Job) int { return cmp.Compare(a.Submitted, b.Submitted) })
+	inLimit := func(t *Team, whole Need) bool { return t.InLimit(whole) }
+	for _, j := range starved {
+		if t := s.Teams[j.Team]; t == nil || !t.InLimit(j.Need.Times(float64(len(j.Waiting)))) {
+			continue // its team's own work has to end first
+		}
+		before := len(out)
+		if out = s.placeGang(out, j, inLimit); len(out) == before {
+			s.reserve(j)
+			j.Waiting = nil
+		}
+	}
+	return out
+}
+
+// placeGang starts all tasks of a gang, or none: in one zone after the other if
+// they must be together, as the best place for the first may have no room for all.
+func (s *Snapshot) placeGang(out []Placement, j *Job, may func(*Team, Need) bool) []Placement {
+	team := s.Teams[j.Team]
+	if len(j.Waiting) == 0 || team == nil || !may(team, j.Need.Times(float64(len(j.Waiting)))) {
+		return out
+	}
+	if !j.OneZone || j.Zone != "" {
+		got, _ := s.tryGang(j)
+		return append(out, got...)
+	}
+	defer func() { j.Zone = "" }()
+	for _, j.Zone = range s.zonesFor(j) {
+		if got, ok := s.tryGang(j); ok {
+			return append(out, got...)
+		}
+	}
+	return out
+}
+
+// tryGang places all waiting tasks of a gang, or takes everything back.
+func (s *Snapshot) tryGang(j *Job) ([]Placement, bool) {
+	var out []Placement
+	waiting, held := j.Waiting, j.Held
+	type before struct {
+		m        *Machine
+		used     bool
+		fetching bool
+	}
+	var undo []before
+	for len(j.Waiting) > 0 {
+		m := s.best(j)
+		if m == nil {
+			for _, b := range slices.Backward(undo) {
+				b.m.Free, b.m.Used = b.m.Free.Plus(j.Need), b.used
+				b.m.Room++
+				if !b.fetching {
+					delete(b.m.Fetching, j.Image)
+				}
+				j.InZone[b.m.Zone]--
+				if t := s.Teams[j.Team]; t != nil {
+					t.Used = t.Used.Minus(j.Need)
+				}
+			}
+			j.Waiting, j.Held = waiting, held
+			return nil, false
+		}
+		undo = append(undo, before{m, m.Used, m.Fetching[j.Image]})
+		out = append(out, Placement{j, j.Waiting[0], m})
+		s.take(j, m)
+	}
+	return out, true
+}
+
+// zonesFor lists the zones that may hold the whole gang, those with the most room
+// for it first.
+func (s *Snapshot) zonesFor(j *Job) []string {
+	room := map[string]int{}
+	for _, m := range s.Machines {
+		if (m.For == "" || m.For == j.ID) && j.AllowedOn(m.Type.Name, m.Zone, m.Spot) {
+			if n := min(perMachine(j.Need, m.Free), float64(m.Room)); n >= 1 {
+				room[m.Zone] += int(min(n, 1e6))
+			}
+		}
+	}
+	zones := slices.Sorted(maps.Keys(room))
+	zones = slices.DeleteFunc(zones, func(z string) bool { return room[z] < len(j.Waiting) })
+	slices.SortStableFunc(zones, func(a, b string) int { return room[b] - room[a] })
+	return zones
+}
+
 // Dear says whether a machine costs at least what the fleet's machines do on
 // average. Where all types cost the same all are dear: sums of like prices round
 // up or down, which once kept a fleet of one type from being emptied at all.
@@ -522,7 +630,7 @@
 	}
 	var out []Stop
 	for _, j := range s.Jobs {
-		if j.Phantom {
+		if j.Phantom || j.Gang {
 			continue
 		}
 		// What was stopped for this job before is still on its way out.
@@ -649,6 +757,9 @@
 			if may[a].Job.Service != may[b].Job.Service {
 				return !may[a].Job.Service
 			}
+			if may[a].Job.Gang != may[b].Job.Gang {
+				return !may[a].Job.Gang // a gang stops whole
+			}
 			return may[a].SinceS < may[b].SinceS
 		})
 		free, cost := m.Free, 0.0
@@ -659,7 +770,11 @@
 			}
 			set = append(set, h)
 			free = free.Plus(h.Job.Need)
-			cost += h.SinceS*Share(h.Job.Need, m.Type.Size) + 5
+			lost := h.SinceS*Share(h.Job.Need, m.Type.Size) + 5
+			if h.Job.Gang {
+				lost *= float64(h.Job.Held)
+			}
+			cost += lost
 			if h.Job.Service {
 				cost += 1000 // a replica outweighs a machine full of batches
 			}
@@ -693,6 +808,20 @@
 	var order []Pool
 	created := 0
 	for ji, j := range s.Jobs {
+		if j.Gang && len(j.Waiting) > 0 {
+			if t := s.Teams[j.Team]; t == nil || !t.InLimit(j.Need.Times(float64(len(j.Waiting)))) {
+				continue
+			}
+			if s.placeGang(nil, j, func(*Team, Need) bool { return true }) != nil {
+				continue
+			}
+			if j.OneZone && j.Zone == "" {
+				// What is missing has to be rented in a zone where that can be done.
+				if p, typ := s.cheapestPool(j, s.Jobs[ji:], types, blocked); typ != nil {
+					j.Zone = p.Zone
+				}
+			}
+		}
 		for len(j.Waiting) > 0 {
 			if t := s.Teams[j.Team]; t != nil && !t.Takes(j) && !j.Phantom {
 				break
--- a/internal/sched/sched_test.go
+++ b/internal/sched/sched_test.go
@@ -486,3 +486,79 @@
 		}
 	}
 }
+
+// A gang that must be together goes to the zone that holds all of it, though the
+// best place for its first task is elsewhere; where nothing holds it, nothing of it
+// starts and no room is taken.
+func TestGangIsPlacedWhole(t *testing.T) {
+	gang := func(n int) *Job {
+		return batch("g", n, func(j *Job) {
+			j.Gang, j.Upper, j.OneZone, j.Need, j.Slots = true, false, true, Need{Cores: 4, Mem: 1}, n
+		})
+	}
+	ms := machines(box, "a", "b", "b")
+	ms[0].Used, ms[0].Images = true, map[string]bool{"": true}
+	s := snap(ms, gang(4))
+	ps := s.Fill()
+	if len(ps) != 4 {
+		t.Fatalf("%d of 4 tasks are placed", len(ps))
+	}
+	for _, p := range ps {
+		if p.Machine.Zone != "b" {
+			t.Errorf("a task is in zone %s", p.Machine.Zone)
+		}
+	}
+	ms = machines(box, "a", "b")
+	s = snap(ms, gang(3), batch("x", 16, func(j *Job) { j.Slots, j.Upper = 16, false }))
+	if got := started(s.Fill()); got["g"] != 0 || got["x"] != 16 {
+		t.Errorf("started %v: a gang without room for all of it is in the way", got)
+	}
+}
+
+// Room for a part of a gang that has waited for long is held back from jobs behind
+// it, and an older one comes first.
+func TestRoomGathersForAStarvedGang(t *testing.T) {
+	gang := func(id string, n int, submitted int64) *Job {
+		return batch(id, n, func(j *Job) {
+			j.Gang, j.Upper, j.Starved, j.Need, j.Slots, j.Submitted = true, false, true, Need{Cores: 4, Mem: 1}, n, submitted
+		})
+	}
+	small := batch("x", 16, func(j *Job) { j.Slots, j.Upper = 16, false })
+	if got := started(snap(machines(box, "a"), small, gang("g", 3, 1)).Fill()); got["x"] != 0 || got["g"] != 0 {
+		t.Errorf("started %v: small tasks took the room of a starved gang", got)
+	}
+	if got := started(snap(machines(box, "a"), gang("young", 2, 2), gang("old", 2, 1)).Fill()); got["old"] != 2 || got["young"] != 0 {
+		t.Errorf("started %v: the older gang comes first", got)
+	}
+}
+
+// A round rather stops tasks of arrays than a gang, which stops whole; where there
+// is nothing else, a gang of lower priority gives way too.
+func TestStopsSpareGangs(t *testing.T) {
+	for _, alone := range []bool{false, true} {
+		ms := machines(box, "a", "a")
+		gang := batch("g", 0, func(j *Job) {
+			j.Gang, j.Upper, j.Need, j.Held, j.Slots, j.Tasks = true, false, Need{Cores: 4, Mem: 1}, 4, 4, 4
+		})
+		array := batch("x", 0, func(j *Job) { j.Upper, j.Need, j.Held = false, Need{Cores: 8, Mem: 1}, 1 })
+		urgent := batch("s", 1, func(j *Job) { j.Service, j.Priority, j.Upper, j.Need = true, 3, false, Need{Cores: 4, Mem: 1} })
+		jobs := []*Job{urgent, gang}
+		hold := func(m *Machine, j *Job, n int) {
+			for i := range n {
+				m.Running = append(m.Running, Held{Job: j, Index: i, SinceS: 30})
+				m.Free = m.Free.Minus(j.Need)
+			}
+		}
+		hold(ms[0], gang, 2)
+		if alone {
+			hold(ms[1], gang, 2)
+		} else {
+			hold(ms[1], array, 1)
+			jobs = append(jobs, array)
+		}
+		stops := snap(ms, jobs...).Stops(10)
+		if len(stops) != 1 || stops[0].Victim.Job.Gang != alone {
+			t.Errorf("alone %v: %d stops", alone, len(stops))
+		}
+	}
+}
