A gang that can't be spread is refused; one that the machines can't hold keeps no room

Seen failing without: a starved gang that no empty fleet could hold kept batches out; a gang apart in one zone was accepted and could never begin.

--- a/internal/coordination/gang_test.go
+++ b/internal/coordination/gang_test.go
@@ -136,6 +136,9 @@
 		"j-2": {group(4, 8, nil), 201},
 		"j-3": {group(2, 9, nil), 422},
 		"j-4": {group(0, 1, nil), 400},
+		"j-6": {group(2, 1, map[string]any{"apart": true, "yard": "a"}), 422},
+		"j-7": {group(2, 1, map[string]any{"apart": true, "together": true}), 422},
+		"j-8": {group(2, 1, map[string]any{"apart": true}), 201},
 		"j-5": {group(2, 1, map[string]any{"owner": "green"}), 422},
 	} {
 		w.spec(uid, tc.change)
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -288,16 +288,23 @@
 		return "unknown team"
 	}
 	need := sched.Need{Cores: s.Cores, Accel: s.Accelerators, Mem: s.MemoryGB}
-	fits := false
+	zones := map[string]bool{}
 	for _, t := range c.types {
-		if need.Fits(t.Size) && (s.Types == nil || slices.Contains(s.Types, t.Name)) &&
-			(s.Zone == "" || slices.Contains(t.Zones, s.Zone)) {
-			fits = true
+		if !need.Fits(t.Size) || s.Types != nil && !slices.Contains(s.Types, t.Name) {
+			continue
+		}
+		for _, z := range t.Zones {
+			if s.Zone == "" || s.Zone == z {
+				zones[z] = true
+			}
 		}
 	}
-	if !fits {
+	if len(zones) == 0 {
 		return "a task fits no allowed machine type"
 	}
+	if s.Gang && s.Spread && s.Tasks > 1 && (s.OneZone || len(zones) == 1) {
+		return "the whole gang can't be spread over one zone"
+	}
 	whole := need
 	if s.Service || s.Gang {
 		whole = need.Times(float64(s.Tasks))
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -331,7 +331,7 @@
 			continue // its team's own work has to end first
 		}
 		before := len(out)
-		if out = s.placeGang(out, j, inLimit); len(out) == before {
+		if out = s.placeGang(out, j, inLimit); len(out) == before && s.holds(j) {
 			s.reserve(j)
 			j.Waiting = nil
 		}
@@ -339,6 +339,31 @@
 	return out
 }
 
+// holds says whether the machines there are could hold the whole gang if they were
+// empty. What they can't hold waits for rentals, and must not keep room from others.
+func (s *Snapshot) holds(j *Job) bool {
+	room, all := map[string]float64{}, 0.0
+	for _, m := range s.Machines {
+		if j.AllowedOn(m.Type.Name, m.Zone, m.Spot) && j.Need.Fits(m.Type.Size) {
+			n := perMachine(j.Need, m.Type.Size)
+			room[m.Zone] += n
+			all += n
+		}
+	}
+	most := 0.0
+	for _, n := range room {
+		most = max(most, n)
+	}
+	switch tasks := float64(len(j.Waiting)); {
+	case j.Spread:
+		return len(room) > 1 && all >= 2*tasks
+	case j.OneZone:
+		return most >= tasks
+	default:
+		return all >= tasks
+	}
+}
+
 // placeGang starts all tasks of a gang, or none: in one zone after the other if
 // they must be together, as the best place for the first may have no room for all.
 func (s *Snapshot) placeGang(out []Placement, j *Job, may func(*Team, Need) bool) []Placement {
--- a/internal/sched/sched_test.go
+++ b/internal/sched/sched_test.go
@@ -524,9 +524,15 @@
 		})
 	}
 	small := batch("x", 16, func(j *Job) { j.Slots, j.Upper = 16, false })
-	if got := started(snap(machines(box, "a"), small, gang("g", 3, 1)).Fill()); got["x"] != 0 || got["g"] != 0 {
+	ms := machines(box, "a", "b")
+	ms[1].Free = Need{} // full for now
+	if got := started(snap(ms, small, gang("g", 3, 1)).Fill()); got["x"] != 0 || got["g"] != 0 {
 		t.Errorf("started %v: small tasks took the room of a starved gang", got)
 	}
+	small = batch("x", 16, func(j *Job) { j.Slots, j.Upper = 16, false })
+	if got := started(snap(machines(box, "a"), small, gang("g", 3, 1)).Fill()); got["x"] != 8 {
+		t.Errorf("started %v: a gang that these machines can't hold keeps their room", got)
+	}
 	if got := started(snap(machines(box, "a"), gang("young", 2, 2), gang("old", 2, 1)).Fill()); got["old"] != 2 || got["young"] != 0 {
 		t.Errorf("started %v: the older gang comes first", got)
 	}
