--- /dev/null
+++ b/internal/coordination/commands.go
@@ -0,0 +1,233 @@
+package coordination
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"claybarrow/internal/ledger"
+	"claybarrow/internal/protocol"
+)
+
+// halt has an attempt stopped. What never left is dropped at once.
+func (r *term) halt(a *ledger.Attempt, grace float64, why string) {
+	if a.Halt && grace >= a.Grace {
+		return
+	}
+	if a.Halt {
+		a.HaltSent = 0
+	}
+	a.Halt, a.Grace = true, grace
+	if a.Job.Spec.Gang && grace > 0 {
+		a.Grace += r.c.cfg.GangPeer().Seconds() // a task that has saved waits for the others
+	}
+	r.c.log.Debug("halt", "task", a.Key().Task, "try", a.Try, "machine", a.Machine.ID, "why", why)
+	if a.Durable && !a.Sent {
+		r.gone(a, "never sent")
+	} else {
+		r.kick(a.Machine)
+	}
+	r.haltMates(a, grace, why)
+}
+
+// nothingToSay tells most machines of a fleet apart without any list being made:
+// each is looked at at every tick.
+func nothingToSay(m *ledger.Machine) bool {
+	if len(m.Exited) > 0 || len(m.Strays) > 0 {
+		return false
+	}
+	for _, a := range m.Attempts {
+		if a.Halt || a.Durable && !a.Acked && !a.Loaded {
+			return false
+		}
+	}
+	return true
+}
+
+// commands lists what the worker is to do now. Directly sent ones go once;
+// those in a report's answer fill in where the direct way fails.
+func (r *term) commands(m *ledger.Machine, inReply bool) []protocol.Command {
+	c := r.c
+	if inReply && m.Calling || nothingToSay(m) {
+		return nil
+	}
+	var out []protocol.Command
+	again := c.cfg.Report()
+	for _, a := range m.Sorted() {
+		key := a.Key()
+		run := protocol.Command{Verb: protocol.VerbRun, Task: key.Task, Attempt: a.Try}
+		mayRun := a.Durable && !a.Acked && !a.Loaded && !m.Returning && r.certain() &&
+			// A gang's runs leave together, once all its places are durable.
+			(!a.Job.Spec.Gang || a.Halt || a.Job.Whole())
+		if a.Halt {
+			if a.State == protocol.Saving && c.now < a.HaltSent+seconds(a.Grace)+2*again {
+				continue
+			}
+			if a.HaltSent > 0 && c.now < a.HaltSent+again {
+				continue
+			}
+			if a.Lost && !a.Acked {
+				// A run that may have been lost, or may come later still: it
+				// is made certain by a repeat that is halted in the same
+				// breath. Of a cancelled job, no user has been told yet.
+				if !mayRun {
+					continue
+				}
+				out = append(out, run)
+				r.sent(a, m, inReply)
+			}
+			grace := a.Grace
+			if a.State == protocol.Saving {
+				grace = 0
+			}
+			a.HaltSent = c.now
+			out = append(out, protocol.Command{Verb: protocol.VerbHalt, Task: key.Task, Attempt: a.Try, GraceS: grace})
+			continue
+		}
+		if mayRun && (!inReply || m.CallFails > 0) {
+			out = append(out, run)
+			r.sent(a, m, inReply)
+		}
+	}
+	for _, key := range slices.SortedFunc(maps.Keys(m.Strays), compareKeys) {
+		if c.now >= m.Strays[key]+again {
+			m.Strays[key] = c.now
+			out = append(out, protocol.Command{Verb: protocol.VerbHalt, Task: key.Task, Attempt: key.Try})
+		}
+	}
+	if m.Fresh {
+		for _, key := range slices.SortedFunc(maps.Keys(m.Exited), compareKeys) {
+			g := m.Exited[key]
+			if a := g.Attempt; !g.Ready || (g.Sent > 0 && c.now < g.Sent+again) ||
+				// After a clear, a repeated run would start it again: none may
+				// be under way.
+				(a != nil && (a.Flying > 0 || a.Lost || a.RunSeq > 0 && m.ReportSeq <= a.RunSeq)) {
+				continue
+			}
+			g.Sent = c.now
+			out = append(out, protocol.Command{Verb: protocol.VerbClear, Task: key.Task, Attempt: key.Try})
+		}
+	}
+	return out
+}
+
+func compareKeys(a, b ledger.Key) int {
+	return cmp.Or(cmp.Compare(a.Task, b.Task), cmp.Compare(a.Try, b.Try))
+}
+
+func (r *term) sent(a *ledger.Attempt, m *ledger.Machine, inReply bool) {
+	a.Sent, a.Session = true, m.Session
+	if inReply {
+		a.RunSeq = m.ReportSeq
+	} else {
+		a.Flying++
+	}
+}
+
+// doubtful says whether a direct request to the machine may well hang.
+func (r *term) doubtful(m *ledger.Machine) bool { return !m.Fresh || m.CallFails > 0 }
+
+// callWithin bounds a direct request to a worker: one that takes longer is as
+// good as unanswered, however long the workers' lease.
+const callWithin = 1600 * time.Millisecond
+
+// kick sends what there is to send directly, one request at a time.
+func (r *term) kick(m *ledger.Machine) {
+	c := r.c
+	if m.Calling || m.Addr == "" || c.now < m.NextCall || !r.ready || c.term != r {
+		return
+	}
+	// An empty request brings our token to a machine that may be up, and tells
+	// whether the direct way works again. A booting one would only time out.
+	greet := (!m.Fresh && !m.Greeted && (m.Up || m.Listed)) || m.CallFails > 0 ||
+		// A report is overdue: is the machine there at all?
+		(m.Known && m.Session > m.DeadSession && c.now > m.Heard+c.cfg.Report()*3/2) ||
+		// Others did not answer: is it them, or can't we reach anybody?
+		r.probes(m)
+	if !m.Known && !greet {
+		return
+	}
+	// Calls wait for one another before anything is noted as sent: a take-over of
+	// hundreds of machines, or a dark zone whose calls all hang, must not take the
+	// sockets, and what answers must not wait for what hangs.
+	fds := c.cfg.Cluster.Resources.FDs
+	if r.calling >= fds/8 || r.doubtful(m) && r.hanging >= fds/12 {
+		return
+	}
+	cmds := r.commands(m, false)
+	if len(cmds) == 0 && !greet {
+		return
+	}
+	r.calling++
+	doubtful := r.doubtful(m)
+	if doubtful {
+		r.hanging++
+	}
+	m.Calling, m.Greeted = true, true
+	var runs []*ledger.Attempt
+	for _, cmd := range cmds {
+		if cmd.Verb == protocol.VerbRun {
+			runs = append(runs, m.Attempts[ledger.Key{Task: cmd.Task, Try: cmd.Attempt}])
+		}
+	}
+	body := protocol.Commands{Token: r.token, Session: m.Session, Commands: cmds}
+	if body.Commands == nil {
+		body.Commands = []protocol.Command{}
+	}
+	called := c.now
+	c.call(ToWorker, m.Addr, "POST", "/commands", body, min(c.cfg.Lease()/10, callWithin), func(res Result) {
+		if c.term != r {
+			return
+		}
+		m.Calling = false
+		if res.Status != 0 {
+			r.reached(c.now)
+		} else if m.Heard > called {
+			r.missed(m.ID, c.now)
+		}
+		r.calling--
+		if doubtful {
+			r.hanging--
+		}
+		for _, a := range runs {
+			a.Flying--
+			switch res.Status {
+			case 200:
+				a.Acked = true
+			case 409:
+			default:
+				a.Lost = true
+			}
+		}
+		if r.Machines[m.ID] != m {
+			return
+		}
+		if res.Status != 200 && res.Status != 409 {
+			m.CallFails++
+			m.NoConn, m.FailedAt = res.NoConn, called
+			m.Greeted = false
+			m.NextCall = c.now + min(c.cfg.Report()/2, c.cfg.LeaderTTL()*2/3)*time.Duration(min(m.CallFails, 4))
+			return
+		}
+		m.CallFails, m.NoConn = 0, false
+		var msg protocol.Report
+		if protocol.Decode(res.Body, &msg) != nil || msg.Machine != m.ID {
+			m.NextCall = c.now + c.cfg.Report()
+			return
+		}
+		r.observe(&msg, false)
+		if c.term != r {
+			return
+		}
+		if res.Status == 409 {
+			// The session was not the one we thought; its answer says which.
+			m.Greeted = false
+			m.NextCall = c.now + c.cfg.Report()/20
+			if msg.Session == body.Session {
+				m.NextCall = c.now + c.cfg.Report()
+			}
+		}
+		r.kick(m)
+	})
+}
--- /dev/null
+++ b/internal/coordination/emptying.go
@@ -0,0 +1,134 @@
+package coordination
+
+import (
+	"cmp"
+	"slices"
+
+	"claybarrow/internal/ledger"
+	"claybarrow/internal/protocol"
+	"claybarrow/internal/sched"
+)
+
+// emptyingWork bounds what one go at emptying looks at, in machines: it copies
+// the fleet for each machine that might be emptied, and a leader of thousands must
+// renew its lease meanwhile.
+const emptyingWork = 100_000
+
+// consolidate empties dear machines whose tasks can go on elsewhere at once,
+// where their images are: long-lived replicas, and the last tasks of batches when
+// the load falls, would keep them for their few. The larger the fleet, the more
+// machines it empties at a time.
+func (r *term) consolidate() {
+	c := r.c
+	if c.now < r.drainAt || !r.certain() || r.manyLate() {
+		return
+	}
+	s := r.snapshot(false, false)
+	s.Fill()
+	for _, j := range s.Jobs {
+		if len(j.Waiting) > 0 && j.Service && s.Teams[j.Team].InLimit(j.Need) {
+			return // somebody waits for room
+		}
+	}
+	// Types and kinds that more than a few are coming of are wanted.
+	type kind struct {
+		typ  string
+		spot bool
+	}
+	coming, up := map[kind]int{}, map[kind]int{}
+	for _, q := range r.renting {
+		coming[kind{q.req.Type, q.req.Spot}] += q.req.Count
+	}
+	for _, m := range r.Machines {
+		switch {
+		case m.Returning || r.isDark(m.Zone):
+		case m.Up:
+			up[kind{m.Type, m.Spot}]++
+		default:
+			coming[kind{m.Type, m.Spot}]++
+		}
+	}
+	type candidate struct {
+		id    string
+		gain  float64
+		tasks []*sched.Job
+	}
+	var list []candidate
+	for _, sm := range s.Machines {
+		m := r.Machines[sm.ID]
+		price := sm.Type.Price
+		if sm.Spot {
+			price = sm.Type.SpotPrice
+		}
+		free := sched.Share(m.Size.Minus(m.Used), m.Size)
+		if len(m.Attempts) == 0 || free < 0.25 || !s.Dear(sm) || coming[kind{m.Type, m.Spot}]*20 > up[kind{m.Type, m.Spot}] || sm.For != "" || sm.Free != m.Size.Minus(m.Used) {
+			continue
+		}
+		if jobs := r.movable(m, free); jobs != nil {
+			list = append(list, candidate{m.ID, price * free, jobs})
+		}
+	}
+	slices.SortStableFunc(list, func(a, b candidate) int { return cmp.Compare(b.gain, a.gain) })
+	most := 1 + len(s.Machines)/10
+	s.Looked = 0
+	for _, cand := range list[:min(len(list), 2*most)] {
+		if s.Looked > emptyingWork {
+			break // what is left comes with the next time
+		}
+		rest := s.Emptied(cand.id, cand.tasks, r.expected)
+		if rest == nil {
+			continue
+		}
+		s = rest
+		pick := r.Machines[cand.id]
+		c.log.Info("emptying", "machine", pick.ID, "type", pick.Type, "tasks", len(cand.tasks))
+		r.drainAt = c.now + 3*c.cfg.Lease()
+		pick.DrainUntil = c.now + c.cfg.Lease()
+		for _, a := range pick.Sorted() {
+			r.halt(a, a.Job.Spec.SaveS, "moved")
+		}
+		if most--; most == 0 {
+			break
+		}
+	}
+}
+
+// manyLate says whether more than one machine in fifty with tasks does not answer:
+// the room that others have to spare is about to be needed. Thirty machines were
+// once emptied while 54 hung, ten seconds before their leases were over.
+func (r *term) manyLate() bool {
+	late, busy := 0, 0
+	for _, m := range r.Machines {
+		if len(m.Attempts) == 0 || m.Returning || r.isDark(m.Zone) {
+			continue
+		}
+		busy++
+		if m.CallFails > 0 {
+			late++
+		}
+	}
+	return late*50 > busy
+}
+
+// movable lists a machine's tasks as jobs of one task each, if all of them are
+// replicas that have run for a while or, on a machine that is half empty, tasks
+// that can save.
+func (r *term) movable(m *ledger.Machine, free float64) []*sched.Job {
+	var out []*sched.Job
+	for _, a := range m.Sorted() {
+		service := a.Job.Spec.Service
+		settled := r.c.bootS()
+		if !service {
+			settled *= 0.7
+		}
+		if a.Job.Spec.Gang || a.Job.Cancelling || a.Halt || a.State != protocol.Running || r.c.now < a.Since+seconds(settled) ||
+			(!service && (a.Job.Spec.CheckpointS <= 0 || free < 0.5)) {
+			return nil
+		}
+		j := schedJob(a.Job)
+		j.InZone, j.Waiting = a.Job.InZone(), []int{a.Index}
+		j.InZone[m.Zone]--
+		out = append(out, j)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/coordination/exits.go
@@ -0,0 +1,126 @@
+package coordination
+
+import (
+	"time"
+
+	"claybarrow/internal/ledger"
+	"claybarrow/internal/protocol"
+)
+
+// onExit takes the end of an attempt.
+func (r *term) onExit(m *ledger.Machine, key ledger.Key, t protocol.TaskReport) {
+	if g := m.Exited[key]; g != nil {
+		return
+	}
+	c := r.c
+	g := &ledger.Gone{Attempt: m.Attempts[key], Ready: true}
+	m.Exited[key] = g
+	uid, index, ok := ledger.ParseTask(key.Task)
+	j := r.Jobs[uid]
+	if !ok || j == nil || index >= j.Spec.Tasks {
+		if g.Attempt != nil {
+			r.gone(g.Attempt, t.Cause)
+		}
+		return
+	}
+	c.log.Debug("exited", "task", key.Task, "try", key.Try, "machine", m.ID, "cause", t.Cause)
+	switch t.Cause {
+	case protocol.CauseDone:
+		j.Failures, m.Errors = 0, 0
+		if j.Spec.Service || j.Cancelling && j.Finishing {
+			break
+		}
+		m.Images[j.Spec.Image] = true
+		if j.Spec.Gang {
+			// If one task is done, all are; what tells so is kept until it is durable.
+			for i := range j.Spec.Tasks {
+				j.MarkDone(i)
+			}
+			g.Ready = false
+			r.finish(j)
+			r.mark(ledger.JobPrefix+uid, writeUser, func() any { return j.Record() }, func() { g.Ready = true })
+			break
+		}
+		if j.MarkDone(index) || !j.Finishing {
+			g.Ready = false
+			ready := func() { g.Ready = true }
+			if j.Done == j.Spec.Tasks {
+				r.finish(j) // also if its cancellation was under way
+				r.mark(ledger.JobPrefix+uid, writeUser, func() any { return j.Record() }, ready)
+			} else {
+				r.mark(r.DoneKey(j, index), writeDone, func() any { return r.DoneChunk(j, index) }, ready)
+			}
+		}
+	case protocol.CauseError:
+		r.onError(m, j, key)
+	case protocol.CauseNoRoom, protocol.CauseBusy:
+		// The machine knows better than the books: leave it alone a moment.
+		m.AsideUntil = max(m.AsideUntil, c.now+c.cfg.Report())
+	case protocol.CauseHalted, protocol.CauseMatesGone:
+	case protocol.CauseIncomplete:
+		if c.now >= j.NotBefore {
+			r.backOff(j) // once for all its tasks
+		}
+	default:
+		r.backOff(j)
+	}
+	if g.Attempt != nil {
+		r.gone(g.Attempt, t.Cause)
+	}
+}
+
+// onError tells a faulty machine from a faulty job: a job that fails on many
+// machines waits longer and longer; a machine where several jobs fail is set
+// aside and returned.
+func (r *term) onError(m *ledger.Machine, j *ledger.Job, key ledger.Key) {
+	c := r.c
+	if j.FailedOn == nil {
+		j.FailedOn = map[string]bool{}
+	}
+	j.FailedOn[m.ID] = true
+	c.log.Info("task failed", "task", key.Task, "machine", m.ID, "failures", j.Failures+1, "machines", len(j.FailedOn))
+	r.backOff(j)
+	if len(j.FailedOn) >= 3 {
+		return // the job's fault
+	}
+	m.Errors++
+	m.AsideUntil = max(m.AsideUntil, c.now+c.cfg.Lease())
+	if m.Errors >= 3 {
+		m.AsideUntil = c.now + 100*c.cfg.Lease()
+		c.log.Info("machine is faulty", "machine", m.ID)
+	}
+}
+
+// backOff delays a failing job, and counts the time as attained service: a job
+// that fails at once would keep the top rank for ever otherwise.
+func (r *term) backOff(j *ledger.Job) {
+	j.Failures++
+	// At most a lease: a job that waits for longer with room beside it is stuck.
+	wait := min(r.c.cfg.Report()*time.Duration(int64(1)<<min(j.Failures-1, 5)), r.c.cfg.Lease())
+	j.NotBefore = max(j.NotBefore, r.c.now+wait)
+	j.Scale.Attained += wait.Seconds() * shareOf(j, r.capacity())
+}
+
+// gone takes an attempt that is proved gone out of the books.
+func (r *term) gone(a *ledger.Attempt, why string) {
+	m := a.Machine
+	r.Drop(a)
+	if len(m.Attempts) == 0 {
+		m.IdleSince = r.c.now
+	}
+	r.c.log.Debug("gone", "task", a.Key().Task, "try", a.Try, "machine", m.ID, "why", why)
+	j := a.Job
+	if !j.Spec.Service && a.Sent && !a.Yielded && !j.IsDone(a.Index) && why != protocol.CauseError && why != protocol.CauseNoRoom {
+		j.Interrupted(a.Index)
+	}
+	r.settleCancel(j)
+	if why == protocol.CauseIncomplete || why == protocol.CauseMatesGone || a.Halt || !j.Gathering() {
+		// Otherwise the rest still gathers: the task starts anew under its number, as
+		// its old place is proved empty and no run can be on its way there.
+		r.haltMates(a, 0, "a task of its gang is gone")
+	}
+	if m.Recorded {
+		r.record(m, writeLazy, nil)
+	}
+	r.fillDirty = true
+}
--- /dev/null
+++ b/internal/coordination/reports.go
@@ -0,0 +1,222 @@
+package coordination
+
+import (
+	"time"
+
+	"claybarrow/internal/ledger"
+	"claybarrow/internal/protocol"
+)
+
+// onReport takes a worker's report.
+func (c *Core) onReport(from asker, body []byte) {
+	var msg protocol.Report
+	if err := protocol.Decode(body, &msg); err != nil || msg.Machine == "" {
+		c.reply(from, 400, nil, 0)
+		return
+	}
+	r := c.term
+	if r == nil {
+		if c.standsIn(&msg) {
+			c.standIn(from, &msg)
+			return
+		}
+		if c.forwards(&msg) {
+			c.forward(from, &msg, body)
+			return
+		}
+		leader := c.leaderLabel()
+		if leader == "" || leader == c.cfg.Label {
+			c.refuse(from)
+			return
+		}
+		c.reply(from, 421, protocol.Encode(protocol.Elsewhere{Leader: leader}), 0)
+		return
+	}
+	if !r.ready {
+		c.refuse(from)
+		return
+	}
+	m, fresh := r.observe(&msg, true)
+	if c.term != r {
+		c.refuse(from)
+		return
+	}
+	if !fresh {
+		// A late copy, or a machine that is gone: no evidence and no sign of
+		// life, and an answer would reach nobody.
+		c.refuse(from)
+		return
+	}
+	if label := r.reporter(m, &msg); label != "" && !from.relay {
+		c.reply(from, 421, protocol.Encode(protocol.Elsewhere{Leader: label}), 0)
+		return
+	}
+	if !from.relay {
+		r.reached(c.now)
+	}
+	m.Answered = c.now
+	reply := protocol.ReportReply{Token: r.token, Commands: r.commands(m, true)}
+	c.reply(from, 200, protocol.Encode(reply), 0)
+}
+
+// observe takes a worker's report, sent by itself or as an answer to a direct
+// request. It returns false for what is not the machine's newest message.
+func (r *term) observe(msg *protocol.Report, reported bool) (*ledger.Machine, bool) {
+	c := r.c
+	if msg.Token > r.token {
+		c.endTerm("a worker has seen a higher token")
+		return nil, false
+	}
+	if r.tombs[msg.Machine] != 0 {
+		return nil, false
+	}
+	m := r.Machines[msg.Machine]
+	if m == nil {
+		// Nobody expected it: it is used, or returned when idle.
+		c.log.Info("unexpected machine", "machine", msg.Machine, "type", msg.Type, "zone", msg.Zone)
+		m = r.AddMachine(msg.Machine)
+		m.Exists, m.Rented = c.now, c.now
+	}
+	if m.Type == "" {
+		m.Type, m.Zone, m.Spot = msg.Type, msg.Zone, msg.Spot
+	}
+	m.Size = r.sizeOf(m.Type)
+	if msg.Addr != "" {
+		m.Addr = msg.Addr
+	}
+	if msg.Session < m.Session || (msg.Session == m.Session && msg.Seq <= m.Seq) || msg.Session <= m.DeadSession {
+		return m, false
+	}
+	lapsed := m.Known && msg.Session > m.Session
+	if !m.Known {
+		m.IdleSince = c.now
+	}
+	if !m.Up {
+		c.log.Info("machine up", "machine", m.ID, "type", m.Type, "zone", m.Zone, "spot", m.Spot)
+	}
+	// Deafness: its session lapsed although we answered all the while, or
+	// several answered reports in a row still show an old token.
+	if lapsed && m.Answered > 0 && c.now-m.Answered < c.cfg.Lease()/2 {
+		m.Deaf += 3
+		m.AsideUntil = c.now + 2*c.cfg.Lease()
+		c.log.Info("answers don't reach the machine", "machine", m.ID, "session", msg.Session)
+	} else if reported && m.Answered > 0 && msg.Token < r.token {
+		m.Deaf++
+	} else if msg.Token == r.token && !lapsed && c.now > m.AsideUntil {
+		m.Deaf = 0
+	}
+	m.Session, m.Seq, m.Token = msg.Session, msg.Seq, msg.Token
+	if reported {
+		m.ReportSeq = msg.Seq
+	}
+	m.Heard, m.Known, m.Up = c.now, true, true
+	if lapsed {
+		c.log.Info("session lapsed", "machine", m.ID, "session", msg.Session)
+	}
+	ours := msg.Token == r.token
+	if ours && !m.Fresh {
+		m.Fresh, m.FreshAt = true, c.now
+		r.fillDirty = true
+	}
+	if msg.NoticeS != nil {
+		by := c.now + seconds(max(0, min(*msg.NoticeS, 1e6)))
+		if !m.Notice {
+			c.log.Info("notice", "machine", m.ID, "seconds", *msg.NoticeS)
+			m.Notice, m.NoticeBy = true, by
+			r.fillDirty = true
+		}
+		m.NoticeBy = min(m.NoticeBy, by)
+	}
+	r.compare(m, msg, ours)
+	return m, true
+}
+
+// compare sets the books against the newest message.
+func (r *term) compare(m *ledger.Machine, msg *protocol.Report, ours bool) {
+	seen := map[ledger.Key]bool{}
+	for _, t := range msg.Tasks {
+		key := ledger.Key{Task: t.Task, Try: t.Attempt}
+		seen[key] = true
+		if t.State == protocol.Exited {
+			r.onExit(m, key, t)
+			continue
+		}
+		a := m.Attempts[key]
+		if a == nil {
+			a = r.foreign(m, key)
+			if a == nil {
+				continue
+			}
+		}
+		a.Acked, a.Sent = true, true
+		a.Session = m.Session
+		if a.State != t.State {
+			a.SetState(t.State)
+			if t.State == protocol.Running {
+				m.Images[a.Job.Spec.Image] = true
+				r.c.log.Debug("running", "task", t.Task, "try", t.Attempt, "machine", m.ID)
+			}
+		}
+	}
+	var missing []*ledger.Attempt // mostly none, and nothing to sort
+	for key, a := range m.Attempts {
+		if !seen[key] && a.Sent {
+			missing = m.Sorted()
+			break
+		}
+	}
+	for _, a := range missing {
+		if seen[a.Key()] || !a.Sent {
+			continue
+		}
+		// Proofs of absence: a later session than any run of it named, or a
+		// message with our token after its run was answered. Without our token
+		// the message may be old, and a run of an earlier leader under way.
+		// Of one that is to be stopped it is also enough that no run of it can be
+		// on its way: none was lost, and a report was sent after the last answer
+		// that carried one. Without this a task whose runs had all been refused
+		// was waited for until its machine's session ended.
+		lapsed := !a.Loaded && a.Session < m.Session
+		never := a.Halt && !a.Lost && m.ReportSeq > a.RunSeq
+		if lapsed || (ours && (a.Acked || a.Loaded || never) && a.Flying == 0) {
+			r.gone(a, "absent from the machine's report")
+		}
+	}
+	for key := range m.Exited {
+		if ours && !seen[key] {
+			delete(m.Exited, key)
+		}
+	}
+	for key := range m.Strays {
+		// Gone or ended: with any left the machine takes no work.
+		if m.Exited[key] != nil || ours && !seen[key] {
+			delete(m.Strays, key)
+		}
+	}
+}
+
+// foreign notes an attempt that the books did not have on that machine. Its
+// presence blocks a second start; it is halted.
+func (r *term) foreign(m *ledger.Machine, key ledger.Key) *ledger.Attempt {
+	uid, index, ok := ledger.ParseTask(key.Task)
+	if !ok {
+		return nil
+	}
+	j := r.Jobs[uid]
+	if j == nil || index >= j.Spec.Tasks {
+		if m.Strays == nil {
+			m.Strays = map[ledger.Key]time.Duration{}
+		}
+		if _, known := m.Strays[key]; !known {
+			r.c.log.Info("stray task", "task", key.Task, "try", key.Try, "machine", m.ID)
+			m.Strays[key] = 0
+		}
+		return nil
+	}
+	r.c.log.Info("task not in the books", "task", key.Task, "try", key.Try, "machine", m.ID)
+	a := r.Put(m, j, index, key.Try, r.c.now)
+	a.Durable, a.Loaded = true, true
+	r.halt(a, j.Spec.SaveS, "not in the books")
+	r.record(m, writeLazy, nil)
+	return a
+}
--- /dev/null
+++ b/internal/coordination/snapshot.go
@@ -0,0 +1,189 @@
+package coordination
+
+import (
+	"math"
+
+	"claybarrow/internal/ledger"
+	"claybarrow/internal/protocol"
+	"claybarrow/internal/sched"
+)
+
+func shareOf(j *ledger.Job, capacity sched.Need) float64 { return sched.Share(j.Need, capacity) }
+
+// capacity is what the ready machines hold, or one of each if there are none.
+func (r *term) capacity() sched.Need {
+	var n sched.Need
+	for _, m := range r.Machines {
+		if m.Up && !m.Returning {
+			n = n.Plus(m.Size)
+		}
+	}
+	if n.Cores == 0 {
+		for _, t := range r.c.types {
+			n = n.Plus(t.Size)
+		}
+	}
+	return n
+}
+
+func schedJob(j *ledger.Job) *sched.Job {
+	s := j.Spec
+	sj := &sched.Job{ID: s.UID, Class: s.Class, Team: s.Team, Image: s.Image, ImageGB: s.ImageGB, Service: s.Service,
+		Priority: int(s.Priority), Submitted: j.Submitted, Need: j.Need, SaveS: s.SaveS, Spot: s.Spot, Types: j.Types,
+		Zone: s.Zone, OneZone: s.OneZone, Spread: s.Spread, Tasks: s.Tasks,
+		Held: j.HeldTotal, Upper: j.Scale.Upper && !s.Service, Slots: j.Scale.Slots,
+		Attained: j.Scale.Attained, Degradation: j.Scale.Degr}
+	if s.Gang {
+		// Gangs skip the upper queue, with degradation 1, and have no slots.
+		sj.Gang, sj.Upper, sj.Slots, sj.Degradation = true, false, s.Tasks, 1
+	}
+	return sj
+}
+
+// snapshot renders the books for the scheduler. Waiting tasks are listed only
+// as far as they could matter now.
+func (r *term) snapshot(running, booting bool) *sched.Snapshot {
+	c := r.c
+	s := &sched.Snapshot{Teams: map[string]*sched.Team{}, UpperCap: c.cfg.Operator.Green.UpperCap, Capacity: r.capacity()}
+	for name, t := range r.Teams {
+		clone := *t
+		s.Teams[name] = &clone
+	}
+	r.keepLimits(s.Teams)
+	jobs := map[*ledger.Job]*sched.Job{}
+	claims := map[string]int{}
+	for id, cl := range r.claims {
+		if j := r.Jobs[cl.job]; j == nil || j.Cancelling || c.now >= cl.until || r.Machines[id] == nil {
+			delete(r.claims, id)
+		} else {
+			claims[cl.job] += cl.tasks
+		}
+	}
+	for _, uid := range sortedKeys(r.Jobs) {
+		j := r.Jobs[uid]
+		if !j.Stored {
+			continue
+		}
+		sj := schedJob(j)
+		sj.AimS = r.aimOf(j.Spec.Class)
+		sj.LeftS, sj.Late = r.timeLeft(j)
+		sj.Patient = float64(c.wall-j.Submitted)/1000 > 2*c.bootS()
+		if c.now >= j.NotBefore {
+			sj.Waiting, sj.Resume = j.Waiting(512)
+		}
+		if j.HeldTotal > 0 || j.Cancelling || j.Finishing {
+			j.HungryAt = 0
+		} else if j.HungryAt == 0 {
+			j.HungryAt = c.now
+		}
+		sj.Starved = j.HungryAt > 0 && c.now > j.HungryAt+seconds(c.bootS())
+		sj.Claims = min(claims[uid], len(sj.Waiting))
+		if len(sj.Waiting) == 0 && !running {
+			continue
+		}
+		sj.InZone = j.InZone()
+		jobs[j] = sj
+		s.Jobs = append(s.Jobs, sj)
+	}
+	room := c.cfg.ValueBytes() / ledger.EntryBytes
+	for _, m := range r.machines() {
+		t := c.typeOf(m.Type)
+		if t == nil {
+			continue
+		}
+		sm := &sched.Machine{ID: m.ID, Type: t, Zone: m.Zone, Spot: m.Spot, Free: m.Size.Minus(m.Used),
+			Room: room - len(m.Attempts), Used: len(m.Attempts) > 0, For: r.claims[m.ID].job}
+		if c.now < m.DrainUntil {
+			for _, a := range m.Attempts {
+				s.Moving = s.Moving || a.Job.Spec.Service
+			}
+		}
+		switch {
+		case r.usable(m):
+			sm.Images = m.Images
+			for _, a := range m.Attempts {
+				if a.State == "" || a.State == protocol.Pulling {
+					if !m.Images[a.Job.Spec.Image] {
+						if sm.Fetching == nil {
+							sm.Fetching = map[string]bool{}
+						}
+						sm.Fetching[a.Job.Spec.Image] = true
+					}
+				}
+			}
+			if running {
+				for _, a := range m.Sorted() {
+					if sj := jobs[a.Job]; sj != nil && !a.Halt {
+						sm.Running = append(sm.Running, sched.Held{Job: sj, Index: a.Index,
+							SinceS: (c.now - a.Since).Seconds()})
+					}
+				}
+			}
+		case booting && !m.Up && !m.Returning && !r.isDark(m.Zone) && c.now < m.Rented+seconds(t.BootS*1.6):
+			sm.Booting = true
+		default:
+			continue
+		}
+		s.Machines = append(s.Machines, sm)
+	}
+	return s
+}
+
+// keepLimits leaves a little of each team's limit to its services: as much as
+// arrives in three rounds. Batches that fill a limit to the brim make each new
+// replica wait for a round's stop and a save, and some aims are a second.
+func (r *term) keepLimits(teams map[string]*sched.Team) {
+	window := 4 * r.c.bootS()
+	if window == 0 {
+		return
+	}
+	from := r.c.wall - int64(window*1000)
+	for _, a := range r.arrivals {
+		for _, x := range a.last {
+			if t := teams[x.job.Spec.Team]; t != nil && x.job.Spec.Service && x.at >= from {
+				t.Kept = t.Kept.Plus(x.job.Need.Times(float64(x.job.Spec.Tasks) * 3 * r.c.cfg.Operator.Green.RoundS / window))
+			}
+		}
+	}
+}
+
+// aimOf is the shortest waiting time that the users aim at for a class.
+func (r *term) aimOf(class string) float64 {
+	aim := 0.0
+	for _, o := range r.c.cfg.Cluster.Objectives {
+		if o.Kind == "wait" && o.Class == class && (aim == 0 || o.WithinS < aim) {
+			aim = o.WithinS
+		}
+	}
+	return aim
+}
+
+// timeLeft is what a batch with a deadline has left until the next of the
+// times that the users aim at, with its tasks started now and running for half
+// of what their owner says, as estimates are often wrong by half. Infinite: it
+// has no deadline, or late: none of those times can be met any more.
+func (r *term) timeLeft(j *ledger.Job) (left float64, late bool) {
+	left = math.Inf(1)
+	if j.Spec.Service || j.Spec.DeadlineS <= 0 {
+		return left, false
+	}
+	end := float64(r.c.wall-j.Submitted)/1000 + j.Spec.EstimateS/2
+	late = true
+	for _, times := range r.deadlines(j.Spec.Class) {
+		if due := j.Spec.DeadlineS * times; end <= due {
+			left, late = min(left, due-end), false
+		}
+	}
+	return left, late
+}
+
+// deadlines are the multiples of a class's deadlines that the users aim at.
+func (r *term) deadlines(class string) []float64 {
+	out := []float64{1}
+	for _, o := range r.c.cfg.Cluster.Objectives {
+		if o.Kind == "deadline" && o.Class == class && o.Times > 0 {
+			out = append(out, o.Times)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/coordination/usable.go
@@ -0,0 +1,62 @@
+package coordination
+
+import (
+	"time"
+
+	"claybarrow/internal/ledger"
+)
+
+// usable says whether tasks may be started on the machine: it has reported to
+// this leader, lately, and nothing speaks against it.
+func (r *term) usable(m *ledger.Machine) bool {
+	c := r.c
+	return m.Fresh && !m.Returning && !m.Notice && c.now >= m.AsideUntil && c.now >= m.DrainUntil && m.Deaf < 2 && m.CallFails < 2 &&
+		c.now < m.Heard+c.cfg.Lease()/4+2*c.cfg.Report() && !r.unreported(m, c.cfg.Lease()/2) &&
+		m.Size.Cores > 0 && len(m.Strays) == 0
+}
+
+// unreported says whether no report of the machine has been answered for as long,
+// whatever it answers to direct requests: those don't renew its lease, and it is
+// about to kill all its tasks. Such a machine was filled anew after each lease.
+func (r *term) unreported(m *ledger.Machine, spell time.Duration) bool {
+	return r.c.now > max(m.Answered, m.FreshAt)+spell
+}
+
+// mute says whether a machine answers us but can reach no controller, as far as
+// can be known: those of its zone are in touch, so none stands in for us there.
+func (r *term) mute(m *ledger.Machine) bool {
+	c := r.c
+	if !m.Fresh || m.CallFails > 0 || m.Heard < c.now-2*c.cfg.Report()-c.cfg.Lease()/10 || !r.unreported(m, c.cfg.Lease()*11/20) {
+		return false
+	}
+	for _, p := range r.peers {
+		if p.zone == m.Zone && c.now > p.asked+c.cfg.Lease()/8 {
+			return false
+		}
+	}
+	return true
+}
+
+// heardAll: no round stops anything until the fleet was heard or is silent.
+func (r *term) heardAll() bool {
+	if !r.listed {
+		return false
+	}
+	for _, m := range r.Machines {
+		if !m.Fresh && len(m.Attempts) > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// silentFor is how long nothing new was heard of a machine in this term.
+func (r *term) silentFor(m *ledger.Machine) time.Duration {
+	return r.c.now - max(m.Heard, r.since, r.lit[m.Zone])
+}
+
+// overdue reports whether a machine is late and can't be reached: its tasks
+// will probably be needed elsewhere.
+func (r *term) overdue(m *ledger.Machine) bool {
+	return m.CallFails > 1 && r.silentFor(m) > r.c.cfg.Lease()*2/5 && !r.isDark(m.Zone)
+}
--- /dev/null
+++ b/internal/coordination/world_test.go
@@ -0,0 +1,397 @@
+package coordination
+
+import (
+	"container/heap"
+	"fmt"
+	"io"
+	"log/slog"
+	"maps"
+	"math/rand/v2"
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"claybarrow/internal/config"
+	"claybarrow/internal/protocol"
+)
+
+// The stand-ins of this file play the state service, the cloud, the workers
+// and the network after the protocol's page, on a fake clock. A script breaks
+// what it likes; the world checks the rules as it goes.
+
+const (
+	tick    = 100 * time.Millisecond
+	latency = 2 * time.Millisecond
+)
+
+type happening struct {
+	at  time.Duration
+	seq int
+	do  func()
+}
+
+type agenda []happening
+
+func (a agenda) Len() int { return len(a) }
+func (a agenda) Less(i, j int) bool {
+	return a[i].at < a[j].at || a[i].at == a[j].at && a[i].seq < a[j].seq
+}
+func (a agenda) Swap(i, j int) { a[i], a[j] = a[j], a[i] }
+func (a *agenda) Push(x any)   { *a = append(*a, x.(happening)) }
+func (a *agenda) Pop() any {
+	last := len(*a) - 1
+	x := (*a)[last]
+	*a = (*a)[:last]
+	return x
+}
+
+// fate is what the script lets happen to one call: the request is held back
+// for a while or lost, and so is the response.
+type fate struct {
+	lost, answerLost bool
+	hold             time.Duration
+}
+
+type world struct {
+	t       *testing.T
+	now     time.Duration
+	seq     int
+	agenda  agenda
+	rng     *rand.Rand
+	cfgs    []*config.Config
+	nodes   []*simNode
+	state   *simState
+	cloud   *simCloud
+	workers map[string]*simWorker
+	specs   map[string]map[string]any
+	told    map[string]string        // what users were told last
+	stopped map[string]time.Duration // when users were told of a cancellation
+	broken  []string
+	checker
+	// script decides the fate of a call from a node; nil: all goes well.
+	script func(node int, c Call) fate
+	// reports decides whether a worker's report and its answer get through.
+	reports func(w *simWorker, node int) fate
+	runs    func(task string) time.Duration
+	// pulls is how long a task waits for its image; nil: a moment.
+	pulls func(task string) time.Duration
+	// off are the addresses that take no connections.
+	off map[string]bool
+}
+
+type simNode struct {
+	core  *Core
+	alive bool
+	life  int
+	born  time.Duration // the steady clock of a process starts with it
+	last  uint64
+	wants map[uint64]func(Reply)
+}
+
+func newWorld(t *testing.T, seed uint64) *world {
+	w := &world{t: t, rng: rand.New(rand.NewPCG(seed, 1)), workers: map[string]*simWorker{}, specs: map[string]map[string]any{},
+		told: map[string]string{}, stopped: map[string]time.Duration{}, checker: newChecker(),
+		runs: func(string) time.Duration { return 30 * time.Second }}
+	w.state = &simState{w: w, items: map[string]*simItem{}, leases: map[uint64]*simLease{}, refuse: map[int]bool{}}
+	w.cloud = &simCloud{w: w, answers: map[string][]string{}}
+	for i := range 3 {
+		w.cfgs = append(w.cfgs, testConfig(t, i))
+		w.nodes = append(w.nodes, &simNode{})
+		w.boot(i)
+	}
+	w.watch()
+	return w
+}
+
+// nodeZone puts the last controller into the second zone.
+func nodeZone(i int) string { return []string{"a", "a", "b"}[i] }
+
+func testConfig(t *testing.T, i int) *config.Config {
+	t.Helper()
+	var peers []string
+	for k := range 3 {
+		if k != i {
+			peers = append(peers, fmt.Sprintf(`{"label":"n%d","zone":%q,"peer_addr":"10.0.0.%d:1"}`, k, nodeZone(k), k))
+		}
+	}
+	cfg, err := config.Parse([]byte(fmt.Sprintf(`{"label":"n%d","zone":%q,"client_listen":"10.0.0.%d:2","peer_listen":"10.0.0.%d:1",
+	"siblings":[%s],"services":{"cloud":"10.9.0.1:1","state":"10.9.0.2:1"},
+	"cluster":{"teams":[{"name":"red","cpus":16,"cpus_max":32},{"name":"blue","cpus":8,"cpus_max":16}],
+	"objectives":[{"kind":"wait","class":"web","within_s":5,"share":0.9}],
+	"workers":{"report_s":1,"lease_s":10,"cancel_s":35,"gang_wait_s":30,"gang_peer_s":5},"state":{"rps":150,"write_rps":50,"value_kb":16,"txn_ops":32},
+	"cloud":{"rps":8,"list_lag_s":5},"resources":{"cores":0.2,"mem_mb":98,"fd_limit":600}}}`, i, nodeZone(i), i, i, strings.Join(peers, ","))), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return cfg
+}
+
+func (w *world) at(d time.Duration, do func()) {
+	w.seq++
+	heap.Push(&w.agenda, happening{w.now + max(d, 0), w.seq, do})
+}
+
+func (w *world) run(d time.Duration) {
+	end := w.now + d
+	for len(w.agenda) > 0 && w.agenda[0].at <= end {
+		h := heap.Pop(&w.agenda).(happening)
+		w.now = h.at
+		h.do()
+	}
+	w.now = end
+}
+
+// until runs until something holds.
+func (w *world) until(limit time.Duration, what string, holds func() bool) {
+	w.t.Helper()
+	end := w.now + limit
+	for !holds() {
+		if w.now >= end {
+			w.t.Fatalf("after %v: still not: %s", limit, what)
+		}
+		w.run(tick)
+	}
+}
+
+func (w *world) breaks(format string, args ...any) {
+	if len(w.broken) < 20 {
+		w.broken = append(w.broken, fmt.Sprintf("%v: ", w.now)+fmt.Sprintf(format, args...))
+	}
+}
+
+func (w *world) keptRules() {
+	w.t.Helper()
+	for _, b := range w.broken {
+		w.t.Error(b)
+	}
+}
+
+// --- controllers
+
+func (w *world) boot(i int) {
+	n := w.nodes[i]
+	n.alive, n.life, n.born = true, n.life+1, w.now
+	life := n.life
+	n.wants = map[uint64]func(Reply){}
+	sink := io.Discard
+	if os.Getenv("CLAYBARROW_TEST_LOG") != "" {
+		sink = os.Stderr
+	}
+	log := slog.New(slog.NewTextHandler(sink, &slog.HandlerOptions{Level: slog.LevelDebug})).With("node", i)
+	n.core = New(w.cfgs[i], rand.New(rand.NewPCG(w.rng.Uint64(), 2)), log)
+	var beat func()
+	beat = func() {
+		if n.alive && n.life == life {
+			w.feed(i, Tick{})
+			w.at(tick, beat)
+		}
+	}
+	w.at(time.Duration(i)*time.Millisecond, beat)
+}
+
+func (w *world) crash(i int) { w.nodes[i].alive = false }
+
+func (w *world) feed(i int, ev Event) {
+	n := w.nodes[i]
+	for _, e := range n.core.Handle(Clock{Steady: w.now - n.born, Wall: 1_700_000_000_000 + w.now.Milliseconds()}, ev) {
+		switch e := e.(type) {
+		case Reply:
+			if f := n.wants[e.ID]; f != nil {
+				delete(n.wants, e.ID)
+				f(e)
+			}
+		case Call:
+			w.carry(i, e)
+		}
+	}
+}
+
+// ask sends a request to a node; the answer may be none (status 0).
+func (w *world) ask(i int, req Request, then func(Reply)) {
+	n := w.nodes[i]
+	if !n.alive {
+		then(Reply{})
+		return
+	}
+	n.last++
+	req.ID = n.last
+	life, done := n.life, false
+	n.wants[req.ID] = func(r Reply) { done = true; then(r) }
+	w.feed(i, req)
+	w.at(5*time.Second, func() {
+		if !done && n.life == life {
+			delete(n.wants, req.ID)
+		}
+		if !done {
+			done = true
+			then(Reply{})
+		}
+	})
+}
+
+func (w *world) carry(i int, c Call) {
+	life, answered := w.nodes[i].life, false
+	result := func(status int, body []byte) {
+		if answered || w.nodes[i].life != life || !w.nodes[i].alive {
+			return
+		}
+		answered = true
+		w.feed(i, Result{ID: c.ID, Status: status, Body: body, NoConn: status == 0 && w.off[c.Addr]})
+	}
+	var f fate
+	if w.script != nil {
+		f = w.script(i, c)
+	}
+	w.at(c.Timeout, func() { result(0, nil) })
+	if f.lost {
+		return
+	}
+	w.at(latency+f.hold, func() {
+		reply := func(status int, body []byte) {
+			if !f.answerLost {
+				w.at(latency, func() { result(status, body) })
+			}
+		}
+		switch c.Target {
+		case ToState:
+			w.state.serve(i, c, reply)
+		case ToCloud:
+			reply(w.cloud.serve(c))
+		case ToWorker:
+			if wk := w.byAddr(c.Addr); wk != nil && wk.reachable() {
+				if wk.hung {
+					wk.held = append(wk.held, func() { reply(wk.serve(c)) })
+					return
+				}
+				reply(wk.serve(c))
+			}
+		case ToPeer:
+			for k := range w.nodes {
+				if c.Addr == fmt.Sprintf("10.0.0.%d:1", k) {
+					op := map[string]Op{"/relay": OpRelay, "/heartbeat": OpHeartbeat, "/forward": OpForward}[c.Path]
+					w.ask(k, Request{Op: op, Body: c.Body}, func(r Reply) {
+						if r.Status != 0 {
+							reply(r.Status, r.Body)
+						}
+					})
+				}
+			}
+		}
+	})
+}
+
+func (w *world) leader() int {
+	for i, n := range w.nodes {
+		if n.alive && n.core.term != nil && n.core.term.ready && n.core.term.certain() {
+			return i
+		}
+	}
+	return -1
+}
+
+func (w *world) awaitLeader() int {
+	w.t.Helper()
+	w.until(30*time.Second, "a leader", func() bool { return w.leader() >= 0 })
+	return w.leader()
+}
+
+// --- users
+
+func (w *world) spec(uid string, change map[string]any) map[string]any {
+	m := map[string]any{"uid": uid, "tier": "jobs", "owner": "red", "shape": "batch", "rank": "normal", "shards": 1,
+		"cores": 4.0, "accelerators": 0.0, "ramGb": 4.0, "bundle": "img", "sizeGb": 1.0, "flavours": nil, "yard": nil,
+		"together": false, "apart": false, "borrowed": false, "expectS": 30.0, "saveEveryS": 0.0, "saveTakesS": 0.0, "dueS": nil}
+	maps.Copy(m, change)
+	w.specs[uid] = m
+	return m
+}
+
+// user sends one request and notes what was told.
+func (w *world) user(node int, op Op, uid string, then func(int, protocol.Standing)) {
+	req := Request{Op: op, UID: uid}
+	if op == OpSubmit {
+		req.Body = protocol.Encode(w.specs[uid])
+	}
+	if op == OpCancel {
+		w.wished[uid] = true
+	}
+	w.ask(node, req, func(r Reply) {
+		var s protocol.Standing
+		if r.Status == 200 || r.Status == 201 {
+			if err := protocol.Decode(r.Body, &s); err != nil {
+				w.breaks("an answer can't be read: %v", err)
+			}
+			w.tell(uid, s)
+			w.noteAnswer(uid)
+		}
+		w.checkAnswer(op, uid, r.Status)
+		if r.Status == 404 && w.told[uid] != "" {
+			w.breaks("forgotten: %s", uid)
+		}
+		if (r.Status == 503 || r.Status == 429) && r.RetryAfter == 0 {
+			w.breaks("%d without Retry-After", r.Status)
+		}
+		if then != nil {
+			then(r.Status, s)
+		}
+	})
+}
+
+func (w *world) tell(uid string, s protocol.Standing) {
+	before := w.told[uid]
+	if (before == protocol.Done || before == protocol.Cancelled) && s.State != before {
+		w.breaks("went_back: %s was %s, now %s", uid, before, s.State)
+	}
+	if s.State == protocol.Done {
+		n := w.specs[uid]["shards"].(int)
+		for k := range n {
+			if !w.cloud.finished[uid+"/"+strconv.Itoa(k)] {
+				w.breaks("not_done: %s/%d", uid, k)
+			}
+		}
+	}
+	if s.State == protocol.Cancelled && before != s.State {
+		w.stopped[uid] = w.now
+		if !w.wished[uid] {
+			w.breaks("went_back: %s is called cancelled, and nobody asked for it", uid)
+		}
+	}
+	w.told[uid] = s.State
+}
+
+// persist repeats a request at the nodes in turn, as users do.
+func (w *world) persist(op Op, uid string, ok func(int, protocol.Standing) bool) {
+	node := 0
+	var again func()
+	again = func() {
+		node++
+		w.user(node%3, op, uid, func(status int, s protocol.Standing) {
+			if !ok(status, s) {
+				w.at(time.Second, again)
+			}
+		})
+	}
+	again()
+}
+
+func (w *world) submit(uid string, change map[string]any) {
+	w.spec(uid, change)
+	w.persist(OpSubmit, uid, func(s int, _ protocol.Standing) bool { return s == 200 || s == 201 })
+}
+
+func (w *world) cancel(uid string) {
+	w.persist(OpCancel, uid, func(s int, _ protocol.Standing) bool { return s == 200 })
+}
+
+func (w *world) awaitTold(limit time.Duration, uid, state string) {
+	w.t.Helper()
+	n := 0
+	w.until(limit, uid+" told "+state, func() bool {
+		if n++; n%20 == 1 {
+			w.user(n/20%3, OpPoll, uid, nil)
+		}
+		return w.told[uid] == state
+	})
+}
--- /dev/null
+++ b/internal/ledger/attempt.go
@@ -0,0 +1,79 @@
+package ledger
+
+import (
+	"strconv"
+	"strings"
+	"time"
+
+	"claybarrow/internal/protocol"
+)
+
+// Attempt is one start of a task that may be on its machine.
+type Attempt struct {
+	Job     *Job
+	Index   int
+	Try     uint64
+	Machine *Machine
+	// Durable: written ahead, so the run may leave. Loaded: from the books of
+	// an earlier leader, whose commands may be under way until the worker has
+	// our token.
+	Durable, Loaded bool
+	// Sent: a run left us in Session. Acked: the worker is known to have had
+	// it. Lost: a direct run had no answer, so a copy may still be executed
+	// while the session lasts. RunSeq: the report whose answer carried a run.
+	Sent, Acked, Lost bool
+	Session           uint64
+	RunSeq            uint64
+	Flying            int // direct runs under way
+	State             string
+	Since             time.Duration
+	// Halt: it is to be stopped. Grace is what it has for saving.
+	// Yielded: a round stopped it for work that ranks before it.
+	// Began: it was seen running, or on its way out.
+	Halt     bool
+	Began    bool
+	Yielded  bool
+	HaltSent time.Duration
+	Grace    float64
+}
+
+// Key names the attempt.
+type Key struct {
+	Task string
+	Try  uint64
+}
+
+// Task is the wire's name of a task.
+func Task(uid string, index int) string { return uid + "/" + strconv.Itoa(index) }
+
+// Key names the attempt on its machine.
+func (a *Attempt) Key() Key { return Key{Task(a.Job.Spec.UID, a.Index), a.Try} }
+
+// SetState notes the worker's word for the attempt's state.
+func (a *Attempt) SetState(s string) {
+	if a.State == protocol.Running {
+		a.Job.Running--
+	}
+	if s == protocol.Running {
+		a.Job.Running++
+	}
+	a.State = s
+	a.Began = a.Began || s != protocol.Pulling && s != protocol.Gathering && s != ""
+}
+
+// Gone is an exited attempt that the worker still reports and that is to be
+// cleared when that is safe.
+type Gone struct {
+	// Attempt is nil if the books did not have it.
+	Attempt *Attempt
+	// Ready: whatever its end means is durable.
+	Ready bool
+	Sent  time.Duration // of the last clear
+}
+
+// ParseTask reads the wire's name of a task.
+func ParseTask(s string) (uid string, index int, ok bool) {
+	uid, n, found := strings.Cut(s, "/")
+	i, err := strconv.Atoi(n)
+	return uid, i, found && err == nil && i >= 0
+}
--- /dev/null
+++ b/internal/ledger/job.go
@@ -0,0 +1,149 @@
+package ledger
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"claybarrow/internal/protocol"
+	"claybarrow/internal/sched"
+)
+
+// Job is a job that is not over.
+type Job struct {
+	Spec      *protocol.Spec
+	Submitted int64 // time of day, ms
+	// Stored: the job's record is durable, the user may be told so.
+	Stored bool
+	// Cancelling: no starts any more, and whatever runs is stopped, by this leader
+	// or a later one: the wish is stored.
+	Cancelling bool
+	// Finishing: all tasks are done, or cancelled and proved gone, and the last
+	// record is being written.
+	Finishing bool
+	Scale     sched.Scale
+	Need      sched.Need
+	Types     map[string]bool
+
+	done      []uint64
+	Done      int
+	held      map[int]int // attempts in the books, by task
+	inZone    map[string]int
+	HeldTotal int
+	Running   int
+	firstOpen int
+	resume    map[int]bool // interrupted tasks, which go on first
+	// Gang holds a gang's attempts, wherever they may be.
+	Gang []*Attempt
+
+	// HungryAt is since when it has waited with no task anywhere, 0: it does not.
+	HungryAt time.Duration
+
+	// Failures in a row and when the next start may be made.
+	Failures  int
+	FailedOn  map[string]bool
+	NotBefore time.Duration
+}
+
+// TerminalState is what is kept of a job that is over.
+type TerminalState struct {
+	Cancelled bool
+	Tasks     int
+}
+
+// AddJob puts a job in the books.
+func (b *Books) AddJob(spec *protocol.Spec, submitted int64) *Job {
+	j := &Job{Spec: spec, Submitted: submitted, Scale: sched.NewScale(),
+		Need: sched.Need{Cores: spec.Cores, Accel: spec.Accelerators, Mem: spec.MemoryGB},
+		done: make([]uint64, (spec.Tasks+63)/64), held: map[int]int{}, inZone: map[string]int{}}
+	if spec.Types != nil {
+		j.Types = map[string]bool{}
+		for _, t := range spec.Types {
+			j.Types[t] = true
+		}
+	}
+	b.Jobs[spec.UID] = j
+	return j
+}
+
+// IsDone says whether the task has completed.
+func (j *Job) IsDone(i int) bool { return j.done[i/64]&(1<<(i%64)) != 0 }
+
+// MarkDone notes a completion; false if it was known.
+func (j *Job) MarkDone(i int) bool {
+	if j.IsDone(i) {
+		return false
+	}
+	j.done[i/64] |= 1 << (i % 64)
+	j.Done++
+	return true
+}
+
+// HeldOf is how many attempts of the task may be somewhere.
+func (j *Job) HeldOf(i int) int { return j.held[i] }
+
+// InZone is a copy of the counts of attempts by zone.
+func (j *Job) InZone() map[string]int { return maps.Clone(j.inZone) }
+
+// Interrupted notes a task that was stopped, but not by rank.
+func (j *Job) Interrupted(index int) {
+	if j.resume == nil {
+		j.resume = map[int]bool{}
+	}
+	j.resume[index] = true
+}
+
+// Waiting lists up to limit tasks that may be started. The first of them, as
+// many as it says, were interrupted.
+func (j *Job) Waiting(limit int) (out []int, resume int) {
+	if j.Cancelling || j.Finishing {
+		return nil, 0
+	}
+	if j.Spec.Gang {
+		// It starts whole, and only when all of the attempt before is proved gone; a
+		// task that was lost while the others still gather is replaced.
+		for i := 0; (j.HeldTotal == 0 || j.Gathering()) && i < j.Spec.Tasks; i++ {
+			if j.held[i] == 0 {
+				out = append(out, i)
+			}
+		}
+		return out, 0
+	}
+	for _, i := range slices.Sorted(maps.Keys(j.resume)) {
+		if len(out) < limit && !j.IsDone(i) && j.held[i] == 0 {
+			out = append(out, i)
+		}
+	}
+	resume = len(out)
+	for j.firstOpen < j.Spec.Tasks && j.IsDone(j.firstOpen) {
+		j.firstOpen++
+	}
+	for i := j.firstOpen; i < j.Spec.Tasks && len(out) < limit; i++ {
+		if !j.IsDone(i) && j.held[i] == 0 && !j.resume[i] {
+			out = append(out, i)
+		}
+	}
+	return out, resume
+}
+
+// Whole says whether a gang's attempts are one of each task, all under the same
+// number, durable and none of them to be stopped: only then may any of them run.
+func (j *Job) Whole() bool {
+	for _, a := range j.Gang {
+		if a.Try != j.Gang[0].Try || !a.Durable || a.Halt {
+			return false
+		}
+	}
+	return len(j.Gang) == j.Spec.Tasks && len(j.held) == j.Spec.Tasks
+}
+
+// Gathering says whether a gang's attempt has not begun to run, as far as known, and
+// may go on: all there is of it is durable, started by this leader and to be kept.
+func (j *Job) Gathering() bool {
+	for _, a := range j.Gang {
+		if a.Try != j.Gang[0].Try || !a.Durable || a.Loaded || a.Halt || a.Began {
+			return false
+		}
+	}
+	return len(j.Gang) > 0
+}
--- /dev/null
+++ b/internal/ledger/machine.go
@@ -0,0 +1,110 @@
+package ledger
+
+import (
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"claybarrow/internal/sched"
+)
+
+// Machine is a machine and all that may be on it.
+type Machine struct {
+	ID, Type, Zone, Addr string
+	Spot                 bool
+	Size                 sched.Need
+	Attempts             map[Key]*Attempt
+	Exited               map[Key]*Gone
+	Used                 sched.Need
+	// Strays are tasks of jobs that the books don't have, with the time of the
+	// last halt.
+	Strays map[Key]time.Duration
+
+	// The newest message: its session and sequence number, the token it had.
+	Session, Seq, Token uint64
+	ReportSeq           uint64
+	Heard, Answered     time.Duration
+	FreshAt             time.Duration // when it first showed our token
+	Fresh               bool
+	Known               bool // heard of in this term
+	// DeadSession and older ones are proved over.
+	DeadSession uint64
+	Deaf        int // answered reports that show an old token, or lapses
+	AsideUntil  time.Duration
+	// DrainUntil: its replicas are being moved, nothing new comes meanwhile.
+	DrainUntil time.Duration
+	Errors     int
+
+	// SentAway is when it was told to report to a controller of its zone, SentTo
+	// which process that was; until DirectUntil it reports to the leader itself,
+	// longer with each time that it came back from there.
+	SentAway, DirectUntil time.Duration
+	SentTo                string
+	Bounces               int
+
+	Notice   bool
+	NoticeBy time.Duration
+	Images   map[string]bool
+
+	// Exists is when it surely existed; a list surely younger without it
+	// proves that it is gone.
+	Exists    time.Duration
+	Rented    time.Duration // when the rental was asked for, as far as known
+	Up        bool          // has reported at some time
+	Listed    bool          // the cloud calls it running
+	Returning bool          // to be deleted
+	Returned  bool          // the mark is durable, the deletion may leave
+	IdleSince time.Duration
+	Recorded  bool
+
+	// The direct link: one call in flight.
+	Calling   bool
+	CallFails int
+	// NoConn: with the last call not even a connection could be made; FailedAt is
+	// when that call left.
+	NoConn   bool
+	FailedAt time.Duration
+	NextCall time.Duration
+	Greeted  bool
+}
+
+// AddMachine returns the machine, made if need be.
+func (b *Books) AddMachine(id string) *Machine {
+	m := b.Machines[id]
+	if m == nil {
+		m = &Machine{ID: id, Attempts: map[Key]*Attempt{}, Exited: map[Key]*Gone{}, Images: map[string]bool{}}
+		b.Machines[id] = m
+		b.sorted = nil
+	}
+	return m
+}
+
+// RemoveMachine takes a machine out of the books.
+func (b *Books) RemoveMachine(m *Machine) {
+	delete(b.Machines, m.ID)
+	b.sorted = nil
+}
+
+// SortedMachines lists the machines by name. The list is kept until a machine
+// comes or goes, as it is asked for at every tick, and is never changed: who
+// goes through it may add and remove machines meanwhile.
+func (b *Books) SortedMachines() []*Machine {
+	if b.sorted == nil {
+		b.sorted = slices.Collect(maps.Values(b.Machines))
+		slices.SortFunc(b.sorted, func(x, y *Machine) int { return strings.Compare(x.ID, y.ID) })
+	}
+	return b.sorted
+}
+
+// Sorted lists the machine's attempts in a fixed order, so runs replay.
+func (m *Machine) Sorted() []*Attempt {
+	out := slices.Collect(maps.Values(m.Attempts))
+	slices.SortFunc(out, func(x, y *Attempt) int {
+		if x.Try < y.Try {
+			return -1
+		}
+		return 1
+	})
+	return out
+}
--- /dev/null
+++ b/internal/sched/emptying.go
@@ -0,0 +1,68 @@
+package sched
+
+import (
+	"maps"
+)
+
+// Dear says whether a machine costs at least what the fleet's machines do on
+// average. Where all types cost the same all are dear: sums of like prices round
+// up or down, which once kept a fleet of one type from being emptied at all.
+func (s *Snapshot) Dear(m *Machine) bool {
+	total := 0.0
+	for _, o := range s.Machines {
+		total += o.Type.Price
+	}
+	return m.Type.Price*float64(len(s.Machines)) >= 0.999*total
+}
+
+// Emptied is the snapshot after a machine's tasks have been moved at next to no
+// cost: to machines in use that have the replicas' images, leaving as much of the room
+// for expected tasks as there was. Nil: that can't be done.
+func (s *Snapshot) Emptied(id string, moved []*Job, expected func() []*Job) *Snapshot {
+	kept := func(s *Snapshot) int {
+		n := 0
+		for _, j := range expected() {
+			n += len(j.Waiting)
+			s.reserve(j)
+			n -= len(j.Waiting)
+		}
+		return n
+	}
+	rest := s.clone(id)
+	s.Looked += len(rest.Machines) * (len(moved) + 1)
+	for _, j := range moved {
+		var pick *Machine
+		for _, m := range rest.Machines {
+			if m.Used && m.For == "" && m.Room > 0 && (!j.Service || j.Image == "" || m.Images[j.Image]) && j.Need.Fits(m.Free) &&
+				j.AllowedOn(m.Type.Name, m.Zone, m.Spot) && j.ZoneOpen(m.Zone) &&
+				(pick == nil || rest.score(j, m) < rest.score(j, pick)) {
+				pick = m
+			}
+		}
+		if pick == nil {
+			return nil
+		}
+		rest.take(j, pick)
+	}
+	if !s.keptKnown {
+		s.kept, s.keptKnown = kept(s.clone("")), true
+	}
+	if rest.kept = kept(rest.clone("")); rest.kept < s.kept {
+		return nil
+	}
+	rest.keptKnown, rest.Looked = true, s.Looked
+	return rest
+}
+
+// clone copies what placing changes, without the named machine.
+func (s *Snapshot) clone(without string) *Snapshot {
+	out := &Snapshot{UpperCap: s.UpperCap, Capacity: s.Capacity, Teams: map[string]*Team{}}
+	for _, m := range s.Machines {
+		if m.ID != without {
+			c := *m
+			c.Fetching = maps.Clone(m.Fetching)
+			out.Machines = append(out.Machines, &c)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/sched/fill.go
@@ -0,0 +1,229 @@
+package sched
+
+import (
+	"math"
+	"sort"
+)
+
+// Placement is a task to start.
+type Placement struct {
+	Job     *Job
+	Index   int
+	Machine *Machine
+}
+
+// Fill starts waiting tasks in rank order: services, those within their team's
+// guarantee first; then the room kept for expected ones; then batches, first
+// within guarantees, then within slots (the upper queue under its cap), then
+// what was interrupted, then whatever room is spare.
+func (s *Snapshot) Fill() []Placement {
+	Order(s.Jobs)
+	var out []Placement
+	for _, guaranteed := range []bool{true, false} {
+		for _, j := range s.Jobs {
+			if j.Service && !j.Phantom {
+				out = s.place(out, j, func(t *Team) bool { return !guaranteed || t.InGuarantee(j.Need) })
+			}
+		}
+	}
+	// Room kept for what may come, or left of a limit, is no reason for a batch to
+	// go without a single task for as long as there is no other.
+	for _, j := range s.Jobs {
+		if t := s.Teams[j.Team]; j.Starved && !j.Service && !j.Gang && j.Held == 0 && len(j.Waiting) > 0 && t != nil && t.InLimit(j.Need) {
+			if m := s.best(j); m != nil {
+				out = append(out, Placement{j, j.Waiting[0], m})
+				s.take(j, m)
+			}
+		}
+	}
+	out = s.feedGangs(out)
+	for _, j := range s.Jobs {
+		if j.Phantom {
+			s.reserve(j)
+		}
+		if t := s.Teams[j.Team]; t != nil {
+			// Freed for it, not for the team's batches.
+			t.Used = t.Used.Plus(j.Need.Times(float64(min(j.Claims, len(j.Waiting)))))
+		}
+	}
+	if s.Moving {
+		return out
+	}
+	for pass := range 4 {
+		upper := 0.0
+		if pass == 2 {
+			// Beyond slots the upper queue has no precedence: its cap has been
+			// used up in the pass before.
+			// Jobs with a deadline go by the time they have left, and those that
+			// can't meet theirs go last: least attained service spreads a full
+			// team's limit over all its jobs, and then all of them are late.
+			sort.SliceStable(s.Jobs, func(a, b int) bool {
+				x, y := s.Jobs[a], s.Jobs[b]
+				if x.Late != y.Late {
+					return y.Late
+				}
+				if x.LeftS != y.LeftS {
+					return x.LeftS < y.LeftS
+				}
+				return x.Rank() < y.Rank()
+			})
+		}
+		for _, j := range s.Jobs {
+			if j.Service {
+				continue
+			}
+			if j.Gang {
+				if pass < 2 {
+					out = s.placeGang(out, j, func(t *Team, whole Need) bool {
+						return t.InLimit(whole.Plus(t.Kept)) && (pass == 1 || t.InGuarantee(whole))
+					})
+				}
+				continue
+			}
+			if j.Upper && pass == 1 {
+				upper += Share(j.Need, s.Capacity) * float64(min(j.Slots, j.Tasks))
+			}
+			out = s.place(out, j, func(t *Team) bool {
+				switch pass {
+				case 0:
+					return t.InGuarantee(j.Need)
+				case 2:
+					// What a machine's end took had been decided by rank, and goes
+					// on before new tasks take the room: large jobs have attained
+					// most, and each of their interrupted tasks waited for a boot.
+					return j.Resume > 0
+				case 1:
+					return j.Held < j.Slots && (!j.Upper || upper <= s.UpperCap || j.Held == 0)
+				}
+				return true
+			})
+		}
+	}
+	return out
+}
+
+// place starts a job's tasks while its team's limit, the given condition and
+// the room allow.
+func (s *Snapshot) place(out []Placement, j *Job, may func(*Team) bool) []Placement {
+	team := s.Teams[j.Team]
+	for len(j.Waiting) > 0 && team.Takes(j) && may(team) {
+		m := s.best(j)
+		if m == nil {
+			break
+		}
+		out = append(out, Placement{j, j.Waiting[0], m})
+		s.take(j, m)
+	}
+	return out
+}
+
+// reserve takes room for expected tasks on machines that are up, as far as
+// there is any.
+func (s *Snapshot) reserve(j *Job) {
+	for len(j.Waiting) > 0 {
+		m := s.best(j)
+		if m == nil {
+			return
+		}
+		used := m.Used
+		s.take(j, m)
+		m.Used = used
+	}
+}
+
+func (s *Snapshot) take(j *Job, m *Machine) {
+	j.Waiting = j.Waiting[1:]
+	j.Resume = max(0, j.Resume-1)
+	j.Held++
+	if j.InZone == nil {
+		j.InZone = map[string]int{}
+	}
+	j.InZone[m.Zone]++
+	if t := s.Teams[j.Team]; t != nil {
+		t.Used = t.Used.Plus(j.Need)
+	}
+	m.Free = m.Free.Minus(j.Need)
+	m.Room--
+	m.Used = true
+	if !m.Images[j.Image] && j.Image != "" {
+		if m.Fetching == nil {
+			m.Fetching = map[string]bool{}
+		}
+		m.Fetching[j.Image] = true
+	}
+}
+
+// roomy lists the machines that may have room. What has filled up since the list
+// was made stays in it; whatever frees room or adds a machine drops the list.
+func (s *Snapshot) roomy(accel, cores bool) []*Machine {
+	k := 0
+	if !accel && !cores {
+		return s.Machines // memory alone
+	}
+	if accel {
+		k = 1
+	}
+	if s.spare[k] == nil {
+		s.spare[k] = make([]*Machine, 0, len(s.Machines))
+		for _, m := range s.Machines {
+			if m.Room > 0 && (accel && m.Free.Accel > eps || !accel && m.Free.Cores > eps) {
+				s.spare[k] = append(s.spare[k], m)
+			}
+		}
+	}
+	return s.spare[k]
+}
+
+func (s *Snapshot) best(j *Job) *Machine {
+	var pick *Machine
+	bestScore := math.Inf(1)
+	list := s.roomy(j.Need.Accel > 0, j.Need.Cores > 0)
+	s.Looked += len(list)
+	for _, m := range list {
+		if (m.For != "" && m.For != j.ID) || m.Room <= 0 || !j.Need.Fits(m.Free) || !j.AllowedOn(m.Type.Name, m.Zone, m.Spot) || !j.ZoneOpen(m.Zone) {
+			continue
+		}
+		if sc := s.score(j, m); sc < bestScore {
+			pick, bestScore = m, sc
+		}
+	}
+	return pick
+}
+
+// score is lower for a better machine. The weights only order the wishes:
+// ready before booting, image there, cheap kind, no accelerators blocked by
+// work that has no use for them, and a tight fit.
+func (s *Snapshot) score(j *Job, m *Machine) float64 {
+	sc := 0.0
+	if m.Booting {
+		sc += 1000
+	}
+	switch {
+	case j.Image == "" || m.Images[j.Image]:
+	case m.Fetching[j.Image]:
+		sc += 20
+	default:
+		sc += 60*j.fetchWeight(m.Type) + 40*float64(len(m.Fetching))
+	}
+	if j.Spot && !m.Spot {
+		sc += 50
+	}
+	if j.Need.Accel == 0 && m.Type.Size.Accel > 0 {
+		// Cores beside accelerators are lent only as far as each free
+		// accelerator keeps three quarters of its part of them.
+		left := m.Free.Minus(j.Need)
+		if left.Cores < 0.75*m.Type.Size.Cores*m.Free.Accel/m.Type.Size.Accel {
+			sc += 400
+		}
+		sc += 30
+	}
+	left := Share(m.Free.Minus(j.Need), m.Type.Size)
+	if j.Need.Accel == 0 {
+		left = (m.Free.Cores - j.Need.Cores) / math.Max(m.Type.Size.Cores, eps)
+	}
+	sc += 25 * left
+	if !m.Used {
+		sc += 15
+	}
+	return sc
+}
--- /dev/null
+++ b/internal/sched/job.go
@@ -0,0 +1,106 @@
+package sched
+
+import (
+	"sort"
+)
+
+// Job is a job with the tasks that wait.
+type Job struct {
+	ID, Class, Team, Image string
+	ImageGB, AimS          float64 // AimS: the users' shortest aim for a start, 0: none
+	Service                bool
+	Gang                   bool // all its tasks are placed, or none
+	Priority               int
+	Submitted              int64
+	Need                   Need
+	Spot                   bool
+	SaveS                  float64         // time to save when stopped
+	Types                  map[string]bool // nil: any
+	Zone                   string
+	OneZone, Spread        bool
+	Tasks                  int
+	Waiting                []int
+	InZone                 map[string]int
+	Held                   int
+	Upper                  bool
+	Slots                  int
+	Attained, Degradation  float64
+	Phantom                bool
+	// LeftS is the time left until its deadline, infinite if it has none; Late:
+	// it can't be met any more.
+	LeftS float64
+	Late  bool
+	// Resume is how many of the waiting tasks, listed first, ran before and were
+	// interrupted by their machine's end rather than by rank.
+	Resume int
+	// Claims is for how many of its tasks others were stopped and have not all
+	// gone yet.
+	Claims int
+	// Patient: it has waited so long that no rented machine will come.
+	Patient bool
+	// Starved: it has had no task anywhere for longer than a boot.
+	Starved bool
+}
+
+// Rank is attained service over degradation: the least goes first.
+func (j *Job) Rank() float64 { return j.Attained / j.Degradation }
+
+// Order sorts by rank: services first (by priority, then age), then the room
+// kept for expected ones, then the upper queue first come first served, then
+// the lower queue by Rank.
+func Order(jobs []*Job) {
+	class := func(j *Job) int {
+		switch {
+		case j.Service && !j.Phantom:
+			return 0
+		case j.Phantom:
+			return 1
+		case j.Upper:
+			return 2
+		}
+		return 3
+	}
+	sort.SliceStable(jobs, func(a, b int) bool {
+		x, y := jobs[a], jobs[b]
+		if cx, cy := class(x), class(y); cx != cy {
+			return cx < cy
+		}
+		if x.Service && x.Priority != y.Priority {
+			return x.Priority > y.Priority
+		}
+		if !x.Service && !x.Upper && x.Rank() != y.Rank() {
+			return x.Rank() < y.Rank()
+		}
+		if x.Submitted != y.Submitted {
+			return x.Submitted < y.Submitted
+		}
+		return x.ID < y.ID
+	})
+}
+
+// AllowedOn says whether the job's own words allow this type, zone and kind.
+func (j *Job) AllowedOn(typ, zone string, spot bool) bool {
+	return (!spot || j.Spot) && (j.Zone == "" || j.Zone == zone) && (j.Types == nil || j.Types[typ])
+}
+
+// ZoneOpen says whether one more task may go to the zone, given the others.
+func (j *Job) ZoneOpen(zone string) bool {
+	if j.OneZone {
+		for z, n := range j.InZone {
+			if n > 0 && z != zone {
+				return false
+			}
+		}
+	}
+	return !j.Spread || j.InZone[zone] < (j.Tasks+1)/2
+}
+
+// fetchWeight is how much a missing image matters on a type: its fetch by the
+// time that the users give a start. Small images on slow machines miss an aim of
+// a second, while a dearer machine has them at once.
+func (j *Job) fetchWeight(t *Type) float64 {
+	if j.AimS <= 0 || t.FetchGBPerS <= 0 {
+		return 1
+	}
+	return min(4, max(0.25, j.ImageGB/t.FetchGBPerS/j.AimS))
+}
--- /dev/null
+++ b/internal/sched/need.go
@@ -0,0 +1,42 @@
+package sched
+
+import (
+	"math"
+)
+
+// Need is an amount of a machine's resources.
+type Need struct{ Cores, Accel, Mem float64 }
+
+const eps = 1e-6
+
+// Fits says whether n is covered by free.
+func (n Need) Fits(free Need) bool {
+	return n.Cores <= free.Cores+eps && n.Accel <= free.Accel+eps && n.Mem <= free.Mem+eps
+}
+
+// Plus and Minus add and subtract.
+func (n Need) Plus(o Need) Need { return Need{n.Cores + o.Cores, n.Accel + o.Accel, n.Mem + o.Mem} }
+
+// Minus subtracts.
+func (n Need) Minus(o Need) Need { return Need{n.Cores - o.Cores, n.Accel - o.Accel, n.Mem - o.Mem} }
+
+// Times multiplies.
+func (n Need) Times(k float64) Need { return Need{n.Cores * k, n.Accel * k, n.Mem * k} }
+
+// Share is the part of a whole that n takes: accelerators where there are any.
+func Share(n, whole Need) float64 {
+	if n.Accel > 0 {
+		return n.Accel / math.Max(whole.Accel, n.Accel)
+	}
+	return n.Cores / math.Max(whole.Cores, math.Max(n.Cores, eps))
+}
+
+func perMachine(n, size Need) float64 {
+	k := math.Inf(1)
+	for _, p := range [][2]float64{{n.Cores, size.Cores}, {n.Accel, size.Accel}, {n.Mem, size.Mem}} {
+		if p[0] > 0 {
+			k = math.Min(k, math.Floor(p[1]/p[0]+eps))
+		}
+	}
+	return math.Max(k, 1)
+}
--- /dev/null
+++ b/internal/sched/plan.go
@@ -0,0 +1,119 @@
+package sched
+
+import (
+	"math"
+)
+
+// Pool is a type, zone and kind that can be rented.
+type Pool struct {
+	Type string
+	Zone string
+	Spot bool
+}
+
+// Rental is a number of machines wanted from a pool.
+type Rental struct {
+	Pool
+	Count int
+}
+
+// Plan places what still waits on free, booting and, where these don't do, new
+// machines. It returns what to rent and marks (Used) the machines that the
+// waiting and expected work needs. blocked pools are short.
+func (s *Snapshot) Plan(types []*Type, blocked func(Pool) bool, maxNew int) []Rental {
+	Order(s.Jobs)
+	want := map[Pool]int{}
+	var order []Pool
+	created := 0
+	for ji, j := range s.Jobs {
+		if j.Gang && len(j.Waiting) > 0 {
+			if t := s.Teams[j.Team]; t == nil || !t.InLimit(j.Need.Times(float64(len(j.Waiting)))) {
+				continue
+			}
+			if s.placeGang(nil, j, func(*Team, Need) bool { return true }) != nil {
+				continue
+			}
+			if j.OneZone && j.Zone == "" {
+				// What is missing has to be rented in a zone where that can be done.
+				if p, typ := s.cheapestPool(j, s.Jobs[ji:], types, blocked); typ != nil {
+					j.Zone = p.Zone
+				}
+			}
+		}
+		for len(j.Waiting) > 0 {
+			if t := s.Teams[j.Team]; t != nil && !t.Takes(j) && !j.Phantom {
+				break
+			}
+			m := s.best(j)
+			if m == nil {
+				if created >= maxNew {
+					break
+				}
+				p, typ := s.cheapestPool(j, s.Jobs[ji:], types, blocked)
+				if typ == nil {
+					break
+				}
+				m = &Machine{Type: typ, Zone: p.Zone, Spot: p.Spot, Free: typ.Size, Room: 1 << 20, Booting: true}
+				s.Machines = append(s.Machines, m)
+				s.spare = [2][]*Machine{}
+				if want[p] == 0 {
+					order = append(order, p)
+				}
+				want[p]++
+				created++
+			}
+			s.take(j, m)
+		}
+	}
+	var out []Rental
+	for _, p := range order {
+		out = append(out, Rental{p, want[p]})
+	}
+	return out
+}
+
+func (s *Snapshot) cheapestPool(j *Job, later []*Job, types []*Type, blocked func(Pool) bool) (Pool, *Type) {
+	var pick Pool
+	var typ *Type
+	best := math.Inf(1)
+	for _, t := range types {
+		if !j.Need.Fits(t.Size) || (j.Types != nil && !j.Types[t.Name]) {
+			continue
+		}
+		fit := perMachine(j.Need, t.Size)
+		alike := 0
+		for _, o := range later {
+			if (o.Need.Accel > 0) == (j.Need.Accel > 0) && (o.Types == nil || o.Types[t.Name]) && o.Need.Fits(t.Size) {
+				alike += len(o.Waiting)
+			}
+		}
+		for _, zone := range t.Zones {
+			if !j.ZoneOpen(zone) {
+				continue
+			}
+			inZone := 0
+			for _, m := range s.Machines {
+				if m.Zone == zone {
+					inZone++
+				}
+			}
+			for _, spot := range []bool{false, true} {
+				p := Pool{t.Name, zone, spot}
+				if !j.AllowedOn(t.Name, zone, spot) || blocked(p) {
+					continue
+				}
+				price := t.Price
+				if spot {
+					price = t.SpotPrice
+				}
+				cost := price / math.Min(fit, math.Max(1, float64(alike)))
+				// Equal prices go to the zone with fewer machines.
+				cost *= 1 + 0.001*float64(inZone)
+				if cost < best {
+					pick, typ, best = p, t, cost
+				}
+			}
+		}
+	}
+	return pick, typ
+}
