Gangs: an attempt's state machine is one typed thing in one place

ledger.Gang has the state, its number, its attempts and the table of transitions; the coordination's gangs.go does what each asks for. Task states, causes of exits, states of jobs and proofs of absence are types. A task that saves without our word has its whole gang stopped: an earlier leader told it to.

--- a/internal/coordination/cloud.go
+++ b/internal/coordination/cloud.go
@@ -105,7 +105,7 @@
 	if l.State == "failed" && !m.Returning {
 		c.log.Info("machine failed", "machine", m.ID, "tasks", len(m.Attempts))
 		for _, a := range m.Sorted() {
-			r.gone(a, "the machine has failed")
+			r.gone(a, machineFailed)
 		}
 		r.giveBack(m, "failed")
 	}
@@ -117,13 +117,13 @@
 func (r *term) missing(asked time.Duration, seen map[string]bool) {
 	for _, m := range r.machines() {
 		if !seen[m.ID] && asked > m.Exists+2*r.c.cfg.ListLag()+r.c.cfg.ListLag()/5 {
-			r.bury(m, "no longer listed")
+			r.bury(m, machineUnlisted)
 		}
 	}
 }
 
 // bury takes a machine that is proved gone out of the books.
-func (r *term) bury(m *ledger.Machine, why string) {
+func (r *term) bury(m *ledger.Machine, why goneReason) {
 	if r.Machines[m.ID] != m {
 		return
 	}
@@ -173,7 +173,7 @@
 		}
 		for _, id := range names {
 			if m := r.Machines[id]; m != nil {
-				r.bury(m, "deleted")
+				r.bury(m, machineDeleted)
 			}
 		}
 	})
--- a/internal/coordination/commands.go
+++ b/internal/coordination/commands.go
@@ -10,8 +10,17 @@
 	"claybarrow/internal/protocol"
 )
 
-// halt has an attempt stopped. What never left is dropped at once.
+// halt has an attempt stopped, and with it all of its gang.
 func (r *term) halt(a *ledger.Attempt, grace float64, why string) {
+	if a.Job.Gang != nil && !a.Job.Finishing {
+		r.haltGang(a.Job, a.Try, grace, why)
+		return
+	}
+	r.haltAttempt(a, grace, why)
+}
+
+// haltAttempt has one attempt stopped. What never left is dropped at once.
+func (r *term) haltAttempt(a *ledger.Attempt, grace float64, why string) {
 	if a.Halt && grace >= a.Grace {
 		return
 	}
@@ -19,16 +28,12 @@
 		a.HaltSent = 0
 	}
 	a.Halt, a.Grace = true, grace
-	if a.Job.Spec.Gang && grace > 0 {
-		a.Grace += r.c.cfg.GangPeer().Seconds() // a task that has saved waits for the others
-	}
 	r.c.log.Debug("halt", "task", a.Key().Task, "try", a.Try, "machine", a.Machine.ID, "why", why)
 	if a.Durable && !a.Sent {
-		r.gone(a, "never sent")
+		r.gone(a, neverSent)
 	} else {
 		r.kick(a.Machine)
 	}
-	r.haltMates(a, grace, why)
 }
 
 // nothingToSay tells most machines of a fleet apart without any list being made:
@@ -59,7 +64,7 @@
 		run := protocol.Command{Verb: protocol.VerbRun, Task: key.Task, Attempt: a.Try}
 		mayRun := a.Durable && !a.Acked && !a.Loaded && !m.Returning && r.certain() &&
 			// A gang's runs leave together, once all its places are durable.
-			(!a.Job.Spec.Gang || a.Halt || a.Job.Whole())
+			(a.Job.Gang == nil || a.Halt || a.Job.Gang.Complete())
 		if a.Halt {
 			if a.State == protocol.Saving && c.now < a.HaltSent+seconds(a.Grace)+2*again {
 				continue
--- a/internal/coordination/emptying.go
+++ b/internal/coordination/emptying.go
@@ -121,7 +121,7 @@
 		if !service {
 			settled *= 0.7
 		}
-		if a.Job.Spec.Gang || a.Job.Cancelling || a.Halt || a.State != protocol.Running || r.c.now < a.Since+seconds(settled) ||
+		if a.Job.Gang != nil || a.Job.Cancelling || a.Halt || a.State != protocol.Running || r.c.now < a.Since+seconds(settled) ||
 			(!service && (a.Job.Spec.CheckpointS <= 0 || free < 0.5)) {
 			return nil
 		}
--- a/internal/coordination/exits.go
+++ b/internal/coordination/exits.go
@@ -15,11 +15,14 @@
 	c := r.c
 	g := &ledger.Gone{Attempt: m.Attempts[key], Ready: true}
 	m.Exited[key] = g
+	if g.Attempt != nil {
+		g.Attempt.Exit = t.Cause
+	}
 	uid, index, ok := ledger.ParseTask(key.Task)
 	j := r.Jobs[uid]
 	if !ok || j == nil || index >= j.Spec.Tasks {
 		if g.Attempt != nil {
-			r.gone(g.Attempt, t.Cause)
+			r.gone(g.Attempt, exited)
 		}
 		return
 	}
@@ -31,13 +34,10 @@
 			break
 		}
 		m.Images[j.Spec.Image] = true
-		if j.Spec.Gang {
+		if j.Gang != nil {
 			// If one task is done, all are; what tells so is kept until it is durable.
-			for i := range j.Spec.Tasks {
-				j.MarkDone(i)
-			}
 			g.Ready = false
-			r.finish(j)
+			r.finishGang(j)
 			r.mark(ledger.JobPrefix+uid, writeUser, func() any { return j.Record() }, func() { g.Ready = true })
 			break
 		}
@@ -65,7 +65,7 @@
 		r.backOff(j)
 	}
 	if g.Attempt != nil {
-		r.gone(g.Attempt, t.Cause)
+		r.gone(g.Attempt, exited)
 	}
 }
 
@@ -101,8 +101,23 @@
 	j.Scale.Attained += wait.Seconds() * shareOf(j, r.capacity())
 }
 
+// goneReason is why an attempt is proved gone.
+type goneReason string
+
+// Proofs that an attempt is gone.
+const (
+	exited           goneReason = "exited"
+	neverSent        goneReason = "never sent"
+	notRecorded      goneReason = "it can't be recorded"
+	absentFromReport goneReason = "absent from the machine's report"
+	leaseOver        goneReason = "the worker's lease is over"
+	machineFailed    goneReason = "the machine has failed"
+	machineDeleted   goneReason = "deleted"
+	machineUnlisted  goneReason = "no longer listed"
+)
+
 // gone takes an attempt that is proved gone out of the books.
-func (r *term) gone(a *ledger.Attempt, why string) {
+func (r *term) gone(a *ledger.Attempt, why goneReason) {
 	m := a.Machine
 	r.Drop(a)
 	if len(m.Attempts) == 0 {
@@ -110,15 +125,11 @@
 	}
 	r.c.log.Debug("gone", "task", a.Key().Task, "try", a.Try, "machine", m.ID, "why", why)
 	j := a.Job
-	if !j.Spec.Service && a.Sent && !a.Yielded && !j.IsDone(a.Index) && why != protocol.CauseError && why != protocol.CauseNoRoom {
+	if !j.Spec.Service && a.Sent && !a.Yielded && !j.IsDone(a.Index) && a.Exit != protocol.CauseError && a.Exit != protocol.CauseNoRoom {
 		j.Interrupted(a.Index)
 	}
 	r.settleCancel(j)
-	if why == protocol.CauseIncomplete || why == protocol.CauseMatesGone || a.Halt || !j.Gathering() {
-		// Otherwise the rest still gathers: the task starts anew under its number, as
-		// its old place is proved empty and no run can be on its way there.
-		r.haltMates(a, 0, "a task of its gang is gone")
-	}
+	r.gangTaskGone(a, why)
 	if m.Recorded {
 		r.record(m, writeLazy, nil)
 	}
--- a/internal/coordination/reports.go
+++ b/internal/coordination/reports.go
@@ -152,6 +152,7 @@
 		a.Session = m.Session
 		if a.State != t.State {
 			a.SetState(t.State)
+			r.joinStop(a)
 			if t.State == protocol.Running {
 				m.Images[a.Job.Spec.Image] = true
 				r.c.log.Debug("running", "task", t.Task, "try", t.Attempt, "machine", m.ID)
@@ -179,7 +180,7 @@
 		lapsed := !a.Loaded && a.Session < m.Session
 		never := a.Halt && !a.Lost && m.ReportSeq > a.RunSeq
 		if lapsed || (ours && (a.Acked || a.Loaded || never) && a.Flying == 0) {
-			r.gone(a, "absent from the machine's report")
+			r.gone(a, absentFromReport)
 		}
 	}
 	for key := range m.Exited {
--- a/internal/coordination/schedule.go
+++ b/internal/coordination/schedule.go
@@ -55,9 +55,9 @@
 	for _, p := range s.Fill() {
 		j := r.Jobs[p.Job.ID]
 		switch {
-		case j.Spec.Gang && tries[j] != 0:
-		case j.Spec.Gang && len(j.Gang) > 0:
-			tries[j] = j.Gang[0].Try // it replaces a lost task while the others gather
+		case j.Gang != nil && tries[j] != 0:
+		case j.Gang != nil && j.Gang.State == ledger.GangGathering:
+			tries[j] = j.Gang.Try // it replaces a lost task while the others gather
 		default:
 			tries[j] = r.nextTry()
 		}
@@ -82,15 +82,11 @@
 		}
 		a.Durable = true
 		if a.Halt {
-			r.gone(a, "never sent")
+			r.gone(a, neverSent)
 			return
 		}
 		r.kick(m)
-		if j.Spec.Gang && j.Whole() {
-			for _, mate := range j.Gang {
-				r.kick(mate.Machine)
-			}
-		}
+		r.startGang(j)
 	})
 }
 
@@ -106,7 +102,7 @@
 func (r *term) round() {
 	c := r.c
 	for _, j := range r.Jobs {
-		if !j.Spec.Service && !j.Spec.Gang {
+		if !j.Spec.Service && j.Gang == nil {
 			j.Scale.Round(j.Done, j.Spec.Tasks, c.cfg.Operator.Green.Gamma)
 		}
 	}
--- a/internal/coordination/sim_gang_test.go
+++ b/internal/coordination/sim_gang_test.go
@@ -24,7 +24,7 @@
 // gather starts a gang once its last task is there. They end together.
 func (w *world) gather(uid string, try uint64) {
 	all := w.gang(uid, try)
-	whole := func(state string) bool {
+	whole := func(state protocol.TaskState) bool {
 		n := 0
 		for _, t := range all {
 			if t.state == state && t.halted == 0 {
--- a/internal/coordination/sim_worker_test.go
+++ b/internal/coordination/sim_worker_test.go
@@ -14,11 +14,13 @@
 // --- workers
 
 type simTask struct {
-	halted            time.Duration // when a gang's task was told to stop
-	alone             time.Duration // since when it misses another one
-	uid, cause, state string
-	try               uint64
-	began             int // which life of the task this is
+	halted time.Duration // when a gang's task was told to stop
+	alone  time.Duration // since when it misses another one
+	uid    string
+	cause  protocol.ExitCause
+	state  protocol.TaskState
+	try    uint64
+	began  int // which life of the task this is
 }
 
 type simWorker struct {
--- a/internal/coordination/snapshot.go
+++ b/internal/coordination/snapshot.go
@@ -33,7 +33,7 @@
 		Zone: s.Zone, OneZone: s.OneZone, Spread: s.Spread, Tasks: s.Tasks,
 		Held: j.HeldTotal, Upper: j.Scale.Upper && !s.Service, Slots: j.Scale.Slots,
 		Attained: j.Scale.Attained, Degradation: j.Scale.Degr}
-	if s.Gang {
+	if j.Gang != nil {
 		// Gangs skip the upper queue, with degradation 1, and have no slots.
 		sj.Gang, sj.Upper, sj.Slots, sj.Degradation = true, false, s.Tasks, 1
 	}
--- a/internal/coordination/store.go
+++ b/internal/coordination/store.go
@@ -318,7 +318,7 @@
 		m.AsideUntil = r.c.now + r.c.cfg.Lease()
 		for _, a := range m.Sorted() {
 			if !a.Durable {
-				r.gone(a, "it can't be recorded")
+				r.gone(a, notRecorded)
 			}
 		}
 		return
--- a/internal/coordination/term.go
+++ b/internal/coordination/term.go
@@ -194,12 +194,13 @@
 		if j.Done == j.Spec.Tasks {
 			r.finish(j)
 		}
+		r.keepCompleteGang(j)
 		r.settleCancel(j)
 	}
 	for _, m := range r.machines() {
 		m.Size = r.sizeOf(m.Type)
 		for _, a := range m.Sorted() {
-			if a.Job.IsDone(a.Index) || a.Job.Cancelling || a.Job.Spec.Gang && !a.Job.Whole() || r.newerElsewhere(a) {
+			if a.Job.IsDone(a.Index) || a.Job.Cancelling || r.newerElsewhere(a) {
 				r.halt(a, 0, "not wanted after the take-over")
 			}
 		}
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -52,7 +52,7 @@
 		}
 		m.Fresh, m.Greeted = false, false
 		for _, a := range m.Sorted() {
-			r.gone(a, "the worker's lease is over")
+			r.gone(a, leaseOver)
 		}
 		clear(m.Exited)
 		clear(m.Strays)
--- a/internal/coordination/world_test.go
+++ b/internal/coordination/world_test.go
@@ -66,8 +66,8 @@
 	cloud   *simCloud
 	workers map[string]*simWorker
 	specs   map[string]map[string]any
-	told    map[string]string        // what users were told last
-	stopped map[string]time.Duration // when users were told of a cancellation
+	told    map[string]protocol.JobState // what users were told last
+	stopped map[string]time.Duration     // when users were told of a cancellation
 	broken  []string
 	checker
 	// script decides the fate of a call from a node; nil: all goes well.
@@ -92,7 +92,7 @@
 
 func newWorld(t *testing.T, seed uint64) *world {
 	w := &world{t: t, rng: rand.New(rand.NewPCG(seed, 1)), workers: map[string]*simWorker{}, specs: map[string]map[string]any{},
-		told: map[string]string{}, stopped: map[string]time.Duration{}, checker: newChecker(),
+		told: map[string]protocol.JobState{}, stopped: map[string]time.Duration{}, checker: newChecker(),
 		runs: func(string) time.Duration { return 30 * time.Second }}
 	w.state = &simState{w: w, items: map[string]*simItem{}, leases: map[uint64]*simLease{}, refuse: map[int]bool{}}
 	w.cloud = &simCloud{w: w, answers: map[string][]string{}}
@@ -385,10 +385,10 @@
 	w.persist(OpCancel, uid, func(s int, _ protocol.Standing) bool { return s == 200 })
 }
 
-func (w *world) awaitTold(limit time.Duration, uid, state string) {
+func (w *world) awaitTold(limit time.Duration, uid string, state protocol.JobState) {
 	w.t.Helper()
 	n := 0
-	w.until(limit, uid+" told "+state, func() bool {
+	w.until(limit, uid+" told "+string(state), func() bool {
 		if n++; n%20 == 1 {
 			w.user(n/20%3, OpPoll, uid, nil)
 		}
--- a/internal/ledger/attempt.go
+++ b/internal/ledger/attempt.go
@@ -25,14 +25,14 @@
 	Session           uint64
 	RunSeq            uint64
 	Flying            int // direct runs under way
-	State             string
+	State             protocol.TaskState
 	Since             time.Duration
 	// Halt: it is to be stopped. Grace is what it has for saving.
-	// Yielded: a round stopped it for work that ranks before it.
-	// Began: it was seen running, or on its way out.
+	// Yielded: a round stopped it for work that ranks before it. Exit is the
+	// worker's word for its end.
 	Halt     bool
-	Began    bool
 	Yielded  bool
+	Exit     protocol.ExitCause
 	HaltSent time.Duration
 	Grace    float64
 }
@@ -50,7 +50,7 @@
 func (a *Attempt) Key() Key { return Key{Task(a.Job.Spec.UID, a.Index), a.Try} }
 
 // SetState notes the worker's word for the attempt's state.
-func (a *Attempt) SetState(s string) {
+func (a *Attempt) SetState(s protocol.TaskState) {
 	if a.State == protocol.Running {
 		a.Job.Running--
 	}
@@ -58,7 +58,9 @@
 		a.Job.Running++
 	}
 	a.State = s
-	a.Began = a.Began || s != protocol.Pulling && s != protocol.Gathering && s != ""
+	if a.Job.Gang != nil {
+		a.Job.Gang.has(a, s == protocol.Running || s == protocol.Saving)
+	}
 }
 
 // Gone is an exited attempt that the worker still reports and that is to be
--- a/internal/ledger/job.go
+++ b/internal/ledger/job.go
@@ -33,8 +33,8 @@
 	Running   int
 	firstOpen int
 	resume    map[int]bool // interrupted tasks, which go on first
-	// Gang holds a gang's attempts, wherever they may be.
-	Gang []*Attempt
+	// Gang is a gang's current attempt; nil: the job is no gang.
+	Gang *Gang
 
 	// HungryAt is since when it has waited with no task anywhere, 0: it does not.
 	HungryAt time.Duration
@@ -56,6 +56,9 @@
 	j := &Job{Spec: spec, Submitted: submitted, Scale: sched.NewScale(),
 		Need: sched.Need{Cores: spec.Cores, Accel: spec.Accelerators, Mem: spec.MemoryGB},
 		done: make([]uint64, (spec.Tasks+63)/64), held: map[int]int{}, inZone: map[string]int{}}
+	if spec.Gang {
+		j.Gang = &Gang{tasks: spec.Tasks}
+	}
 	if spec.Types != nil {
 		j.Types = map[string]bool{}
 		for _, t := range spec.Types {
@@ -99,15 +102,8 @@
 	if j.Cancelling || j.Finishing {
 		return nil, 0
 	}
-	if j.Spec.Gang {
-		// It starts whole, and only when all of the attempt before is proved gone; a
-		// task that was lost while the others still gather is replaced.
-		for i := 0; (j.HeldTotal == 0 || j.Gathering()) && i < j.Spec.Tasks; i++ {
-			if j.held[i] == 0 {
-				out = append(out, i)
-			}
-		}
-		return out, 0
+	if j.Gang != nil {
+		return j.waitingOfGang(), 0
 	}
 	for _, i := range slices.Sorted(maps.Keys(j.resume)) {
 		if len(out) < limit && !j.IsDone(i) && j.held[i] == 0 {
@@ -126,24 +122,17 @@
 	return out, resume
 }
 
-// Whole says whether a gang's attempts are one of each task, all under the same
-// number, durable and none of them to be stopped: only then may any of them run.
-func (j *Job) Whole() bool {
-	for _, a := range j.Gang {
-		if a.Try != j.Gang[0].Try || !a.Durable || a.Halt {
-			return false
-		}
+// waitingOfGang lists a gang's tasks that may be started: all of them once all of the
+// attempt before is proved gone, or those that were lost while the others gather. Lost
+// tasks of a broken attempt are not replaced while any of it is left.
+func (j *Job) waitingOfGang() (out []int) {
+	if j.HeldTotal > 0 && !j.Gang.Replaces() {
+		return nil
 	}
-	return len(j.Gang) == j.Spec.Tasks && len(j.held) == j.Spec.Tasks
-}
-
-// Gathering says whether a gang's attempt has not begun to run, as far as known, and
-// may go on: all there is of it is durable, started by this leader and to be kept.
-func (j *Job) Gathering() bool {
-	for _, a := range j.Gang {
-		if a.Try != j.Gang[0].Try || !a.Durable || a.Loaded || a.Halt || a.Began {
-			return false
+	for i := range j.Spec.Tasks {
+		if j.held[i] == 0 {
+			out = append(out, i)
 		}
 	}
-	return len(j.Gang) > 0
+	return out
 }
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -4,7 +4,6 @@
 package ledger
 
 import (
-	"slices"
 	"time"
 
 	"claybarrow/internal/sched"
@@ -37,8 +36,8 @@
 	delete(j.resume, index)
 	j.inZone[m.Zone]++
 	j.HeldTotal++
-	if j.Spec.Gang {
-		j.Gang = append(j.Gang, a)
+	if j.Gang != nil {
+		j.Gang.add(a)
 	}
 	if t := b.Teams[j.Spec.Team]; t != nil {
 		t.Used = t.Used.Plus(j.Need)
@@ -59,8 +58,10 @@
 	}
 	j.inZone[m.Zone]--
 	j.HeldTotal--
-	j.Gang = slices.DeleteFunc(j.Gang, func(o *Attempt) bool { return o == a })
 	a.SetState("")
+	if j.Gang != nil {
+		j.Gang.remove(a)
+	}
 	if t := b.Teams[j.Spec.Team]; t != nil {
 		t.Used = t.Used.Minus(j.Need)
 	}
--- a/internal/ledger/records.go
+++ b/internal/ledger/records.go
@@ -14,15 +14,15 @@
 
 // Cancelling is the stored state of a job whose user has asked to cancel it and
 // has not been told so: no attempt may be started, those there are stopped.
-const Cancelling = "cancelling"
+const Cancelling protocol.JobState = "cancelling"
 
 // JobRecord is a job in the state service; S is empty, "cancelling", "done" or
 // "aborted".
 type JobRecord struct {
-	State     string         `msgpack:"s,omitempty"`
-	Tasks     int            `msgpack:"n,omitempty"`
-	Submitted int64          `msgpack:"t,omitempty"`
-	Spec      *protocol.Spec `msgpack:"j,omitempty"`
+	State     protocol.JobState `msgpack:"s,omitempty"`
+	Tasks     int               `msgpack:"n,omitempty"`
+	Submitted int64             `msgpack:"t,omitempty"`
+	Spec      *protocol.Spec    `msgpack:"j,omitempty"`
 }
 
 // MachineRecord is a machine in the state service.
--- a/internal/protocol/wire.go
+++ b/internal/protocol/wire.go
@@ -14,22 +14,31 @@
 // MaxBody is the most that a request body or a response may hold.
 const MaxBody = 64 << 10
 
-// Task and exit states of the workers.
+// TaskState is a task's state as its worker reports it.
+type TaskState string
+
+// States of tasks on workers.
+const (
+	Pulling   TaskState = "pulling"
+	Gathering TaskState = "gathering" // of a gang: waits for the other tasks of its attempt
+	Running   TaskState = "running"
+	Saving    TaskState = "saving"
+	Exited    TaskState = "exited"
+)
+
+// ExitCause is why a task ended, as its worker reports it.
+type ExitCause string
+
+// Causes of a task's end.
 const (
-	Pulling   = "pulling"
-	Gathering = "gathering" // of a gang: waits for the other tasks of its attempt
-	Running   = "running"
-	Saving    = "saving"
-	Exited    = "exited"
-
-	CauseDone   = "done"
-	CauseHalted = "halted"
-	CauseError  = "error"
-	CauseNoRoom = "no_room"
-	CauseBusy   = "busy"
+	CauseDone   ExitCause = "done"
+	CauseHalted ExitCause = "halted"
+	CauseError  ExitCause = "error"
+	CauseNoRoom ExitCause = "no_room"
+	CauseBusy   ExitCause = "busy"
 	// Of a gang: another task of it is gone, and it was not complete in time.
-	CauseMatesGone  = "mates_gone"
-	CauseIncomplete = "incomplete"
+	CauseMatesGone  ExitCause = "mates_gone"
+	CauseIncomplete ExitCause = "incomplete"
 )
 
 // Verbs of commands.
@@ -39,29 +48,32 @@
 	VerbClear = "clear"
 )
 
-// Job states as users see them.
+// JobState is a job's state as its user sees it.
+type JobState string
+
+// States of jobs.
 const (
-	Pending   = "pending"
-	Active    = "running"
-	Done      = "done"
-	Cancelled = "aborted"
+	Pending   JobState = "pending"
+	Active    JobState = "running"
+	Done      JobState = "done"
+	Cancelled JobState = "aborted"
 )
 
 // Standing is the answer to a user.
 type Standing struct {
-	UID     string `msgpack:"uid"`
-	State   string `msgpack:"standing"`
-	Done    int    `msgpack:"done"`
-	Running int    `msgpack:"running"`
+	UID     string   `msgpack:"uid"`
+	State   JobState `msgpack:"standing"`
+	Done    int      `msgpack:"done"`
+	Running int      `msgpack:"running"`
 }
 
 // TaskReport is one task in a worker's report.
 type TaskReport struct {
-	Task    string `msgpack:"shard"`
-	Attempt uint64 `msgpack:"try"`
-	State   string `msgpack:"standing"`
-	Cause   string `msgpack:"cause"`
-	Saved   bool   `msgpack:"stored"`
+	Task    string    `msgpack:"shard"`
+	Attempt uint64    `msgpack:"try"`
+	State   TaskState `msgpack:"standing"`
+	Cause   ExitCause `msgpack:"cause"`
+	Saved   bool      `msgpack:"stored"`
 }
 
 // Report is a worker's report.
