A round makes room for a whole gang; completions of any array fit any limit

Room: at a round's boundary a waiting gang gets all of its room, or nothing is stopped for it: what ranks after it and may give way by Preemption and the guarantees, one task at a time where the next costs least, in each zone in turn if it must be together; a victim gang stops whole and counts with all its places; of another team no more than it has lent. The places are kept until it starts there, free ones too. A job's own claims no longer count against it when it is placed. A larger record from before stays, as it is the only one that tells an older version of all. A machine whose record no longer fits is deleted without the mark. Records of completions that an earlier leader left of a job that is over are deleted. Gangs: an older version's record that one task is done ends the gang at a take-over.

--- /dev/null
+++ b/internal/coordination/gang_room_test.go
@@ -0,0 +1,77 @@
+package coordination
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"claybarrow/internal/protocol"
+)
+
+// fullFleet fills so many machines with tasks of low priority that run for long, and
+// closes the cloud: nothing else can be rented.
+func (w *world) fullFleet(machines int) {
+	w.t.Helper()
+	w.runs = func(task string) time.Duration {
+		if task[:3] == "j-0" {
+			return 1000 * second
+		}
+		return 8 * second
+	}
+	tasks := machines * int(machineCores) / 2
+	w.submit("j-0", map[string]any{"rank": "idle", "shards": tasks, "cores": 2.0, "saveEveryS": 10.0, "saveTakesS": 1.0, "owner": "red"})
+	w.until(90*second, "the fleet is full", func() bool { return w.running("j-0") == tasks })
+	w.run(5 * second)
+	w.cloud.down = true
+}
+
+// In a fleet that is full of work of lower priority, a gang gets its whole room at a
+// round's boundary, together or not, and no more is stopped than it needs.
+func TestGangGetsItsRoomAtARound(t *testing.T) {
+	for _, together := range []bool{false, true} {
+		w := newWorld(t, 111)
+		w.fullFleet(4)
+		w.submit("j-1", group(3, 3, map[string]any{"rank": "high", "owner": "blue", "together": together}))
+		w.until(10*second, "it runs", func() bool { return w.wholes["j-1"] == 1 })
+		if left := w.running("j-0"); left < 16-6 {
+			t.Errorf("together %v: %d of 16 tasks are left, 6 had to go", together, left)
+		}
+		w.awaitTold(30*second, "j-1", protocol.Done)
+		w.cancel("j-0")
+		w.settle()
+	}
+}
+
+// A gang for which stops would free but a part of its room stops nothing.
+func TestNothingIsStoppedForAPartOfAGang(t *testing.T) {
+	w := newWorld(t, 112)
+	w.fullFleet(2)
+	w.submit("j-1", group(4, 5, map[string]any{"rank": "high"})) // one a machine
+	w.run(40 * second)
+	if n := w.running("j-0"); n != 8 {
+		t.Errorf("%d of 8 tasks run", n)
+	}
+	w.cancel("j-0")
+	w.cancel("j-1")
+	w.settle()
+}
+
+// Small urgent gangs keep coming to a full fleet; large and small ones of two teams, one
+// of them together, begin all the same, and none keeps another's room without use.
+func TestNoGangStarvesInAFullFleet(t *testing.T) {
+	w := newWorld(t, 113)
+	w.fullFleet(4)
+	w.submit("j-1", group(6, 2, map[string]any{"owner": "blue"}))
+	w.submit("j-2", group(7, 2, map[string]any{"owner": "red"}))
+	w.submit("j-3", group(4, 2, map[string]any{"owner": "blue", "together": true}))
+	w.submit("j-4", group(2, 2, map[string]any{"owner": "red", "apart": true}))
+	for i := range 20 {
+		w.submit(fmt.Sprintf("j-5%02d", i), group(2, 2, map[string]any{"rank": "high", "owner": []string{"red", "blue"}[i%2]}))
+		w.run(4 * second)
+	}
+	for _, uid := range []string{"j-1", "j-2", "j-3", "j-4"} {
+		w.until(40*second, uid+" has begun", func() bool { return w.wholes[uid] > 0 })
+	}
+	w.cancel("j-0")
+	w.settle()
+}
--- /dev/null
+++ b/internal/coordination/gang_states_test.go
@@ -0,0 +1,194 @@
+package coordination
+
+import (
+	"testing"
+	"time"
+
+	"claybarrow/internal/protocol"
+)
+
+// replicasOnMachines starts so many machines, each with room for the given cores.
+func (w *world) replicasOnMachines(n int, room float64) {
+	w.t.Helper()
+	w.submit("j-0", map[string]any{"shape": "service", "shards": n, "cores": machineCores - room})
+	w.until(60*second, "machines are up", func() bool { return w.running("j-0") == n })
+}
+
+// holding lists the machines with tasks of a job.
+func (w *world) holding(uid string) (out []*simWorker) {
+	for _, k := range w.fleet() {
+		for _, t := range k.tasks {
+			if t.uid == uid && t.state != protocol.Exited && !k.gone {
+				out = append(out, k)
+				break
+			}
+		}
+	}
+	return out
+}
+
+// One task's image comes too late for the others, who give up: the attempt is cleared,
+// and the next one runs.
+func TestGangIncomplete(t *testing.T) {
+	w := newWorld(t, 101)
+	w.replicasOnMachines(3, 3)
+	w.pulls = func(task string) time.Duration {
+		if task == "j-1/1" {
+			return 45 * second
+		}
+		return second
+	}
+	w.submit("j-1", group(2, 2, map[string]any{"owner": "blue"}))
+	w.until(40*second, "the one without an image is told to stop", func() bool { return len(w.halts["j-1"]) > 0 })
+	if w.wholes["j-1"] != 0 {
+		t.Error("it began")
+	}
+	w.pulls = nil
+	w.until(30*second, "it runs", func() bool { return w.wholes["j-1"] == 1 })
+	w.awaitTold(60*second, "j-1", protocol.Done)
+	w.settle()
+}
+
+// A machine with a task of a running gang hangs: the others end, and the gang does not
+// begin anew before the hanging task is proved gone, since it may go on at any time.
+func TestGangWithAHangingMachine(t *testing.T) {
+	for _, hang := range []time.Duration{7 * second, 60 * second} {
+		w := newWorld(t, 102)
+		w.submit("j-1", group(4, 4, map[string]any{"apart": true}))
+		w.until(60*second, "it runs", func() bool { return w.wholes["j-1"] == 1 })
+		w.run(2 * second)
+		w.holding("j-1")[0].hang(hang)
+		w.until(60*second, "it has begun again", func() bool { return w.wholes["j-1"] == 2 })
+		w.awaitTold(60*second, "j-1", protocol.Done)
+		w.settle()
+	}
+}
+
+// A round stops a gang over four machines, and the leader ends so long after the first
+// command: whatever the workers have been told by then, the gang begins again whole, and
+// nothing of it starts while a part of the attempt before is left. Where the leader
+// lives on, the progress is saved.
+func TestGangIsStoppedOverMachinesAndLeaders(t *testing.T) {
+	for _, after := range []time.Duration{-1, 0, 3 * time.Millisecond, second, 4 * second} {
+		w := newWorld(t, 103)
+		w.runs = func(string) time.Duration { return 40 * second }
+		w.replicasOnMachines(4, 3)
+		w.cloud.down = true
+		w.submit("j-1", group(4, 3, map[string]any{"rank": "idle", "owner": "blue"}))
+		w.until(60*second, "it runs", func() bool { return w.wholes["j-1"] == 1 })
+		w.run(3 * second)
+		w.submit("j-2", map[string]any{"shape": "service", "rank": "production", "cores": 3.0})
+		w.until(20*second, "it is told to stop", func() bool { return len(w.halts["j-1"]) > 0 })
+		if after >= 0 {
+			w.run(after)
+			w.bounce(w.awaitLeader(), 2*second)
+		}
+		w.until(30*second, "the replica runs", func() bool { return w.running("j-2") == 1 })
+		if after < 0 && w.saves["j-1"] != 1 {
+			t.Errorf("its progress was saved %d times", w.saves["j-1"])
+		}
+		w.cancel("j-2")
+		w.until(60*second, "it has begun again", func() bool { return w.wholes["j-1"] == 2 })
+		w.awaitTold(90*second, "j-1", protocol.Done)
+		w.settle()
+	}
+}
+
+// A spot machine with one task of a gang of four is taken back. With notice enough the
+// gang stops in time and its progress is saved; with too little it falls back to its
+// last checkpoint. Either way it begins again, whole.
+func TestGangLosesASpotMachine(t *testing.T) {
+	for _, tc := range []struct {
+		notice float64
+		saves  int
+	}{{30, 1}, {1, 0}} {
+		w := newWorld(t, 104)
+		w.runs = func(string) time.Duration { return 40 * second }
+		w.submit("j-1", group(4, 4, map[string]any{"borrowed": true, "apart": true}))
+		w.until(60*second, "it runs", func() bool { return w.wholes["j-1"] == 1 })
+		w.run(2 * second)
+		k := w.holding("j-1")[0]
+		if !k.spot {
+			t.Fatal("it is on an ordinary machine")
+		}
+		end := w.now + time.Duration(tc.notice*float64(second))
+		k.taken = end
+		w.at(end-w.now, k.die)
+		w.until(90*second, "it has begun again", func() bool { return w.wholes["j-1"] == 2 })
+		if w.saves["j-1"] != tc.saves {
+			t.Errorf("notice of %v s: its progress was saved %d times, want %d", tc.notice, w.saves["j-1"], tc.saves)
+		}
+		w.awaitTold(90*second, "j-1", protocol.Done)
+		w.settle()
+	}
+}
+
+// All tasks of a gang complete at once; the leader hears of one of them alone. That one
+// is enough, and nothing of the gang is started again.
+func TestOneTaskTellsThatItsGangIsDone(t *testing.T) {
+	w := newWorld(t, 105)
+	w.runs = func(string) time.Duration { return 20 * second }
+	w.submit("j-1", group(4, 4, nil))
+	w.until(60*second, "it runs", func() bool { return w.wholes["j-1"] == 1 })
+	w.run(19 * second)
+	for _, k := range w.holding("j-1")[1:] {
+		k := k
+		k.cut = true
+		w.at(30*second, func() { k.cut = false })
+	}
+	w.awaitTold(10*second, "j-1", protocol.Done)
+	w.run(40 * second)
+	if w.wholes["j-1"] != 1 {
+		t.Errorf("it began %d times", w.wholes["j-1"])
+	}
+	w.settle()
+}
+
+// A gang is cancelled in each state of its attempt: it is told soon, as nothing keeps its
+// tasks, and nothing of it starts afterwards (the checker sees to that).
+func TestGangIsCancelledInEachState(t *testing.T) {
+	pulling := func(w *world) bool { return len(w.holding("j-1")) > 0 }
+	running := func(w *world) bool { return w.wholes["j-1"] == 1 }
+	told := func(w *world) bool { return len(w.halts["j-1"]) > 0 }
+	for name, prepare := range map[string]func(*world){
+		"waiting": func(w *world) {
+			w.cloud.down = true
+			w.submit("j-1", group(5, 3, map[string]any{"owner": "blue"}))
+			w.run(3 * second)
+		},
+		"gathering": func(w *world) {
+			w.pulls = func(string) time.Duration { return 20 * second }
+			w.submit("j-1", group(4, 3, map[string]any{"owner": "blue"}))
+			w.until(30*second, "it is pulling", func() bool { return pulling(w) })
+			w.run(second)
+		},
+		"running": func(w *world) {
+			w.submit("j-1", group(4, 3, map[string]any{"owner": "blue"}))
+			w.until(30*second, "it runs", func() bool { return running(w) })
+			w.run(second)
+		},
+		"stopping": func(w *world) {
+			w.cloud.down = true
+			w.submit("j-1", group(4, 3, map[string]any{"rank": "idle", "owner": "blue"}))
+			w.until(30*second, "it runs", func() bool { return running(w) })
+			w.submit("j-2", map[string]any{"shape": "service", "rank": "production", "cores": 3.0})
+			w.until(20*second, "it is told to stop", func() bool { return told(w) })
+			w.run(500 * time.Millisecond)
+		},
+		"broken": func(w *world) {
+			w.submit("j-1", group(4, 3, map[string]any{"owner": "blue"}))
+			w.until(30*second, "it runs", func() bool { return running(w) })
+			w.holding("j-1")[0].die()
+			w.run(5 * second)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t, 106)
+			w.replicasOnMachines(4, 3)
+			prepare(w)
+			w.cancel("j-1")
+			w.awaitTold(25*second, "j-1", protocol.Cancelled)
+			w.settle()
+		})
+	}
+}
--- a/internal/coordination/schedule.go
+++ b/internal/coordination/schedule.go
@@ -63,6 +63,11 @@
 		}
 		r.start(j, p.Index, r.Machines[p.Machine.ID], tries[j])
 	}
+	for j := range tries {
+		if j.Gang != nil {
+			r.dropClaims(j.Spec.UID) // it has its whole room, wherever that is
+		}
+	}
 }
 
 func (r *term) start(j *ledger.Job, index int, m *ledger.Machine, try uint64) {
@@ -111,20 +116,46 @@
 	}
 	s := r.snapshot(true, false)
 	s.Fill() // what finds room needs no stop
-	for _, st := range s.Stops(max(c.cfg.Cluster.State.TxnOps, len(s.Machines)/4)) {
-		cl := r.claims[st.Target.ID]
-		cl.job, cl.until = st.For.ID, c.now+c.cfg.Lease()+seconds(st.Victim.Job.SaveS)
-		if st.First {
-			cl.tasks++
+	preemption := s.Stops(max(c.cfg.Cluster.State.TxnOps, len(s.Machines)/4))
+	patience := map[string]time.Duration{} // by job: until its victims must be gone
+	for _, st := range preemption.Stops {
+		patience[st.For.ID] = max(patience[st.For.ID], r.stopTime(st.Victim.Job))
+		r.preempt(st)
+	}
+	for _, kept := range preemption.Kept {
+		cl := r.claims[kept.Machine.ID]
+		cl.job = kept.Job.ID
+		cl.until = c.now + c.cfg.Lease() + patience[kept.Job.ID]
+		cl.tasks += kept.Tasks
+		r.claims[kept.Machine.ID] = cl
+	}
+}
+
+// stopTime is how long a task may take to end in good order.
+func (r *term) stopTime(victim *sched.Job) time.Duration {
+	if victim.Gang {
+		return seconds(victim.SaveS) + r.c.cfg.GangPeer()
+	}
+	return seconds(victim.SaveS)
+}
+
+// preempt has a task stopped for a job that ranks before it.
+func (r *term) preempt(st sched.Stop) {
+	m := r.Machines[st.Machine.ID]
+	for _, a := range m.Sorted() {
+		if a.Job.Spec.UID == st.Victim.Job.ID && a.Index == st.Victim.Index {
+			r.c.log.Info("stopping", "task", a.Key().Task, "machine", m.ID, "for", st.For.ID)
+			a.Yielded = true
+			r.halt(a, a.Job.Spec.SaveS, "a round's stop")
 		}
-		r.claims[st.Target.ID] = cl
-		m := r.Machines[st.Machine.ID]
-		for _, a := range m.Sorted() {
-			if a.Job.Spec.UID == st.Victim.Job.ID && a.Index == st.Victim.Index {
-				c.log.Info("stopping", "task", a.Key().Task, "machine", m.ID, "for", st.For.ID)
-				a.Yielded = true
-				r.halt(a, a.Job.Spec.SaveS, "a round's stop")
-			}
+	}
+}
+
+// dropClaims gives up the room that is kept for a job.
+func (r *term) dropClaims(uid string) {
+	for id, cl := range r.claims {
+		if cl.job == uid {
+			delete(r.claims, id)
 		}
 	}
 }
--- a/internal/coordination/store.go
+++ b/internal/coordination/store.go
@@ -321,6 +321,11 @@
 				r.gone(a, notRecorded)
 			}
 		}
+		// A record that was stored under a higher limit may not fit any more. The mark
+		// only keeps a later leader from using the machine until the deletion comes,
+		// which costs its tasks as a machine's end does; without the deletion an
+		// unreachable machine would be waited for without end.
+		m.Returned = m.Returned || m.Returning
 		return
 	}
 	uid, isJob := strings.CutPrefix(w.key, ledger.JobPrefix)
--- a/internal/coordination/term.go
+++ b/internal/coordination/term.go
@@ -54,6 +54,10 @@
 	dark  map[string]time.Duration
 	lit   map[string]time.Duration // when a zone was last found to be so no longer
 
+	// orphans are records of completions whose job is over: an earlier leader, or a
+	// version that does not know them, has left them.
+	orphans []string
+
 	cloudState
 }
 
@@ -68,12 +72,12 @@
 	wants []asker
 }
 
-var loadOrder = []string{ledger.JobPrefix, ledger.DonePrefix, ledger.MachinePrefix, ledger.CounterPrefix}
+var loadOrder = []string{ledger.JobPrefix, ledger.DonePrefix, ledger.PartPrefix, ledger.MachinePrefix, ledger.CounterPrefix}
 
 func newTerm(c *Core, token, lease, version uint64, confirmed time.Duration) *term {
 	r := &term{c: c, token: token, lease: lease, version: version, confirmed: confirmed, since: c.now,
 		renewAt:    c.now + c.cfg.LeaderTTL()/8,
-		Books:      ledger.New(c.cfg.LayoutBytes()),
+		Books:      ledger.New(c.cfg.LayoutBytes(), c.cfg.ValueBytes()),
 		proposals:  map[string]*proposal{},
 		cancels:    map[string][]asker{},
 		arrivals:   map[string]*arrivals{},
@@ -123,12 +127,16 @@
 			j.Stored, j.Cancelling = true, rec.State == ledger.Cancelling
 			r.noteArrival(j)
 		}
-	case strings.HasPrefix(it.Key, ledger.DonePrefix):
+	case strings.HasPrefix(it.Key, ledger.DonePrefix), strings.HasPrefix(it.Key, ledger.PartPrefix):
 		var rec ledger.DoneRecord
 		if err := protocol.Decode(it.Value, &rec); err != nil {
 			return err
 		}
-		return r.LoadDone(it.Key, rec)
+		known, err := r.LoadDone(it.Key, rec)
+		if !known {
+			r.orphans = append(r.orphans, it.Key)
+		}
+		return err
 	case strings.HasPrefix(it.Key, ledger.MachinePrefix):
 		var rec ledger.MachineRecord
 		if err := protocol.Decode(it.Value, &rec); err != nil {
@@ -191,10 +199,14 @@
 	r.ready = true
 	for _, uid := range sortedKeys(r.Jobs) {
 		j := r.Jobs[uid]
-		if j.Done == j.Spec.Tasks {
+		switch {
+		case j.Done == j.Spec.Tasks:
 			r.finish(j)
+		case j.Gang != nil && j.Done > 0:
+			r.finishGang(j) // an older version has stored that one task is done, so all are
+		default:
+			r.keepCompleteGang(j)
 		}
-		r.keepCompleteGang(j)
 		r.settleCancel(j)
 	}
 	for _, m := range r.machines() {
@@ -205,6 +217,10 @@
 			}
 		}
 	}
+	for _, key := range r.orphans {
+		r.mark(key, writeLazy, func() any { return nil }, nil)
+	}
+	r.orphans = nil
 	c.log.Info("books read", "token", r.token, "jobs", len(r.Jobs), "terminal", len(r.Terminal), "machines", len(r.Machines))
 	r.fillDirty = true
 }
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -418,8 +418,7 @@
 }
 
 func (r *term) dropChunks(j *ledger.Job) {
-	for i := 0; i < j.Spec.Tasks; i += r.Chunk {
-		key := r.DoneKey(j, i)
+	for _, key := range r.DoneKeys(j) {
 		if r.versions[key] != 0 || r.pending[key] != nil {
 			r.mark(key, writeLazy, func() any { return nil }, nil)
 		}
--- /dev/null
+++ b/internal/ledger/completions_test.go
@@ -0,0 +1,185 @@
+package ledger
+
+import (
+	"encoding/base64"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"strconv"
+	"strings"
+	"testing"
+
+	"claybarrow/internal/protocol"
+)
+
+// stored writes all of a job's completions as they are written one after the other.
+func stored(t *testing.T, b *Books, j *Job, limit int) map[string]DoneRecord {
+	t.Helper()
+	out := map[string]DoneRecord{}
+	for i := range j.Spec.Tasks {
+		if !j.IsDone(i) {
+			continue
+		}
+		key := b.DoneKey(j, i)
+		if _, known := out[key]; known {
+			continue
+		}
+		out[key] = b.DoneChunk(j, i)
+		if text, err := json.Marshal(out[key]); err != nil || len(text) > limit {
+			t.Fatalf("%s takes %d of %d bytes, %v", key, len(text), limit, err)
+		}
+	}
+	return out
+}
+
+// olderRead reads records as the versions before parts do (4297efa and 686f0af): only
+// those of chunks, each from the chunk's start.
+func olderRead(t *testing.T, layoutBytes, tasks int, records map[string]DoneRecord) map[int]bool {
+	t.Helper()
+	chunk := max(64, layoutBytes/2*6/64*64)
+	done := map[int]bool{}
+	for key, rec := range records {
+		if !strings.HasPrefix(key, "d/") {
+			continue
+		}
+		_, number, _ := strings.Cut(strings.TrimPrefix(key, "d/"), "/")
+		n, err := strconv.Atoi(number)
+		if err != nil {
+			t.Fatal(err)
+		}
+		raw, err := base64.StdEncoding.DecodeString(rec.Bits)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for i := range len(raw) * 8 {
+			if at := n*chunk + i; raw[i/8]&(1<<(i%8)) != 0 && at < tasks {
+				done[at] = true
+			}
+		}
+	}
+	return done
+}
+
+// The completions of an array of any size are stored within the limit and read back as
+// they were, and the older versions never take an open task for a finished one. Where
+// the limit allows it they read all that is finished.
+func TestCompletionsOfAnySize(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 1))
+	for _, tc := range []struct {
+		tasks, layout, limit int
+		olderReadAll         bool
+	}{
+		{1, 16 << 10, 16 << 10, true}, {20, 8 << 10, 2 << 10, true}, {11000, 16 << 10, 2 << 10, true},
+		{30000, 16 << 10, 2 << 10, false}, {100000, 16 << 10, 2 << 10, false}, {100000, 16 << 10, 1 << 10, false},
+		{100000, 16 << 10, 16 << 10, true}, {100000, 8 << 10, 2 << 10, false}, {5000, 1 << 10, 1 << 10, true},
+	} {
+		b := New(tc.layout, tc.limit)
+		j := b.AddJob(&protocol.Spec{UID: "j-1", Tasks: tc.tasks}, 1)
+		for i := range tc.tasks {
+			if rng.IntN(3) > 0 || i == tc.tasks-1 {
+				j.MarkDone(i)
+			}
+		}
+		records := stored(t, b, j, tc.limit)
+		again := New(tc.layout, tc.limit)
+		read := again.AddJob(&protocol.Spec{UID: "j-1", Tasks: tc.tasks}, 1)
+		for key, rec := range records {
+			if known, err := again.LoadDone(key, rec); err != nil || !known {
+				t.Fatalf("%+v: %s: %v", tc, key, err)
+			}
+		}
+		older := olderRead(t, tc.layout, tc.tasks, records)
+		for i := range tc.tasks {
+			if read.IsDone(i) != j.IsDone(i) {
+				t.Fatalf("%+v: task %d is read as done %v", tc, i, read.IsDone(i))
+			}
+			if older[i] && !j.IsDone(i) || tc.olderReadAll && older[i] != j.IsDone(i) {
+				t.Fatalf("%+v: task %d: an older version reads done %v", tc, i, older[i])
+			}
+		}
+	}
+}
+
+// A record from before the limit was lowered is read and left as it is, since an older
+// version that came back would lose all beyond its new end; what is completed after it
+// goes into parts.
+func TestOversizedCompletionsStay(t *testing.T) {
+	const tasks = 40000
+	before := New(16<<10, 16<<10)
+	j := before.AddJob(&protocol.Spec{UID: "j-1", Tasks: tasks}, 1)
+	for i := range tasks - 2 {
+		j.MarkDone(i)
+	}
+	records := stored(t, before, j, 16<<10)
+	after := New(16<<10, 2<<10)
+	read := after.AddJob(&protocol.Spec{UID: "j-1", Tasks: tasks}, 1)
+	for key, rec := range records {
+		if _, err := after.LoadDone(key, rec); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if read.Done != tasks-2 {
+		t.Fatalf("%d of %d tasks are read as done", read.Done, tasks-2)
+	}
+	read.MarkDone(tasks - 1)
+	for _, i := range []int{0, tasks - 1} {
+		if key := after.DoneKey(read, i); !strings.HasPrefix(key, PartPrefix) {
+			t.Errorf("the completion of task %d goes to %s", i, key)
+		}
+	}
+	records[after.DoneKey(read, tasks-1)] = after.DoneChunk(read, tasks-1)
+	last := New(16<<10, 2<<10)
+	read = last.AddJob(&protocol.Spec{UID: "j-1", Tasks: tasks}, 1)
+	for key, rec := range records {
+		if _, err := last.LoadDone(key, rec); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if read.Done != tasks-1 || read.IsDone(tasks-2) {
+		t.Errorf("%d tasks are read as done", read.Done)
+	}
+}
+
+// Where a completion is stored, and how, is as both older versions have it wherever the
+// limit allows that (keys and bits as they wrote them).
+func TestCompletionsOfOlderVersions(t *testing.T) {
+	b := New(16<<10, 16<<10)
+	j := b.AddJob(&protocol.Spec{UID: "j-1", Tasks: 100000}, 1)
+	for index, key := range map[int]string{0: "d/j-1/0", 49151: "d/j-1/0", 49152: "d/j-1/1", 99999: "d/j-1/2"} {
+		if got := b.DoneKey(j, index); got != key {
+			t.Errorf("task %d is stored in %s, want %s", index, got, key)
+		}
+	}
+	b = New(8<<10, 2<<10)
+	j = b.AddJob(&protocol.Spec{UID: "j-1", Tasks: 20}, 1)
+	for _, i := range []int{0, 9, 19} {
+		j.MarkDone(i)
+	}
+	if rec := b.DoneChunk(j, 19); b.DoneKey(j, 19) != "d/j-1/0" || rec.Bits != "AQII" {
+		t.Errorf("%s: %s", b.DoneKey(j, 19), rec.Bits)
+	}
+}
+
+// Every key that a job's completions may have is known when it is over, so none stays;
+// damaged ones are refused.
+func TestKeysOfCompletions(t *testing.T) {
+	b := New(16<<10, 2<<10)
+	j := b.AddJob(&protocol.Spec{UID: "j-1", Tasks: 100000}, 1)
+	keys := map[string]bool{}
+	for _, key := range b.DoneKeys(j) {
+		keys[key] = true
+	}
+	for i := range j.Spec.Tasks {
+		if key := b.DoneKey(j, i); !keys[key] {
+			t.Fatalf("%s is not listed", key)
+		}
+	}
+	for _, key := range []string{"d/j-1", "d/j-1/x", "p/j-1/-1", fmt.Sprintf("p/j-1/%d", maxChunk+1)} {
+		if _, err := b.LoadDone(key, DoneRecord{}); err == nil {
+			t.Errorf("%s is accepted", key)
+		}
+	}
+	if known, err := b.LoadDone("p/j-2/0", DoneRecord{Bits: "AQ=="}); known || err != nil {
+		t.Errorf("a record of a job that is over: %v, %v", known, err)
+	}
+}
--- a/internal/ledger/job.go
+++ b/internal/ledger/job.go
@@ -25,7 +25,9 @@
 	Need      sched.Need
 	Types     map[string]bool
 
-	done      []uint64
+	done []uint64
+	// oversized are the chunks whose stored record is larger than may be written now.
+	oversized map[int]bool
 	Done      int
 	held      map[int]int // attempts in the books, by task
 	inZone    map[string]int
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -15,16 +15,15 @@
 	Terminal map[string]TerminalState
 	Machines map[string]*Machine
 	Teams    map[string]*sched.Team
-	// Chunk is how many tasks' completion one record holds.
-	Chunk int
-
-	sorted []*Machine
+	layout   layout
+	sorted   []*Machine
 }
 
-// New makes empty books. valueBytes is the store's limit for one value.
-func New(valueBytes int) *Books {
+// New makes empty books. layoutBytes is the store's limit for one value that the layout
+// of completions is computed from, valueBytes the limit that is written within.
+func New(layoutBytes, valueBytes int) *Books {
 	return &Books{Jobs: map[string]*Job{}, Terminal: map[string]TerminalState{}, Machines: map[string]*Machine{},
-		Teams: map[string]*sched.Team{}, Chunk: max(64, valueBytes/2*6/64*64)}
+		Teams: map[string]*sched.Team{}, layout: newLayout(layoutBytes, valueBytes)}
 }
 
 // Put notes that an attempt may be on the machine.
--- a/internal/ledger/records.go
+++ b/internal/ledger/records.go
@@ -8,6 +8,7 @@
 const (
 	JobPrefix     = "j/"
 	DonePrefix    = "d/"
+	PartPrefix    = "p/" // completions that don't fit under DonePrefix
 	MachinePrefix = "m/"
 	CounterPrefix = "k/"
 )
--- a/internal/sched/fill.go
+++ b/internal/sched/fill.go
@@ -41,10 +41,7 @@
 		if j.Phantom {
 			s.reserve(j)
 		}
-		if t := s.Teams[j.Team]; t != nil {
-			// Freed for it, not for the team's batches.
-			t.Used = t.Used.Plus(j.Need.Times(float64(min(j.Claims, len(j.Waiting)))))
-		}
+		s.keepClaimed(j)
 	}
 	if s.Moving {
 		return out
@@ -72,12 +69,14 @@
 			if j.Service {
 				continue
 			}
+			s.releaseClaimed(j)
 			if j.Gang {
 				if pass < 2 {
 					out = s.placeGang(out, j, func(t *Team, whole Need) bool {
 						return t.InLimit(whole.Plus(t.Kept)) && (pass == 1 || t.InGuarantee(whole))
 					})
 				}
+				s.keepClaimed(j)
 				continue
 			}
 			if j.Upper && pass == 1 {
@@ -97,11 +96,29 @@
 				}
 				return true
 			})
+			s.keepClaimed(j)
 		}
 	}
 	return out
 }
 
+// claimed is what was freed for a job and it has not taken yet.
+func (j *Job) claimed() Need { return j.Need.Times(float64(min(j.Claims, len(j.Waiting)))) }
+
+// keepClaimed keeps that of the team's limit for it, from the team's other batches.
+func (s *Snapshot) keepClaimed(j *Job) {
+	if t := s.Teams[j.Team]; t != nil {
+		t.Used = t.Used.Plus(j.claimed())
+	}
+}
+
+// releaseClaimed lets the job itself have it.
+func (s *Snapshot) releaseClaimed(j *Job) {
+	if t := s.Teams[j.Team]; t != nil {
+		t.Used = t.Used.Minus(j.claimed())
+	}
+}
+
 // place starts a job's tasks while its team's limit, the given condition and
 // the room allow.
 func (s *Snapshot) place(out []Placement, j *Job, may func(*Team) bool) []Placement {
--- /dev/null
+++ b/internal/sched/gangstops.go
@@ -0,0 +1,286 @@
+package sched
+
+import (
+	"maps"
+	"math"
+	"slices"
+)
+
+// gangRoom is a way to make room for all waiting tasks of a gang: where they go, and
+// what has to stop for them. While it is being worked out nothing of the snapshot
+// changes, as stops that don't lead to a start only cost work.
+type gangRoom struct {
+	snapshot   *Snapshot
+	job        *Job
+	rank       map[*Job]int
+	guaranteed bool
+	victims    map[*Job][]Stop // a gang's tasks, as it stops whole
+
+	free    map[*Machine]Need // of machines that the trial has changed
+	given   map[*Machine]int  // tasks of the gang by machine
+	freed   map[string]Need   // by team
+	stopped map[taskKey]bool
+	inZone  map[string]int
+	stops   []Stop
+	cost    float64
+}
+
+type taskKey struct {
+	job   *Job
+	index int
+}
+
+// roomForGang finds the cheapest way, as far as "Preemption" and the ranks let others
+// give way: in each zone in turn if the gang must be together. Nil: there is none.
+func (s *Snapshot) roomForGang(j *Job, rank map[*Job]int) *gangRoom {
+	zones := []string{j.Zone}
+	if j.OneZone && j.Zone == "" {
+		zones = s.zones()
+	}
+	gangs := s.runningGangs()
+	var cheapest *gangRoom
+	for _, zone := range zones {
+		room := s.newGangRoom(j, rank, gangs)
+		if room.find(zone) && (cheapest == nil || room.cost < cheapest.cost) {
+			cheapest = room
+		}
+	}
+	return cheapest
+}
+
+func (s *Snapshot) newGangRoom(j *Job, rank map[*Job]int, gangs map[*Job][]Stop) *gangRoom {
+	room := &gangRoom{snapshot: s, job: j, rank: rank, victims: gangs, free: map[*Machine]Need{}, given: map[*Machine]int{},
+		freed: map[string]Need{}, stopped: map[taskKey]bool{}, inZone: maps.Clone(j.InZone)}
+	if room.inZone == nil {
+		room.inZone = map[string]int{}
+	}
+	room.guaranteed = s.Teams[j.Team].InGuarantee(j.Need.Times(float64(len(j.Waiting))))
+	return room
+}
+
+// zones lists the zones of the machines.
+func (s *Snapshot) zones() []string {
+	seen := map[string]bool{}
+	for _, m := range s.Machines {
+		seen[m.Zone] = true
+	}
+	return slices.Sorted(maps.Keys(seen))
+}
+
+// runningGangs lists the tasks of each gang that runs.
+func (s *Snapshot) runningGangs() map[*Job][]Stop {
+	out := map[*Job][]Stop{}
+	for _, m := range s.Machines {
+		for _, h := range m.Running {
+			if h.Job.Gang {
+				out[h.Job] = append(out[h.Job], Stop{Victim: h, Machine: m})
+			}
+		}
+	}
+	return out
+}
+
+// find places the tasks one by one where the next costs least, and then frees the
+// team's limit. False: some of them have no room.
+func (r *gangRoom) find(zone string) bool {
+	j := r.job
+	allowed := *j
+	allowed.Zone = zone
+	var fits []*Machine
+	for _, m := range r.snapshot.Machines {
+		if !m.Booting && (m.For == "" || m.For == j.ID) && j.Need.Fits(m.Type.Size) && allowed.AllowedOn(m.Type.Name, m.Zone, m.Spot) {
+			fits = append(fits, m)
+		}
+	}
+	r.snapshot.Looked += len(fits)
+	next := make([]*machineRoom, len(fits))
+	for range j.Waiting {
+		best := -1
+		for i, m := range fits {
+			if next[i] == nil {
+				next[i] = r.nextOn(m)
+			}
+			if next[i].possible && r.zoneOpen(m.Zone) && (best < 0 || next[i].cost < next[best].cost) {
+				best = i
+			}
+		}
+		if best < 0 {
+			return false
+		}
+		r.take(fits[best], next[best])
+		if slices.ContainsFunc(next[best].stops, func(st Stop) bool { return st.Victim.Job.Gang }) {
+			clear(next) // a gang that stops frees room on other machines too
+		}
+		next[best] = nil
+	}
+	return r.freeLimit()
+}
+
+func (r *gangRoom) zoneOpen(zone string) bool {
+	after := *r.job
+	after.InZone = r.inZone
+	return after.ZoneOpen(zone)
+}
+
+// machineRoom is what one more task of the gang costs on a machine.
+type machineRoom struct {
+	possible bool
+	stops    []Stop
+	cost     float64
+}
+
+// nextOn works out what has to stop on a machine for one more task there.
+func (r *gangRoom) nextOn(m *Machine) *machineRoom {
+	j := r.job
+	free := r.freeOn(m)
+	if j.Need.Fits(free) {
+		return &machineRoom{possible: m.Room > r.given[m]}
+	}
+	var may []Held
+	for _, h := range m.Running {
+		if !r.stopped[taskKey{h.Job, h.Index}] && r.snapshot.givesWay(h.Job, j, r.guaranteed, r.rank) {
+			may = append(may, h)
+		}
+	}
+	sortVictims(may)
+	out := &machineRoom{}
+	freed := maps.Clone(r.freed)
+	for _, h := range may {
+		if j.Need.Fits(free) {
+			break
+		}
+		if h.Job.Priority >= j.Priority && !r.beyond(h.Job.Team, freed) {
+			continue // what its team has lent is all back
+		}
+		out.stops = append(out.stops, Stop{Victim: h, Machine: m})
+		out.cost += stopCost(h, m)
+		free = free.Plus(h.Job.Need)
+		freed[h.Job.Team] = freed[h.Job.Team].Plus(h.Job.Need)
+	}
+	out.stops, out.cost = r.without(m, out)
+	out.possible = j.Need.Fits(free) && m.Room > r.given[m]
+	return out
+}
+
+// without leaves out what the larger ones after it made needless.
+func (r *gangRoom) without(m *Machine, found *machineRoom) ([]Stop, float64) {
+	free := r.freeOn(m)
+	for _, st := range found.stops {
+		free = free.Plus(st.Victim.Job.Need)
+	}
+	var kept []Stop
+	cost := 0.0
+	for _, st := range found.stops {
+		if less := free.Minus(st.Victim.Job.Need); r.job.Need.Fits(less) {
+			free = less
+			continue
+		}
+		kept = append(kept, st)
+		cost += stopCost(st.Victim, m)
+	}
+	return kept, cost
+}
+
+func (r *gangRoom) freeOn(m *Machine) Need {
+	if free, changed := r.free[m]; changed {
+		return free
+	}
+	return m.Free
+}
+
+// beyond says whether the team would use more than its guarantee after the stops.
+func (r *gangRoom) beyond(team string, freed map[string]Need) bool {
+	t := r.snapshot.Teams[team]
+	if t == nil {
+		return false
+	}
+	after := *t
+	after.Used = after.Used.Minus(freed[team])
+	return after.Beyond()
+}
+
+// take gives a task of the gang its place on the machine.
+func (r *gangRoom) take(m *Machine, found *machineRoom) {
+	for _, st := range found.stops {
+		r.stop(st)
+	}
+	r.cost += found.cost
+	r.free[m] = r.freeOn(m).Minus(r.job.Need)
+	r.given[m]++
+	r.inZone[m.Zone]++
+}
+
+// stop notes a task that is to stop, with all of its gang.
+func (r *gangRoom) stop(st Stop) {
+	all := []Stop{st}
+	if st.Victim.Job.Gang {
+		all = r.victims[st.Victim.Job]
+	}
+	for _, one := range all {
+		key := taskKey{one.Victim.Job, one.Victim.Index}
+		if r.stopped[key] {
+			continue
+		}
+		r.stopped[key] = true
+		r.stops = append(r.stops, one)
+		r.free[one.Machine] = r.freeOn(one.Machine).Plus(one.Victim.Job.Need)
+		r.freed[one.Victim.Job.Team] = r.freed[one.Victim.Job.Team].Plus(one.Victim.Job.Need)
+	}
+}
+
+// freeLimit stops the team's own work of lower priority until its limit has room for
+// the whole gang. False: it can't have.
+func (r *gangRoom) freeLimit() bool {
+	j := r.job
+	team := *r.snapshot.Teams[j.Team]
+	whole := j.Need.Times(float64(len(j.Waiting))).Plus(team.Kept)
+	for {
+		after := team
+		after.Used = team.Used.Minus(r.freed[j.Team])
+		if after.InLimit(whole) {
+			return true
+		}
+		m, youngest := r.snapshot.youngest(j, r.stops)
+		if m == nil {
+			return false
+		}
+		r.stop(Stop{Victim: youngest, Machine: m})
+		r.cost += stopCost(youngest, m)
+	}
+}
+
+// stopsForGang makes room for all waiting tasks of a gang, within most stops unless
+// they are the round's first: a gang that needs more would wait for ever.
+func (s *Snapshot) stopsForGang(j *Job, rank map[*Job]int, out *Preemption, most int) {
+	if len(j.Waiting) == 0 || s.Teams[j.Team] == nil {
+		return
+	}
+	room := s.roomForGang(j, rank)
+	if room == nil || len(room.stops) == 0 || len(out.Stops) > 0 && len(out.Stops)+len(room.stops) > most {
+		return
+	}
+	for _, st := range room.stops {
+		out.Stops = append(out.Stops, s.stop(st.Machine, st.Victim, j))
+	}
+	for _, m := range s.Machines {
+		if n := room.given[m]; n > 0 {
+			out.Kept = append(out.Kept, Kept{Job: j, Machine: m, Tasks: n})
+			for range n {
+				s.take(j, m)
+			}
+			m.For = j.ID
+		}
+	}
+}
+
+// stopCost is the work that a stop loses, and the trouble it makes.
+func stopCost(h Held, m *Machine) float64 {
+	lost := h.SinceS*Share(h.Job.Need, m.Type.Size) + 5
+	if h.Job.Gang {
+		lost *= math.Max(1, float64(h.Job.Held))
+	}
+	if h.Job.Service {
+		lost += 1000 // a replica outweighs a machine full of batches
+	}
+	return lost
+}
--- a/internal/sched/stops.go
+++ b/internal/sched/stops.go
@@ -11,58 +11,75 @@
 	Victim  Held
 	Machine *Machine // of the victim
 	For     *Job
-	Target  *Machine // where the job is to start
-	First   bool     // of those for one task
+}
+
+// Kept is room on a machine that is kept for tasks of a job until they start there.
+type Kept struct {
+	Job     *Job
+	Machine *Machine
+	Tasks   int
+}
+
+// Preemption is what a round stops, and the room it keeps for those it does so for.
+type Preemption struct {
+	Stops []Stop
+	Kept  []Kept
 }
 
 // Stops are a round's: for tasks that wait within their slots and found no
 // room, lower-ranked tasks give way, as far as "Preemption" lets them.
-func (s *Snapshot) Stops(maxStops int) []Stop {
+func (s *Snapshot) Stops(most int) Preemption {
 	Order(s.Jobs)
-	pos := map[*Job]int{}
+	rank := map[*Job]int{}
 	for i, j := range s.Jobs {
-		pos[j] = i
+		rank[j] = i
 	}
-	var out []Stop
+	var out Preemption
 	for _, j := range s.Jobs {
-		if j.Phantom || j.Gang {
-			continue
+		switch {
+		case j.Phantom:
+		case j.Claims > 0:
+			// What was stopped for this job before is still on its way out.
+		case j.Gang:
+			s.stopsForGang(j, rank, &out, most)
+		default:
+			s.stopsForTasks(j, rank, &out, most)
 		}
-		// What was stopped for this job before is still on its way out.
-		if j.Claims > 0 {
-			continue
+	}
+	return out
+}
+
+// stopsForTasks makes room for the waiting tasks of a job that it has slots for, one
+// after the other.
+func (s *Snapshot) stopsForTasks(j *Job, rank map[*Job]int, out *Preemption, most int) {
+	held := j.Held
+	for len(j.Waiting) > 0 && (j.Service || held < j.Slots) {
+		m, set := s.stopsFor(j, rank)
+		if m == nil || len(out.Stops)+len(set) > most {
+			return
 		}
-		held := j.Held
-		for len(j.Waiting) > 0 && (j.Service || held < j.Slots) {
-			m, set := s.stopsFor(j, pos)
-			if m == nil || len(out)+len(set) > maxStops {
-				break
-			}
-			for i, v := range set {
-				st := s.stop(v.Machine, v.Victim, j)
-				st.Target, st.First = m, i == 0
-				out = append(out, st)
-			}
-			s.take(j, m)
-			held++
-			if len(set) > 0 {
-				m.For = j.ID // nobody else's stops may count on it
-			}
+		for _, v := range set {
+			out.Stops = append(out.Stops, s.stop(v.Machine, v.Victim, j))
+		}
+		s.take(j, m)
+		held++
+		if len(set) > 0 {
+			m.For = j.ID // nobody else's stops may count on it
+			out.Kept = append(out.Kept, Kept{Job: j, Machine: m, Tasks: 1})
 		}
 	}
-	return out
 }
 
 // stopsFor finds a machine for one task of the job and all that must stop for
 // it, for room and for the team's limit alike: all of it or nothing, as stops
 // that don't lead to a start only cost work.
-func (s *Snapshot) stopsFor(j *Job, pos map[*Job]int) (*Machine, []Stop) {
+func (s *Snapshot) stopsFor(j *Job, rank map[*Job]int) (*Machine, []Stop) {
 	team := s.Teams[j.Team]
 	var set []Stop
 	m := s.best(j)
 	if m == nil {
 		var victims []Held
-		if m, victims = s.cheapestStops(j, team.InGuarantee(j.Need), pos); m == nil {
+		if m, victims = s.cheapestStops(j, team.InGuarantee(j.Need), rank); m == nil {
 			return nil, nil
 		}
 		for _, v := range victims {
@@ -125,7 +142,38 @@
 	return out
 }
 
-func (s *Snapshot) cheapestStops(j *Job, guaranteed bool, pos map[*Job]int) (*Machine, []Held) {
+// givesWay says whether a victim's tasks may be stopped for a job: by "Preemption", and
+// as it ranks after the job or has more than its slots.
+func (s *Snapshot) givesWay(victim, j *Job, guaranteed bool, rank map[*Job]int) bool {
+	lower := victim.Priority < j.Priority
+	team := s.Teams[victim.Team]
+	lent := guaranteed && victim.Team != j.Team && team != nil && team.Beyond()
+	if victim.Service && !lower && !j.Patient {
+		// One replica for another is no gain, and the stopped one fetches its image
+		// anew; a machine may be on its way.
+		lent = false
+	}
+	ranked := rank[victim] > rank[j] || (!victim.Service && victim.Held > victim.Slots)
+	return (lower || lent) && ranked
+}
+
+// sortVictims puts first what costs least to stop: replicas last, gangs before them as
+// they stop whole, and the youngest of each.
+func sortVictims(list []Held) {
+	sort.SliceStable(list, func(a, b int) bool {
+		x, y := list[a], list[b]
+		switch {
+		case x.Job.Service != y.Job.Service:
+			return !x.Job.Service
+		case x.Job.Gang != y.Job.Gang:
+			return !x.Job.Gang
+		}
+		return x.SinceS < y.SinceS
+	})
+}
+
+// cheapestStops finds the machine on which room for one task costs least.
+func (s *Snapshot) cheapestStops(j *Job, guaranteed bool, rank map[*Job]int) (*Machine, []Held) {
 	var pick *Machine
 	var chosen []Held
 	cheapest := math.Inf(1)
@@ -135,28 +183,11 @@
 		}
 		var may []Held
 		for _, h := range m.Running {
-			v := h.Job
-			lower := v.Priority < j.Priority
-			lent := guaranteed && v.Team != j.Team && s.Teams[v.Team] != nil && s.Teams[v.Team].Beyond()
-			if v.Service && v.Priority >= j.Priority && !j.Patient {
-				// One replica for another is no gain, and the stopped one
-				// fetches its image anew; a machine may be on its way.
-				lent = false
-			}
-			ranked := pos[v] > pos[j] || (!v.Service && v.Held > v.Slots)
-			if (lower || lent) && ranked {
+			if s.givesWay(h.Job, j, guaranteed, rank) {
 				may = append(may, h)
 			}
 		}
-		sort.SliceStable(may, func(a, b int) bool {
-			if may[a].Job.Service != may[b].Job.Service {
-				return !may[a].Job.Service
-			}
-			if may[a].Job.Gang != may[b].Job.Gang {
-				return !may[a].Job.Gang // a gang stops whole
-			}
-			return may[a].SinceS < may[b].SinceS
-		})
+		sortVictims(may)
 		free, cost := m.Free, 0.0
 		var set []Held
 		for _, h := range may {
@@ -165,14 +196,7 @@
 			}
 			set = append(set, h)
 			free = free.Plus(h.Job.Need)
-			lost := h.SinceS*Share(h.Job.Need, m.Type.Size) + 5
-			if h.Job.Gang {
-				lost *= float64(h.Job.Held)
-			}
-			cost += lost
-			if h.Job.Service {
-				cost += 1000 // a replica outweighs a machine full of batches
-			}
+			cost += stopCost(h, m)
 		}
 		if j.Need.Fits(free) && len(set) > 0 && cost < cheapest {
 			pick, chosen, cheapest = m, set, cost
