Both versions by turns, limits that come without notice: a test for each step; settings name the field

An older leader is played by script: a gang accepted and running, half gathered, half stopped, half done, cancelled when the version changes, an old process that comes back after all are new, turns of both. Limits fall before, in and after a change of leader with a backlog; an array of 40,000 tasks across them; a machine whose record no longer fits; records of jobs that are over. Rates of changes under 3 a second leave no room for lazy writes and are refused with the field's name.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -66,6 +66,26 @@
 	TxnOps   int     `json:"txn_ops"`
 }
 
+// leastWriteRPS is the least rate of changes that leaves any to what nobody waits for,
+// beside the half of a second's worth that is kept for what somebody does.
+const leastWriteRPS = 3
+
+// check says which of the limits to come is less than nothing.
+func (n *NextState) check() error {
+	if n == nil {
+		return nil
+	}
+	for _, limit := range []struct {
+		field string
+		value float64
+	}{{"rps", n.RPS}, {"write_rps", n.WriteRPS}, {"value_kb", n.ValueKB}, {"txn_ops", float64(n.TxnOps)}} {
+		if !(limit.value >= 0) {
+			return fmt.Errorf("settings: cluster.state.next.%s: %v is not 0 or more", limit.field, limit.value)
+		}
+	}
+	return nil
+}
+
 // Both is what holds now and later: the lower of each limit. It is written within
 // from the start, so that the moment of the change does not matter.
 func (s State) Both() State {
@@ -218,8 +238,8 @@
 		}
 	}
 	w, s, cl, r := c.Cluster.Workers, c.Cluster.State, c.Cluster.Cloud, c.Cluster.Resources
-	if n := s.Next; n != nil && !(n.RPS >= 0 && n.WriteRPS >= 0 && n.ValueKB >= 0 && n.TxnOps >= 0) {
-		return fmt.Errorf("settings: cluster.state.next: limits must be 0 or more")
+	if err := s.Next.check(); err != nil {
+		return err
 	}
 	both := s.Both()
 	g, f := c.Operator.Green, c.Operator.Fleet
@@ -232,11 +252,11 @@
 		{"settings: cluster.workers.lease_s", w.LeaseS, 0.5, 3600},
 		{"settings: cluster.workers.cancel_s", w.CancelS, w.LeaseS, 86400},
 		{"settings: cluster.state.rps", s.RPS, 5, 1e9},
-		{"settings: cluster.state.write_rps", s.WriteRPS, 1, 1e9},
+		{"settings: cluster.state.write_rps", s.WriteRPS, leastWriteRPS, 1e9},
 		{"settings: cluster.state.value_kb", s.ValueKB, 1, 1e6},
 		{"settings: cluster.state.txn_ops", float64(s.TxnOps), 2, 1e6},
 		{"settings: cluster.state.next.rps", both.RPS, 5, 1e9},
-		{"settings: cluster.state.next.write_rps", both.WriteRPS, 1, 1e9},
+		{"settings: cluster.state.next.write_rps", both.WriteRPS, leastWriteRPS, 1e9},
 		{"settings: cluster.state.next.value_kb", both.ValueKB, 1, 1e6},
 		{"settings: cluster.state.next.txn_ops", float64(both.TxnOps), 2, 1e6},
 		{"settings: cluster.workers.gang_peer_s", w.GangPeerS, 0, 3600},
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -48,6 +48,9 @@
 		{name: "lease", wants: "workers.lease_s", change: func(m map[string]any) { cluster(m, "workers", "lease_s", -1) }},
 		{name: "cancel before lease", wants: "workers.cancel_s", change: func(m map[string]any) { cluster(m, "workers", "cancel_s", 5) }},
 		{name: "ops", wants: "state.txn_ops", change: func(m map[string]any) { cluster(m, "state", "txn_ops", 0) }},
+		{name: "writes", wants: "state.write_rps", change: func(m map[string]any) { cluster(m, "state", "write_rps", 2) }},
+		{name: "gang time", wants: "workers.gang_peer_s", change: func(m map[string]any) { cluster(m, "workers", "gang_peer_s", -1) }},
+		{name: "no gang times", change: func(m map[string]any) { delete(m["cluster"].(map[string]any)["workers"].(map[string]any), "gang_peer_s") }},
 		{name: "wrong type", wants: "settings", change: func(m map[string]any) { m["label"] = 3 }},
 		{name: "unknown key", operator: "[green]\ngama = 0.5\n", wants: "gama"},
 		{name: "gamma", operator: "[green]\ngamma = 1.5\n", wants: "green.gamma"},
@@ -105,9 +108,13 @@
 			t.Errorf("%v: %d bytes, %+v, layout %d", tc.next, c.ValueBytes(), both, c.LayoutBytes())
 		}
 	}
-	for field, v := range map[string]any{"txn_ops": 1, "value_kb": -1.0, "write_rps": 0.5} {
-		if _, err := Parse(platform(t, next(map[string]any{field: v})), nil); err == nil || !strings.Contains(err.Error(), "state.next") {
-			t.Errorf("%s %v: %v", field, v, err)
+	for _, bad := range []struct {
+		field string
+		value any
+	}{{"txn_ops", 1}, {"txn_ops", -3}, {"value_kb", -1.0}, {"value_kb", 0.5}, {"write_rps", 0.5}, {"write_rps", 2.9}, {"rps", -1.0}, {"rps", 4.0}} {
+		_, err := Parse(platform(t, next(map[string]any{bad.field: bad.value})), nil)
+		if err == nil || !strings.Contains(err.Error(), "cluster.state.next."+bad.field+":") {
+			t.Errorf("%s %v: %v", bad.field, bad.value, err)
 		}
 	}
 }
--- a/internal/coordination/checker_test.go
+++ b/internal/coordination/checker_test.go
@@ -20,6 +20,7 @@
 	turn     int
 	wholes   map[string]int // how often a gang has begun to run, whole
 	halts    map[string][]halted
+	starts   map[string]int // how often a task has begun to be on a machine
 	saves    map[string]int // orderly stops of a gang that saved its progress
 	// savedTasks counts the tasks of an attempt that have ended with it saved.
 	savedTasks map[gangTry]int
@@ -48,7 +49,7 @@
 func newChecker() checker {
 	return checker{wished: map[string]bool{}, invalid: map[string]bool{}, accepted: map[string]time.Duration{},
 		answered: map[string]time.Duration{}, hungry: map[string]time.Duration{}, wholes: map[string]int{}, halts: map[string][]halted{},
-		saves: map[string]int{}, savedTasks: map[gangTry]int{}}
+		starts: map[string]int{}, saves: map[string]int{}, savedTasks: map[gangTry]int{}}
 }
 
 // watch looks at the rules every second, and polls for every accepted job every
--- a/internal/coordination/gangs.go
+++ b/internal/coordination/gangs.go
@@ -27,15 +27,6 @@
 	}
 }
 
-// joinStop has all of a gang stopped when a task of it saves without our word: an
-// earlier leader has told it to stop, and the save only succeeds if all are told
-// within gang_peer_s.
-func (r *term) joinStop(a *ledger.Attempt) {
-	if a.Job.Gang != nil && a.State == protocol.Saving && !a.Halt {
-		r.halt(a, a.Job.Spec.SaveS, "an earlier leader has stopped it")
-	}
-}
-
 // gangTaskGone decides what the end of one task means for the rest of its gang.
 func (r *term) gangTaskGone(a *ledger.Attempt, reason goneReason) {
 	g := a.Job.Gang
--- /dev/null
+++ b/internal/coordination/limits_test.go
@@ -0,0 +1,145 @@
+package coordination
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"claybarrow/internal/config"
+	"claybarrow/internal/ledger"
+	"claybarrow/internal/protocol"
+)
+
+// lowerLimits are those that the settings announce in these tests.
+var lowerLimits = stateLimits{valueBytes: 2 << 10, changes: 10}
+
+// announceLimits has the settings of all controllers name the limits to come.
+func (w *world) announceLimits() {
+	for i, cfg := range w.cfgs {
+		cfg.Cluster.State.Next = &config.NextState{ValueKB: 2, TxnOps: 10, WriteRPS: 35}
+		w.bounce(i, 100*time.Millisecond)
+	}
+	w.run(2 * second)
+	w.awaitLeader()
+}
+
+// The lower limits come without notice, with a backlog of writes, before, in or after a
+// change of leader: nothing is refused for them, and nothing is lost.
+func TestLowerLimitsWithABacklog(t *testing.T) {
+	for _, crash := range []time.Duration{-second, 0, 20 * time.Millisecond, second} {
+		w := newWorld(t, 131)
+		w.announceLimits()
+		w.submit("j-0", map[string]any{"shape": "service", "shards": 3, "cores": 2.0})
+		w.until(60*second, "machines are up", func() bool { return w.running("j-0") == 3 })
+		for i := range 40 {
+			w.submit(fmt.Sprintf("j-%d", 100+i), map[string]any{"cores": 0.5, "shards": 2})
+		}
+		w.submit("j-1", group(8, 0.5, nil))
+		w.at(2*second, func() { w.state.limits = lowerLimits })
+		w.at(2*second+crash, func() { w.bounce(w.aLeader(), second) })
+		w.awaitTold(200*second, "j-1", protocol.Done)
+		for i := range 40 {
+			w.awaitTold(200*second, fmt.Sprintf("j-%d", 100+i), protocol.Done)
+		}
+		if w.state.over > 0 {
+			t.Errorf("leader ends %v after: %d transactions were over the limits", crash, w.state.over)
+		}
+		w.settle()
+	}
+}
+
+// An array of 40,000 tasks, nearly done, was stored under the limit that is no more. Its
+// last tasks end under the lower one while leaders change: what was done is not started
+// again, what ends is stored, and the job becomes done.
+func TestLargeArrayAcrossLowerLimits(t *testing.T) {
+	const tasks = 40_000
+	open := []int{5, 20_000, 39_998, 39_999}
+	w := newWorld(t, 132)
+	w.awaitLeader()
+	w.runs = func(task string) time.Duration {
+		if strings.HasSuffix(task, "39999") {
+			return 40 * second
+		}
+		return 5 * second
+	}
+	w.cloud.finished = map[string]bool{}
+	w.specs["j-1"] = w.spec("j-1", map[string]any{"shards": tasks, "cores": 1.0})
+	_, spec, err := protocol.ParseSubmission(protocol.Encode(w.specs["j-1"]))
+	if err != nil {
+		t.Fatal(err)
+	}
+	books := ledger.New(16<<10, 16<<10)
+	j := books.AddJob(spec, 1)
+	for i := range tasks {
+		if i != open[0] && i != open[1] && i < open[2] {
+			j.MarkDone(i)
+			w.cloud.finished[ledger.Task("j-1", i)] = true
+		}
+	}
+	w.state.change(ledger.JobPrefix+"j-1", &simItem{value: protocol.Encode(ledger.JobRecord{Submitted: 1, Spec: spec})})
+	w.state.change(books.DoneKey(j, 0), &simItem{value: protocol.Encode(books.DoneChunk(j, 0))})
+	w.noteAnswer("j-1")
+	w.state.limits = lowerLimits
+	w.announceLimits()
+	w.until(60*second, "three of the last tasks are done", func() bool {
+		return w.cloud.finished["j-1/5"] && w.cloud.finished["j-1/20000"] && w.cloud.finished["j-1/39998"]
+	})
+	w.run(2 * second)
+	w.bounce(w.awaitLeader(), second)
+	w.awaitTold(90*second, "j-1", protocol.Done)
+	started := 0
+	for task, times := range w.starts {
+		started += times
+		if times > 1 {
+			t.Errorf("%s started %d times", task, times)
+		}
+	}
+	if started != len(open) || w.state.over > 0 {
+		t.Errorf("%d tasks were started, %d transactions over the limits", started, w.state.over)
+	}
+	w.run(5 * second)
+	for key := range w.state.items {
+		if strings.HasPrefix(key, ledger.DonePrefix) || strings.HasPrefix(key, ledger.PartPrefix) {
+			t.Errorf("%s is left", key)
+		}
+	}
+	w.settle()
+}
+
+// A machine's record was stored under the limit that is no more, and the machine can't be
+// reached. It is returned all the same, and its tasks run elsewhere.
+func TestMachineWithAnOversizedRecordIsReturned(t *testing.T) {
+	w := newWorld(t, 133)
+	w.runs = func(string) time.Duration { return 200 * second }
+	w.submit("j-1", map[string]any{"shards": 70, "cores": 0.1, "ramGb": 0.1})
+	w.until(90*second, "all run", func() bool { return w.running("j-1") == 70 })
+	k := w.holding("j-1")[0]
+	w.state.limits = lowerLimits
+	if len(k.tasks) < 60 {
+		t.Fatalf("%d tasks on the machine", len(k.tasks))
+	}
+	k.cut = true
+	w.announceLimits()
+	w.until(100*second, "it is deleted", func() bool { return k.gone })
+	w.runs = func(string) time.Duration { return second }
+	w.awaitTold(300*second, "j-1", protocol.Done)
+	w.settle()
+}
+
+// Completions that an earlier leader left of a job that is over are deleted by the next.
+func TestCompletionsOfJobsThatAreOverAreDeleted(t *testing.T) {
+	w := newWorld(t, 134)
+	lead := w.awaitLeader()
+	for _, key := range []string{"d/j-7/0", "p/j-7/3"} {
+		w.state.change(key, &simItem{value: protocol.Encode(ledger.DoneRecord{Bits: "AQ=="})})
+	}
+	w.bounce(lead, second)
+	w.run(10 * second)
+	for _, key := range []string{"d/j-7/0", "p/j-7/3"} {
+		if w.state.items[key] != nil {
+			t.Errorf("%s is left", key)
+		}
+	}
+	w.settle()
+}
--- a/internal/coordination/reports.go
+++ b/internal/coordination/reports.go
@@ -152,7 +152,6 @@
 		a.Session = m.Session
 		if a.State != t.State {
 			a.SetState(t.State)
-			r.joinStop(a)
 			if t.State == protocol.Running {
 				m.Images[a.Job.Spec.Image] = true
 				r.c.log.Debug("running", "task", t.Task, "try", t.Attempt, "machine", m.ID)
--- a/internal/coordination/sim_state_test.go
+++ b/internal/coordination/sim_state_test.go
@@ -1,6 +1,7 @@
 package coordination
 
 import (
+	"encoding/json"
 	"maps"
 	"net/url"
 	"slices"
@@ -33,6 +34,22 @@
 	refuse   map[int]bool
 	// malformed says which transactions are called so; nil: none.
 	malformed func(protocol.Txn) bool
+	// limits are what it takes; over counts the transactions that it refused for them.
+	limits stateLimits
+	over   int
+}
+
+// stateLimits bound a value's bytes, as JSON, and a transaction's changes.
+type stateLimits struct{ valueBytes, changes int }
+
+// allows says whether a transaction is within the limits.
+func (l stateLimits) allows(t protocol.Txn) bool {
+	for _, ch := range t.Then {
+		if text, err := json.Marshal(ch.Value); err != nil || len(text) > l.valueBytes {
+			return false
+		}
+	}
+	return len(t.Then) <= l.changes
 }
 
 func (s *simState) change(key string, it *simItem) {
@@ -184,6 +201,11 @@
 	if len(t.Then) > 32 || len(t.If) > 128 || len(c.Body) > protocol.MaxBody {
 		s.w.breaks("a transaction over the limits: %d changes, %d conditions", len(t.Then), len(t.If))
 	}
+	if !s.limits.allows(t) {
+		s.over++
+		reply(400, nil)
+		return
+	}
 	if s.malformed != nil && s.malformed(t) {
 		reply(400, nil)
 		return
--- a/internal/coordination/sim_worker_test.go
+++ b/internal/coordination/sim_worker_test.go
@@ -285,6 +285,7 @@
 	w := k.w
 	spec := w.specs[t.uid]
 	t.state = protocol.Running
+	w.starts[task]++
 	// Stricter than the protocol's page, which allows cancel_s: "from then on no
 	// task of the job may be started".
 	if _, told := w.stopped[t.uid]; told {
--- /dev/null
+++ b/internal/coordination/upgrade_test.go
@@ -0,0 +1,308 @@
+package coordination
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"claybarrow/internal/ledger"
+	"claybarrow/internal/protocol"
+)
+
+// olderLeader plays a leader of the version that knows no gangs (4297efa), by script: it
+// holds the leader key as that version writes it, answers the workers with its token,
+// and does to records and tasks what that version would, which takes a gang for an array.
+type olderLeader struct {
+	w     *world
+	node  int
+	token uint64
+	tries uint64
+}
+
+// olderLeads ends all controllers and has the older version lead from one of them; the
+// others are back as they are now.
+func (w *world) olderLeads() *olderLeader {
+	w.t.Helper()
+	for i := range w.nodes {
+		w.crash(i)
+	}
+	w.until(10*second, "nobody leads", func() bool { return w.state.items[keyLeader] == nil })
+	var counter counterRecord
+	if err := protocol.Decode(w.state.items[keyCounter].value, &counter); err != nil {
+		w.t.Fatal(err)
+	}
+	o := &olderLeader{w: w, node: 2, token: counter.Token + 1}
+	w.state.change(keyCounter, &simItem{value: protocol.Encode(counterRecord{Token: o.token})})
+	w.state.change(keyLeader, &simItem{value: protocol.Encode(leaderRecord{Label: "n2", Incarnation: "older", Token: o.token, Lease: 1 << 30})})
+	w.nodes[o.node].scripted = func(req Request) Reply {
+		if req.Op == OpReport {
+			return Reply{Status: 200, Body: protocol.Encode(protocol.ReportReply{Token: o.token})}
+		}
+		return Reply{Status: 503, RetryAfter: 1}
+	}
+	w.boot(0)
+	w.boot(1)
+	w.run(2 * second)
+	return o
+}
+
+// ends gives the lead up, and its process comes back as the newer version.
+func (o *olderLeader) ends() {
+	o.w.t.Helper()
+	o.w.state.change(keyLeader, nil)
+	o.w.boot(o.node)
+	o.w.awaitLeader()
+}
+
+// command sends orders to a machine; false: they were refused.
+func (o *olderLeader) command(k *simWorker, orders ...protocol.Command) bool {
+	body := protocol.Commands{Token: o.token, Session: k.session, Commands: orders}
+	status, _ := k.serve(Call{Body: protocol.Encode(body)})
+	return status == 200
+}
+
+// starts has a single task run, under a number of its own: durable first, as ever.
+func (o *olderLeader) starts(k *simWorker, uid string, index int) {
+	o.w.t.Helper()
+	o.tries++
+	try := o.token<<24 | o.tries
+	o.amend(k, func(rec *ledger.MachineRecord) {
+		rec.Attempts = append(rec.Attempts, ledger.AttemptEntry{Job: uid, Index: index, Try: try})
+	})
+	if !o.command(k, protocol.Command{Verb: protocol.VerbRun, Task: ledger.Task(uid, index), Attempt: try}) {
+		o.w.t.Fatal("a run was refused")
+	}
+}
+
+// forgets takes all attempts of a job out of a machine's record.
+func (o *olderLeader) forgets(k *simWorker, uid string) {
+	o.amend(k, func(rec *ledger.MachineRecord) {
+		rec.Attempts = slices.DeleteFunc(rec.Attempts, func(e ledger.AttemptEntry) bool { return e.Job == uid })
+	})
+}
+
+func (o *olderLeader) amend(k *simWorker, change func(*ledger.MachineRecord)) {
+	o.w.t.Helper()
+	key := ledger.MachinePrefix + k.id
+	var rec ledger.MachineRecord
+	if it := o.w.state.items[key]; it == nil || protocol.Decode(it.value, &rec) != nil {
+		o.w.t.Fatalf("no record of %s", k.id)
+	}
+	change(&rec)
+	o.w.state.change(key, &simItem{value: protocol.Encode(rec)})
+}
+
+// tasksOf lists the tasks of a job on a machine, by name and number.
+func (k *simWorker) tasksOf(uid string) (out []ledger.Key) {
+	for name, t := range k.tasks {
+		if task, _, _ := strings.Cut(name, "@"); t.uid == uid {
+			out = append(out, ledger.Key{Task: task, Try: t.try})
+		}
+	}
+	slices.SortFunc(out, compareKeys)
+	return out
+}
+
+// gangOverTwo starts a gang of four on two machines beside replicas.
+func (w *world) gangOverTwo() {
+	w.t.Helper()
+	w.submit("j-9", map[string]any{"shape": "service", "shards": 3, "cores": 5.0, "apart": true})
+	w.until(90*second, "machines are up", func() bool { return w.running("j-9") == 3 })
+	w.submit("j-1", group(4, 1, map[string]any{"owner": "blue", "apart": true}))
+}
+
+// A gang that the newer version accepted and started runs on under an older leader, and
+// under the next one, to its only end.
+func TestRunningGangUnderAnOlderLeader(t *testing.T) {
+	w := newWorld(t, 121)
+	w.gangOverTwo()
+	w.until(30*second, "it runs", func() bool { return w.wholes["j-1"] == 1 })
+	o := w.olderLeads()
+	w.run(8 * second)
+	o.ends()
+	w.awaitTold(60*second, "j-1", protocol.Done)
+	if w.wholes["j-1"] != 1 {
+		t.Errorf("it began %d times", w.wholes["j-1"])
+	}
+	w.settle()
+}
+
+// A gang that gathers loses a task; an older leader replaces it alone, under another
+// number. The next leader clears all of it and starts it whole.
+func TestHalfGatheredGangUnderAnOlderLeader(t *testing.T) {
+	w := newWorld(t, 122)
+	w.pulls = func(string) time.Duration { return 15 * second }
+	w.submit("j-9", map[string]any{"shape": "service", "shards": 3, "cores": 5.0, "apart": true})
+	w.until(120*second, "machines are up", func() bool { return w.running("j-9") == 3 })
+	w.submit("j-1", group(4, 1, map[string]any{"owner": "blue", "apart": true}))
+	w.until(10*second, "it is pulling", func() bool { return len(w.holding("j-1")) > 1 })
+	lost := w.holding("j-1")[0]
+	tasks := lost.tasksOf("j-1")
+	lost.die()
+	o := w.olderLeads()
+	w.pulls = nil
+	other := w.holding("j-1")[0]
+	for _, key := range tasks {
+		_, index, _ := ledger.ParseTask(key.Task)
+		o.starts(other, "j-1", index)
+	}
+	w.run(5 * second)
+	if w.wholes["j-1"] != 0 {
+		t.Fatal("two numbers make a whole")
+	}
+	o.ends()
+	w.until(40*second, "it runs", func() bool { return w.wholes["j-1"] == 1 })
+	w.awaitTold(60*second, "j-1", protocol.Done)
+	w.settle()
+}
+
+// An older leader stops a part of a running gang, as it would stop an array's tasks. The
+// gang falls back and begins again, whole, when the version of the leader changes.
+func TestHalfStoppedGangUnderAnOlderLeader(t *testing.T) {
+	w := newWorld(t, 123)
+	w.runs = func(string) time.Duration { return 40 * second }
+	w.gangOverTwo()
+	w.until(30*second, "it runs", func() bool { return w.wholes["j-1"] == 1 })
+	o := w.olderLeads()
+	k := w.holding("j-1")[0]
+	for _, key := range k.tasksOf("j-1") {
+		o.command(k, protocol.Command{Verb: protocol.VerbHalt, Task: key.Task, Attempt: key.Try, GraceS: 2})
+	}
+	w.run(time.Second)
+	o.ends()
+	w.until(40*second, "it has begun again", func() bool { return w.wholes["j-1"] == 2 })
+	w.awaitTold(90*second, "j-1", protocol.Done)
+	w.settle()
+}
+
+// All tasks of a gang are done; an older leader has stored and cleared but some of them
+// when it ends, and the machine with the others dies. One is done, so all are: nothing
+// is started again.
+func TestHalfDoneGangUnderAnOlderLeader(t *testing.T) {
+	w := newWorld(t, 124)
+	w.runs = func(string) time.Duration { return 12 * second }
+	w.gangOverTwo()
+	w.until(30*second, "it runs", func() bool { return w.wholes["j-1"] == 1 })
+	w.run(8 * second)
+	o := w.olderLeads()
+	w.until(10*second, "it is done", func() bool { return w.cloud.finished["j-1/0"] })
+	books := ledger.New(16<<10, 16<<10)
+	j := books.AddJob(&protocol.Spec{UID: "j-1", Tasks: 4}, 1)
+	stored := 0
+	for _, k := range w.fleet() {
+		keys := k.tasksOf("j-1")
+		if len(keys) == 0 || k.gone {
+			continue
+		}
+		if stored > 0 {
+			k.die()
+			continue
+		}
+		for _, key := range keys {
+			_, index, _ := ledger.ParseTask(key.Task)
+			j.MarkDone(index)
+			stored++
+			o.command(k, protocol.Command{Verb: protocol.VerbClear, Task: key.Task, Attempt: key.Try})
+		}
+		w.state.change(books.DoneKey(j, 0), &simItem{value: protocol.Encode(books.DoneChunk(j, 0))})
+		o.forgets(k, "j-1")
+	}
+	if stored == 0 || stored == 4 {
+		t.Fatalf("%d of 4 completions are stored", stored)
+	}
+	o.ends()
+	w.awaitTold(5*second, "j-1", protocol.Done)
+	w.run(40 * second)
+	if w.wholes["j-1"] != 1 {
+		t.Errorf("it began %d times", w.wholes["j-1"])
+	}
+	w.settle()
+}
+
+// An older leader stores the request to cancel a gang, in a record that no longer says
+// what it is, and ends. The next leader stops all of it, and its user is told.
+func TestCancelledGangUnderAnOlderLeader(t *testing.T) {
+	for _, state := range []string{"gathering", "running"} {
+		w := newWorld(t, 125)
+		if state == "gathering" {
+			w.pulls = func(task string) time.Duration {
+				if strings.HasPrefix(task, "j-1/") {
+					return 20 * second
+				}
+				return second
+			}
+		}
+		w.gangOverTwo()
+		w.until(30*second, "it is on machines", func() bool { return len(w.holding("j-1")) > 1 })
+		w.run(3 * second)
+		o := w.olderLeads()
+		key := ledger.JobPrefix + "j-1"
+		var rec ledger.JobRecord
+		if err := protocol.Decode(w.state.items[key].value, &rec); err != nil {
+			t.Fatal(err)
+		}
+		rec.State, rec.Spec.Gang = ledger.Cancelling, false
+		w.state.change(key, &simItem{value: protocol.Encode(rec)})
+		w.wished["j-1"] = true
+		o.ends()
+		w.cancel("j-1")
+		w.awaitTold(20*second, "j-1", protocol.Cancelled)
+		w.settle()
+	}
+}
+
+// An old process comes back after all were new, leads for longer than a gang waits, and
+// starts the tasks of a waiting gang one by one. What it still sends after its end is
+// refused, and the gang runs whole.
+func TestOldProcessComesBackAfterTheUpgrade(t *testing.T) {
+	for _, leads := range []time.Duration{2 * second, 33 * second} {
+		w := newWorld(t, 126)
+		w.submit("j-9", map[string]any{"shape": "service", "shards": 3, "cores": 5.0, "apart": true})
+		w.until(90*second, "machines are up", func() bool { return w.running("j-9") == 3 })
+		w.cloud.down = true
+		w.submit("j-1", group(4, 3, map[string]any{"owner": "blue"})) // room for three
+		w.run(3 * second)
+		o := w.olderLeads()
+		for i, k := range w.holding("j-9") {
+			o.starts(k, "j-1", i)
+		}
+		w.run(leads)
+		o.ends()
+		w.run(5 * second)
+		k := w.holding("j-9")[0]
+		if o.command(k, protocol.Command{Verb: protocol.VerbRun, Task: "j-1/3", Attempt: o.token<<24 | 99}) {
+			t.Error("a command of the old process was taken")
+		}
+		w.cloud.down = false
+		w.until(60*second, "it runs", func() bool { return w.wholes["j-1"] == 1 })
+		w.awaitTold(60*second, "j-1", protocol.Done)
+		w.settle()
+	}
+}
+
+// Older and newer leaders take turns while gangs and arrays come and go, with machines
+// that die in between: at the end everything is done, and no rule was broken.
+func TestLeadersOfBothVersionsTakeTurns(t *testing.T) {
+	w := newWorld(t, 127)
+	w.submit("j-9", map[string]any{"shape": "service", "shards": 3, "cores": 4.0, "apart": true})
+	w.until(90*second, "machines are up", func() bool { return w.running("j-9") == 3 })
+	for turn := range 5 {
+		w.submit(fmt.Sprintf("j-%d0", turn), group(3, 1, map[string]any{"owner": "blue"}))
+		w.submit(fmt.Sprintf("j-%d1", turn), map[string]any{"shards": 3, "cores": 1.0})
+		w.run(time.Duration(turn) * 1300 * time.Millisecond)
+		o := w.olderLeads()
+		if held := w.holding(fmt.Sprintf("j-%d0", turn)); len(held) > 0 && turn%2 == 1 {
+			held[0].die()
+		}
+		w.run(time.Duration(turn*2) * second)
+		o.ends()
+		w.run(3 * second)
+	}
+	for turn := range 5 {
+		w.awaitTold(120*second, fmt.Sprintf("j-%d0", turn), protocol.Done)
+		w.awaitTold(120*second, fmt.Sprintf("j-%d1", turn), protocol.Done)
+	}
+	w.settle()
+}
--- a/internal/coordination/world_test.go
+++ b/internal/coordination/world_test.go
@@ -88,13 +88,16 @@
 	born  time.Duration // the steady clock of a process starts with it
 	last  uint64
 	wants map[uint64]func(Reply)
+	// scripted answers in the place of a process that is not alive; nil: nobody does.
+	scripted func(Request) Reply
 }
 
 func newWorld(t *testing.T, seed uint64) *world {
 	w := &world{t: t, rng: rand.New(rand.NewPCG(seed, 1)), workers: map[string]*simWorker{}, specs: map[string]map[string]any{},
 		told: map[string]protocol.JobState{}, stopped: map[string]time.Duration{}, checker: newChecker(),
 		runs: func(string) time.Duration { return 30 * time.Second }}
-	w.state = &simState{w: w, items: map[string]*simItem{}, leases: map[uint64]*simLease{}, refuse: map[int]bool{}}
+	w.state = &simState{w: w, items: map[string]*simItem{}, leases: map[uint64]*simLease{}, refuse: map[int]bool{},
+		limits: stateLimits{valueBytes: 16 << 10, changes: 32}}
 	w.cloud = &simCloud{w: w, answers: map[string][]string{}}
 	for i := range 3 {
 		w.cfgs = append(w.cfgs, testConfig(t, i))
@@ -172,7 +175,7 @@
 
 func (w *world) boot(i int) {
 	n := w.nodes[i]
-	n.alive, n.life, n.born = true, n.life+1, w.now
+	n.alive, n.life, n.born, n.scripted = true, n.life+1, w.now, nil
 	life := n.life
 	n.wants = map[uint64]func(Reply){}
 	sink := io.Discard
@@ -211,6 +214,11 @@
 // ask sends a request to a node; the answer may be none (status 0).
 func (w *world) ask(i int, req Request, then func(Reply)) {
 	n := w.nodes[i]
+	if !n.alive && n.scripted != nil {
+		answer := n.scripted(req)
+		w.at(latency, func() { then(answer) })
+		return
+	}
 	if !n.alive {
 		then(Reply{})
 		return
