--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -50,7 +50,9 @@
 		{name: "ops", wants: "state.txn_ops", change: func(m map[string]any) { cluster(m, "state", "txn_ops", 0) }},
 		{name: "writes", wants: "state.write_rps", change: func(m map[string]any) { cluster(m, "state", "write_rps", 2) }},
 		{name: "gang time", wants: "workers.gang_peer_s", change: func(m map[string]any) { cluster(m, "workers", "gang_peer_s", -1) }},
-		{name: "no gang times", change: func(m map[string]any) { delete(m["cluster"].(map[string]any)["workers"].(map[string]any), "gang_peer_s") }},
+		{name: "no gang times", change: func(m map[string]any) {
+			delete(m["cluster"].(map[string]any)["workers"].(map[string]any), "gang_peer_s")
+		}},
 		{name: "wrong type", wants: "settings", change: func(m map[string]any) { m["label"] = 3 }},
 		{name: "unknown key", operator: "[green]\ngama = 0.5\n", wants: "gama"},
 		{name: "gamma", operator: "[green]\ngamma = 1.5\n", wants: "green.gamma"},
