Machines that take no connections are deleted early only if their tasks have room

Ruled out: acceptance (no gang was accepted late), the limits that fell at 195 s (all gangs from then to 390 s ran in 4 s), preemption (nothing of lower priority runs beside them). Change: a silent machine's tasks must find room on ready machines beside all that waits; one with no tasks gains nothing and stays. TestPowerlessMachineIsDeleted, case no room, fails without.

--- a/internal/coordination/emptying.go
+++ b/internal/coordination/emptying.go
@@ -125,10 +125,15 @@
 			(!service && (a.Job.Spec.CheckpointS <= 0 || free < 0.5)) {
 			return nil
 		}
-		j := schedJob(a.Job)
-		j.InZone, j.Waiting = a.Job.InZone(), []int{a.Index}
-		j.InZone[m.Zone]--
-		out = append(out, j)
+		out = append(out, singleTask(a))
 	}
 	return out
 }
+
+// singleTask is an attempt as a job of one task that is to start elsewhere.
+func singleTask(a *ledger.Attempt) *sched.Job {
+	j := schedJob(a.Job)
+	j.InZone, j.Waiting = a.Job.InZone(), []int{a.Index}
+	j.InZone[a.Machine.Zone]--
+	return j
+}
--- a/internal/coordination/fleet_test.go
+++ b/internal/coordination/fleet_test.go
@@ -194,9 +194,10 @@
 // deleted long before its lease is over, and its tasks go on elsewhere; one that
 // takes them and does not answer hangs, and is left alone. In a zone that has just
 // been cut off nothing is heard, and nothing is deleted; nor is a machine whose
-// replicas would fetch for longer than a lease, as it may come back.
+// replicas would fetch for longer than a lease, or have no room elsewhere, as it may
+// come back.
 func TestPowerlessMachineIsDeleted(t *testing.T) {
-	for _, what := range []string{"dead", "hanging", "cut zone", "long fetch"} {
+	for _, what := range []string{"dead", "hanging", "cut zone", "long fetch", "no room"} {
 		w := newWorld(t, 54)
 		for _, cfg := range w.cfgs {
 			cfg.Cluster.Workers.LeaseS, cfg.Cluster.Workers.ReportS = 31, 2
@@ -213,6 +214,7 @@
 		if w.leader() == 2 {
 			t.Fatal("the leader is in the zone to be cut")
 		}
+		w.cloud.full = what == "no room"
 		w.off = map[string]bool{}
 		var victim *simWorker
 		for _, k := range w.fleet() {
--- a/internal/coordination/review.go
+++ b/internal/coordination/review.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"claybarrow/internal/ledger"
+	"claybarrow/internal/sched"
 )
 
 // review returns machines that are of no use any more.
@@ -24,6 +25,7 @@
 		forsaken[zone] = r.forsaken(zone)
 	}
 	pulse := r.pulse()
+	room := &spareRoom{term: r}
 	// Many silent machines at once speak of our own network, not of theirs.
 	lonely := silent > 2 && silent > up/3
 	for _, m := range r.machines() {
@@ -48,7 +50,7 @@
 			} else if m.IdleSince == 0 {
 				m.IdleSince = c.now
 			}
-		case !lonely && r.powerless(m, pulse) && r.silentFor(m) > c.cfg.Lease()*2/5:
+		case !lonely && r.powerless(m, pulse) && r.silentFor(m) > c.cfg.Lease()*2/5 && room.takes(m):
 			r.giveBack(m, "no connection to it, while its zone is heard")
 		case !lonely && m.CallFails > 1 && m.FreshAt == 0 && r.silentFor(m) > c.cfg.Lease()/2:
 			// After a take-over the proof by time is far away, and the cloud's
@@ -90,6 +92,32 @@
 		r.soonElsewhere(m)
 }
 
+// spareRoom is what ready machines have to spare beside all that waits, for the tasks of
+// machines that are most probably gone.
+type spareRoom struct {
+	term *term
+	left *sched.Snapshot // nil: not looked at yet
+}
+
+// takes says whether all tasks of a machine have room elsewhere now, and takes that
+// room. Where there is none, an early deletion gains nothing, and the machine may only
+// be cut off and come back: 25 of 270 were once deleted so, and gangs waited for the boots
+// of others, up to 50 s, for longer than the cut lasted.
+func (s *spareRoom) takes(m *ledger.Machine) bool {
+	if len(m.Attempts) == 0 {
+		return false // nothing is gained
+	}
+	if s.left == nil {
+		s.left = s.term.snapshot(false, false)
+		s.left.Fill()
+	}
+	var jobs []*sched.Job
+	for _, a := range m.Sorted() {
+		jobs = append(jobs, singleTask(a))
+	}
+	return s.left.Takes(jobs)
+}
+
 // soonElsewhere says whether a machine's replicas fetch their images in less than
 // a lease. The machine may only be cut off, and come back with them: a wrong guess
 // costs the fetch, a right one gains the rest of the lease.
--- a/internal/coordination/sim_cloud_test.go
+++ b/internal/coordination/sim_cloud_test.go
@@ -18,6 +18,7 @@
 	answers  map[string][]string
 	finished map[string]bool
 	down     bool
+	full     bool // nothing can be rented
 	deleted  []string
 }
 
@@ -33,6 +34,8 @@
 	case c.Path == "/flavors":
 		return 200, protocol.Encode(protocol.MachineTypes{Types: []protocol.MachineType{{Name: "m8", Cores: 8, MemoryGB: 32, CacheGB: 50,
 			FetchGBPerS: 1, Price: 1, SpotPrice: 0.4, BootS: 10, Zones: []string{"a", "b"}}}})
+	case c.Path == "/machines" && cl.full:
+		return 503, protocol.Encode(map[string]any{"error": "no capacity"})
 	case c.Path == "/machines":
 		var req protocol.Rent
 		if err := protocol.Decode(c.Body, &req); err != nil {
--- a/internal/sched/fill.go
+++ b/internal/sched/fill.go
@@ -134,6 +134,21 @@
 	return out
 }
 
+// Takes says whether there is room for a task of each of the jobs, and takes it if there
+// is for all. Their teams' limits are not looked at: they hold that much now.
+func (s *Snapshot) Takes(jobs []*Job) bool {
+	rest := s.clone("")
+	for _, j := range jobs {
+		m := rest.best(j)
+		if m == nil {
+			return false
+		}
+		rest.take(j, m)
+	}
+	s.Machines, s.spare = rest.Machines, [2][]*Machine{}
+	return true
+}
+
 // reserve takes room for expected tasks on machines that are up, as far as
 // there is any.
 func (s *Snapshot) reserve(j *Job) {
