A round counts room that fills keep back as taken

The round's own fill placed them in the room that fills keep for expected replicas and for those on overdue machines, so it saw no need of stops. Ruled out: the wait for the fleet to be heard (rounds ran), the bound on stops.

--- a/internal/coordination/schedule.go
+++ b/internal/coordination/schedule.go
@@ -115,6 +115,10 @@
 		return
 	}
 	s := r.snapshot(true, false)
+	// Room that a fill keeps from what waits is no room here either: a gang was once
+	// taken to fit into it, round after round, and waited for a boot.
+	s.Jobs = append(s.Jobs, r.expected()...)
+	s.Jobs = append(s.Jobs, r.doubles()...)
 	s.Fill() // what finds room needs no stop
 	preemption := s.Stops(max(c.cfg.Cluster.State.TxnOps, len(s.Machines)/4))
 	patience := map[string]time.Duration{} // by job: until its victims must be gone
