--- a/internal/coordination/gang_room_test.go
+++ b/internal/coordination/gang_room_test.go
@@ -75,3 +75,23 @@
 	w.cancel("j-0")
 	w.settle()
 }
+
+// Room that is kept for expected replicas is not the gang's: a round stops for it what
+// gives way, instead of taking it to fit there and leaving it to wait for a boot.
+func TestRoomForExpectedReplicasIsNoRoomForAGang(t *testing.T) {
+	w := newWorld(t, 114)
+	w.fullFleet(3)
+	for i := range 8 {
+		w.submit(fmt.Sprintf("j-2%d", i), map[string]any{"tier": "web", "shape": "service", "rank": "high", "cores": 0.5, "owner": "blue"})
+	}
+	w.run(8 * second)
+	for i := range 8 {
+		w.cancel(fmt.Sprintf("j-2%d", i))
+	}
+	w.run(6 * second)
+	w.submit("j-1", group(2, 1, map[string]any{"rank": "high", "owner": "blue"}))
+	w.until(7500*time.Millisecond, "it runs", func() bool { return w.wholes["j-1"] == 1 })
+	w.awaitTold(30*second, "j-1", protocol.Done)
+	w.cancel("j-0")
+	w.settle()
+}
