--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -73,7 +73,7 @@
 	}
 }
 
-// A leader without the state service, and a deputy in a zone that is cut off,
+// A leader without the state service, and a follower in a zone that is cut off,
 // must outlast a lease by far, or they would keep nothing alive.
 func TestCoastOutlastsLease(t *testing.T) {
 	c, err := Parse(platform(t, nil), nil)
--- a/internal/coordination/checker_test.go
+++ b/internal/coordination/checker_test.go
@@ -10,18 +10,18 @@
 
 // checker holds what the rules are counted from: what users asked and were told,
 // and what ran where. It is part of every world, so every test has it. Tests
-// assert on nothing else: neither on books nor on who leads.
+// assert on nothing else: neither on the ledger nor on who leads.
 type checker struct {
-	wished   map[string]bool          // users asked to cancel these
-	invalid  map[string]bool          // must be refused
-	accepted map[string]time.Duration // when the user was first told so
-	answered map[string]time.Duration // when a question was last answered
-	hungry   map[string]time.Duration // since when it waits though there is room
-	turn     int
-	wholes   map[string]int // how often a gang has begun to run, whole
-	halts    map[string][]halted
-	starts   map[string]int // how often a task has begun to be on a machine
-	saves    map[string]int // orderly stops of a gang that saved its progress
+	cancelRequested map[string]bool          // users asked to cancel these
+	invalid         map[string]bool          // must be refused
+	accepted        map[string]time.Duration // when the user was first told so
+	answered        map[string]time.Duration // when a question was last answered
+	waitingSince    map[string]time.Duration // since when it waits though there is room
+	turn            int
+	wholes          map[string]int // how often a gang has begun to run, whole
+	halts           map[string][]halted
+	starts          map[string]int // how often a task has begun to be on a machine
+	saves           map[string]int // orderly stops of a gang that saved its progress
 	// savedTasks counts the tasks of an attempt that have ended with it saved.
 	savedTasks map[gangTry]int
 	// calm is since when all troubles are over; 0: they are not.
@@ -47,8 +47,8 @@
 )
 
 func newChecker() checker {
-	return checker{wished: map[string]bool{}, invalid: map[string]bool{}, accepted: map[string]time.Duration{},
-		answered: map[string]time.Duration{}, hungry: map[string]time.Duration{}, wholes: map[string]int{}, halts: map[string][]halted{},
+	return checker{cancelRequested: map[string]bool{}, invalid: map[string]bool{}, accepted: map[string]time.Duration{},
+		answered: map[string]time.Duration{}, waitingSince: map[string]time.Duration{}, wholes: map[string]int{}, halts: map[string][]halted{},
 		starts: map[string]int{}, saves: map[string]int{}, savedTasks: map[gangTry]int{}}
 }
 
@@ -121,7 +121,7 @@
 // that fits has room and its team is under its limit.
 func (w *world) lookForWaiting() {
 	if w.calm == 0 {
-		clear(w.hungry)
+		clear(w.waitingSince)
 		return
 	}
 	used, held := map[string]float64{}, map[string]int{}
@@ -140,16 +140,16 @@
 		if spec["shape"] == "group" {
 			need *= float64(spec["shards"].(int)) // it waits for room for all of it
 		}
-		if w.over(uid) || w.wished[uid] || held[uid] > 0 || used[owner]+need > limit || !w.hasRoom(spec) {
-			delete(w.hungry, uid)
+		if w.over(uid) || w.cancelRequested[uid] || held[uid] > 0 || used[owner]+need > limit || !w.hasRoom(spec) {
+			delete(w.waitingSince, uid)
 			continue
 		}
-		if _, known := w.hungry[uid]; !known {
-			w.hungry[uid] = w.now
+		if _, known := w.waitingSince[uid]; !known {
+			w.waitingSince[uid] = w.now
 		}
-		if w.now > w.hungry[uid]+waitsAtMost {
-			w.breaks("waiting: %s has waited since %v though there is room", uid, w.hungry[uid])
-			w.hungry[uid] = w.now
+		if w.now > w.waitingSince[uid]+waitsAtMost {
+			w.breaks("waiting: %s has waited since %v though there is room", uid, w.waitingSince[uid])
+			w.waitingSince[uid] = w.now
 		}
 	}
 }
@@ -158,7 +158,7 @@
 func (w *world) hasRoom(spec map[string]any) bool {
 	most, all, zones := 0, 0, map[string]int{}
 	for _, k := range w.fleet() {
-		if !k.up || k.gone || k.cut || k.hung || k.deaf || k.mute || k.spot && !spec["borrowed"].(bool) ||
+		if !k.up || k.gone || k.cut || k.hung || k.answersLost || k.reportsLost || k.spot && !spec["borrowed"].(bool) ||
 			spec["yard"] != nil && spec["yard"] != k.zone {
 			continue
 		}
@@ -189,7 +189,7 @@
 	w.script, w.reports, w.lateCopy, w.ended = nil, nil, nil, nil
 	w.state.down, w.state.refuse, w.cloud.down = false, map[int]bool{}, false
 	for _, k := range w.fleet() {
-		k.cut, k.deaf, k.mute = false, false, false
+		k.cut, k.answersLost, k.reportsLost = false, false, false
 	}
 	for i, n := range w.nodes {
 		if !n.alive {
--- a/internal/coordination/cloud.go
+++ b/internal/coordination/cloud.go
@@ -17,7 +17,7 @@
 	hires    int
 	renting  map[string]*rental
 	short    map[sched.Pool]shortage
-	tombs    map[string]time.Duration
+	removed  map[string]time.Duration
 	deleting bool
 	deleteAt time.Duration
 }
@@ -33,14 +33,14 @@
 }
 
 func newCloudState() cloudState {
-	return cloudState{renting: map[string]*rental{}, short: map[sched.Pool]shortage{}, tombs: map[string]time.Duration{}}
+	return cloudState{renting: map[string]*rental{}, short: map[sched.Pool]shortage{}, removed: map[string]time.Duration{}}
 }
 
 func (r *term) keepCloud() {
 	c := r.c
-	for id, at := range r.tombs {
+	for id, at := range r.removed {
 		if c.now > at+10*c.cfg.ListLag()+10*c.cfg.Lease() {
-			delete(r.tombs, id)
+			delete(r.removed, id)
 		}
 	}
 	r.deletions()
@@ -81,7 +81,7 @@
 
 func (r *term) onListed(l *protocol.ListedMachine) {
 	c := r.c
-	if r.tombs[l.ID] != 0 {
+	if r.removed[l.ID] != 0 {
 		return
 	}
 	m := r.Machines[l.ID]
@@ -117,13 +117,13 @@
 func (r *term) missing(asked time.Duration, seen map[string]bool) {
 	for _, m := range r.machines() {
 		if !seen[m.ID] && asked > m.Exists+2*r.c.cfg.ListLag()+r.c.cfg.ListLag()/5 {
-			r.bury(m, machineUnlisted)
+			r.removeGone(m, machineUnlisted)
 		}
 	}
 }
 
-// bury takes a machine that is proved gone out of the books.
-func (r *term) bury(m *ledger.Machine, why goneReason) {
+// removeGone takes a machine that is proved gone out of the ledger.
+func (r *term) removeGone(m *ledger.Machine, why goneReason) {
 	if r.Machines[m.ID] != m {
 		return
 	}
@@ -132,7 +132,7 @@
 		r.gone(a, why)
 	}
 	r.RemoveMachine(m)
-	r.tombs[m.ID] = r.c.now
+	r.removed[m.ID] = r.c.now
 	r.record(m, writeLazy, nil)
 }
 
@@ -173,7 +173,7 @@
 		}
 		for _, id := range names {
 			if m := r.Machines[id]; m != nil {
-				r.bury(m, machineDeleted)
+				r.removeGone(m, machineDeleted)
 			}
 		}
 	})
@@ -200,7 +200,7 @@
 		case res.Status == 200 && protocol.Decode(res.Body, &got) == nil:
 			delete(r.renting, q.req.Request)
 			for _, id := range got.Machines {
-				if r.tombs[id] != 0 {
+				if r.removed[id] != 0 {
 					continue
 				}
 				m := r.AddMachine(id)
--- a/internal/coordination/commands.go
+++ b/internal/coordination/commands.go
@@ -32,14 +32,14 @@
 	if a.Durable && !a.Sent {
 		r.gone(a, neverSent)
 	} else {
-		r.kick(a.Machine)
+		r.dispatch(a.Machine)
 	}
 }
 
 // nothingToSay tells most machines of a fleet apart without any list being made:
 // each is looked at at every tick.
 func nothingToSay(m *ledger.Machine) bool {
-	if len(m.Exited) > 0 || len(m.Strays) > 0 {
+	if len(m.Exited) > 0 || len(m.UnknownTasks) > 0 {
 		return false
 	}
 	for _, a := range m.Attempts {
@@ -95,9 +95,9 @@
 			r.sent(a, m, inReply)
 		}
 	}
-	for _, key := range slices.SortedFunc(maps.Keys(m.Strays), compareKeys) {
-		if c.now >= m.Strays[key]+again {
-			m.Strays[key] = c.now
+	for _, key := range slices.SortedFunc(maps.Keys(m.UnknownTasks), compareKeys) {
+		if c.now >= m.UnknownTasks[key]+again {
+			m.UnknownTasks[key] = c.now
 			out = append(out, protocol.Command{Verb: protocol.VerbHalt, Task: key.Task, Attempt: key.Try})
 		}
 	}
@@ -130,46 +130,46 @@
 	}
 }
 
-// doubtful says whether a direct request to the machine may well hang.
-func (r *term) doubtful(m *ledger.Machine) bool { return !m.Fresh || m.CallFails > 0 }
+// mayHang says whether a direct request to the machine may well hang.
+func (r *term) mayHang(m *ledger.Machine) bool { return !m.Fresh || m.CallFails > 0 }
 
 // callWithin bounds a direct request to a worker: one that takes longer is as
 // good as unanswered, however long the workers' lease.
 const callWithin = 1600 * time.Millisecond
 
-// kick sends what there is to send directly, one request at a time.
-func (r *term) kick(m *ledger.Machine) {
+// dispatch sends what there is to send directly, one request at a time.
+func (r *term) dispatch(m *ledger.Machine) {
 	c := r.c
 	if m.Calling || m.Addr == "" || c.now < m.NextCall || !r.ready || c.term != r {
 		return
 	}
 	// An empty request brings our token to a machine that may be up, and tells
 	// whether the direct way works again. A booting one would only time out.
-	greet := (!m.Fresh && !m.Greeted && (m.Up || m.Listed)) || m.CallFails > 0 ||
+	probe := (!m.Fresh && !m.Probed && (m.Up || m.Listed)) || m.CallFails > 0 ||
 		// A report is overdue: is the machine there at all?
 		(m.Known && m.Session > m.DeadSession && c.now > m.Heard+c.cfg.Report()*3/2) ||
 		// Others did not answer: is it them, or can't we reach anybody?
 		r.probes(m)
-	if !m.Known && !greet {
+	if !m.Known && !probe {
 		return
 	}
 	// Calls wait for one another before anything is noted as sent: a take-over of
-	// hundreds of machines, or a dark zone whose calls all hang, must not take the
+	// hundreds of machines, or a partitioned zone whose calls all hang, must not take the
 	// sockets, and what answers must not wait for what hangs.
 	fds := c.cfg.Cluster.Resources.FDs
-	if r.calling >= fds/8 || r.doubtful(m) && r.hanging >= fds/12 {
+	if r.calling >= fds/8 || r.mayHang(m) && r.hanging >= fds/12 {
 		return
 	}
 	cmds := r.commands(m, false)
-	if len(cmds) == 0 && !greet {
+	if len(cmds) == 0 && !probe {
 		return
 	}
 	r.calling++
-	doubtful := r.doubtful(m)
-	if doubtful {
+	mayHang := r.mayHang(m)
+	if mayHang {
 		r.hanging++
 	}
-	m.Calling, m.Greeted = true, true
+	m.Calling, m.Probed = true, true
 	var runs []*ledger.Attempt
 	for _, cmd := range cmds {
 		if cmd.Verb == protocol.VerbRun {
@@ -192,7 +192,7 @@
 			r.missed(m.ID, c.now)
 		}
 		r.calling--
-		if doubtful {
+		if mayHang {
 			r.hanging--
 		}
 		for _, a := range runs {
@@ -211,7 +211,7 @@
 		if res.Status != 200 && res.Status != 409 {
 			m.CallFails++
 			m.NoConn, m.FailedAt = res.NoConn, called
-			m.Greeted = false
+			m.Probed = false
 			m.NextCall = c.now + min(c.cfg.Report()/2, c.cfg.LeaderTTL()*2/3)*time.Duration(min(m.CallFails, 4))
 			return
 		}
@@ -227,12 +227,12 @@
 		}
 		if res.Status == 409 {
 			// The session was not the one we thought; its answer says which.
-			m.Greeted = false
+			m.Probed = false
 			m.NextCall = c.now + c.cfg.Report()/20
 			if msg.Session == body.Session {
 				m.NextCall = c.now + c.cfg.Report()
 			}
 		}
-		r.kick(m)
+		r.dispatch(m)
 	})
 }
--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -37,22 +37,22 @@
 	view      view
 	term      *term
 	candidacy *candidacy
-	deputy    deputy
+	follower  follower
 
-	waiters map[uint64]*waiter
+	pendingRequests map[uint64]*pendingRequest
 
-	// abstain: until then, others are given the chance to lead.
-	abstain time.Duration
+	// standBackUntil: until then, others are given the chance to lead.
+	standBackUntil time.Duration
 }
 
-// waiter is somebody whose answer needs something that is under way.
-type waiter struct {
-	from     asker
+// pendingRequest is somebody whose answer needs something that is under way.
+type pendingRequest struct {
+	from     requester
 	deadline time.Duration
 }
 
-// asker is who asked: a user directly or another controller for one.
-type asker struct {
+// requester is who asked: a user directly or another controller for one.
+type requester struct {
 	id    uint64
 	relay bool
 }
@@ -62,17 +62,17 @@
 	st := cfg.Cluster.State.Both()
 	return &Core{cfg: cfg, rng: rng, log: log, calls: map[uint64]func(Result){},
 		incarnation: fmt.Sprintf("%016x", rng.Uint64()),
-		// Until it hears of a leader, a new process stands in for it: one that
+		// Until it hears of a leader, a new process renews leases for it: one that
 		// waited for its first request to fail turned away the workers of a cut
 		// zone, whose leases had a second left.
-		deputy:   deputy{failed: true},
+		follower: follower{failed: true},
 		typeInfo: map[string]protocol.MachineType{},
 		// Most of the state service's limits is the leader's; the rest is left
 		// to the other controllers and to what we count wrongly.
-		requests: newBucket(st.RPS*0.8, st.RPS*0.8),
-		changes:  newBucket(st.WriteRPS*0.9, st.WriteRPS*0.8),
-		cloud:    newBucket(cfg.Cluster.Cloud.RPS*0.8, cfg.Cluster.Cloud.RPS),
-		waiters:  map[uint64]*waiter{},
+		requests:        newBucket(st.RPS*0.8, st.RPS*0.8),
+		changes:         newBucket(st.WriteRPS*0.9, st.WriteRPS*0.8),
+		cloud:           newBucket(cfg.Cluster.Cloud.RPS*0.8, cfg.Cluster.Cloud.RPS),
+		pendingRequests: map[uint64]*pendingRequest{},
 	}
 }
 
@@ -97,10 +97,10 @@
 }
 
 func (c *Core) tick() {
-	c.expireWaiters()
+	c.expirePending()
 	c.keepTypes()
 	c.keepView()
-	c.keepDeputy()
+	c.keepFollowing()
 	if c.term != nil {
 		c.term.tick()
 	}
--- a/internal/coordination/emptying.go
+++ b/internal/coordination/emptying.go
@@ -41,7 +41,7 @@
 	}
 	for _, m := range r.Machines {
 		switch {
-		case m.Returning || r.isDark(m.Zone):
+		case m.Returning || r.isPartitioned(m.Zone):
 		case m.Up:
 			up[kind{m.Type, m.Spot}]++
 		default:
@@ -61,7 +61,7 @@
 			price = sm.Type.SpotPrice
 		}
 		free := sched.Share(m.Size.Minus(m.Used), m.Size)
-		if len(m.Attempts) == 0 || free < 0.25 || !s.Dear(sm) || coming[kind{m.Type, m.Spot}]*20 > up[kind{m.Type, m.Spot}] || sm.For != "" || sm.Free != m.Size.Minus(m.Used) {
+		if len(m.Attempts) == 0 || free < 0.25 || !s.Costly(sm) || coming[kind{m.Type, m.Spot}]*20 > up[kind{m.Type, m.Spot}] || sm.For != "" || sm.Free != m.Size.Minus(m.Used) {
 			continue
 		}
 		if jobs := r.movable(m, free); jobs != nil {
@@ -99,7 +99,7 @@
 func (r *term) manyLate() bool {
 	late, busy := 0, 0
 	for _, m := range r.Machines {
-		if len(m.Attempts) == 0 || m.Returning || r.isDark(m.Zone) {
+		if len(m.Attempts) == 0 || m.Returning || r.isPartitioned(m.Zone) {
 			continue
 		}
 		busy++
--- a/internal/coordination/exits.go
+++ b/internal/coordination/exits.go
@@ -13,7 +13,7 @@
 		return
 	}
 	c := r.c
-	g := &ledger.Gone{Attempt: m.Attempts[key], Ready: true}
+	g := &ledger.ExitedTask{Attempt: m.Attempts[key], Ready: true}
 	m.Exited[key] = g
 	if g.Attempt != nil {
 		g.Attempt.Exit = t.Cause
@@ -54,7 +54,7 @@
 	case protocol.CauseError:
 		r.onError(m, j, key)
 	case protocol.CauseNoRoom, protocol.CauseBusy:
-		// The machine knows better than the books: leave it alone a moment.
+		// The machine knows better than the ledger: leave it alone a moment.
 		m.AsideUntil = max(m.AsideUntil, c.now+c.cfg.Report())
 	case protocol.CauseHalted, protocol.CauseMatesGone:
 	case protocol.CauseIncomplete:
@@ -116,7 +116,7 @@
 	machineUnlisted  goneReason = "no longer listed"
 )
 
-// gone takes an attempt that is proved gone out of the books.
+// gone takes an attempt that is proved gone out of the ledger.
 func (r *term) gone(a *ledger.Attempt, why goneReason) {
 	m := a.Machine
 	r.Drop(a)
--- a/internal/coordination/fleet_test.go
+++ b/internal/coordination/fleet_test.go
@@ -10,9 +10,9 @@
 )
 
 // The leader loses the workers while the other controllers do not: it hands over
-// before any lease runs out. A few deaf machines are no reason to, also at once.
+// before any lease runs out. A few machines that hear no answer are no reason to, also at once.
 func TestLeaderWithoutWorkersHandsOver(t *testing.T) {
-	for _, deaf := range []bool{false, true} {
+	for _, answersLost := range []bool{false, true} {
 		w := newWorld(t, 51)
 		w.awaitLeader()
 		w.submit("j-1", map[string]any{"shape": "service", "shards": 6, "apart": true})
@@ -23,26 +23,26 @@
 		lead := w.leader()
 		deafOnes := map[string]bool{}
 		for _, k := range w.fleet() {
-			if len(deafOnes) < leastDeaf && len(k.tasks) > 0 {
+			if len(deafOnes) < leastMissed && len(k.tasks) > 0 {
 				deafOnes[k.addr()] = true
 			}
 		}
 		w.script = func(node int, c Call) fate {
-			return fate{lost: node == lead && c.Target == ToWorker && (!deaf || deafOnes[c.Addr])}
+			return fate{lost: node == lead && c.Target == ToWorker && (!answersLost || deafOnes[c.Addr])}
 		}
-		if !deaf {
+		if !answersLost {
 			w.reports = func(_ *simWorker, node int) fate { return fate{lost: node == lead} }
 		}
 		// Something to say to the machines, so that the loss can show.
 		w.submit("j-3", map[string]any{"shards": 4})
 		for range 30 {
 			w.run(second)
-			if !deaf && !all() {
+			if !answersLost && !all() {
 				t.Fatal("a lease ran out")
 			}
 		}
-		if (w.leader() == lead) != deaf {
-			t.Errorf("deaf machines %v: the leader is %d, was %d", deaf, w.leader(), lead)
+		if (w.leader() == lead) != answersLost {
+			t.Errorf("deaf machines %v: the leader is %d, was %d", answersLost, w.leader(), lead)
 		}
 		w.script, w.reports = nil, nil
 		w.awaitTold(200*second, "j-3", "done")
@@ -50,7 +50,7 @@
 	}
 }
 
-// Several deaf machines missed at once, while there was nothing to say to others,
+// Several machines that hear no answer are missed at once, while there was nothing to say to others,
 // give those others time for a sign of life first.
 func TestSuspicionWaitsForProbes(t *testing.T) {
 	w := newWorld(t, 57)
@@ -107,7 +107,7 @@
 	}
 	w.run(55 * second)
 	lead = w.leader()
-	if r := w.nodes[lead].core.term; !r.isDark("b") {
+	if r := w.nodes[lead].core.term; !r.isPartitioned("b") {
 		t.Fatal("the zone is not dark: the test shows nothing")
 	}
 	for _, id := range w.cloud.deleted {
@@ -133,7 +133,7 @@
 		m := r.AddMachine(fmt.Sprintf("i-9%05d", i))
 		m.Type, m.Zone, m.Addr, m.Listed = "m8", "b", fmt.Sprintf("10.2.0.%d:1", i), true
 		m.Exists, m.Rented = c.now, c.now
-		r.kick(m)
+		r.dispatch(m)
 	}
 	if r.calling != r.hanging || r.hanging != fds/12 {
 		t.Errorf("%d calls under way, %d of them doubtful, with %d sockets", r.calling, r.hanging, fds)
@@ -141,8 +141,8 @@
 	m := r.AddMachine("i-000001")
 	m.Type, m.Zone, m.Addr, m.Known, m.Fresh, m.Up = "m8", "a", "10.2.1.1:1", true, true, true
 	m.Heard, m.Session = c.now, 1
-	m.Strays = map[ledger.Key]time.Duration{{Task: "j-9/0", Try: 1}: -time.Hour}
-	r.kick(m)
+	m.UnknownTasks = map[ledger.Key]time.Duration{{Task: "j-9/0", Try: 1}: -time.Hour}
+	r.dispatch(m)
 	if r.calling != fds/12+1 {
 		t.Error("a machine that answers waits for those that don't")
 	}
@@ -196,7 +196,7 @@
 // been cut off nothing is heard, and nothing is deleted; nor is a machine whose
 // replicas would fetch for longer than a lease, or have no room elsewhere, as it may
 // come back.
-func TestPowerlessMachineIsDeleted(t *testing.T) {
+func TestUnreachableMachineIsDeleted(t *testing.T) {
 	for _, what := range []string{"dead", "hanging", "cut zone", "long fetch", "no room"} {
 		w := newWorld(t, 54)
 		for _, cfg := range w.cfgs {
@@ -241,10 +241,10 @@
 	}
 }
 
-// A zone that was cut off a moment ago is not known to be dark yet: machines that
+// A zone that was cut off a moment ago is not known to be partitioned yet: machines that
 // reported last well before the cut look overdue first. What tells is that nothing
 // there was heard since the call failed.
-func TestNothingIsPowerlessInASilentZone(t *testing.T) {
+func TestNothingIsUnreachableInASilentZone(t *testing.T) {
 	w := newWorld(t, 55)
 	r := w.nodes[w.awaitLeader()].core.term
 	w.run(20 * second) // the types are known
@@ -260,13 +260,13 @@
 		want   bool
 	}{{now - 2*second, true}, {now + second, false}} {
 		m.FailedAt = tc.failed
-		if got := r.powerless(m, r.pulse()); got != tc.want {
+		if got := r.unreachable(m, r.heardByZone()); got != tc.want {
 			t.Errorf("call failed at %v, zone heard up to %v: powerless %v", tc.failed, now, got)
 		}
 	}
 	m.FailedAt = now - 2*second
 	r.missed("i-900007", now)
-	if r.powerless(m, r.pulse()) {
+	if r.unreachable(m, r.heardByZone()) {
 		t.Error("powerless, though others hear what we can't reach")
 	}
 }
--- a/internal/coordination/gang_states_test.go
+++ b/internal/coordination/gang_states_test.go
@@ -81,7 +81,7 @@
 		w.until(20*second, "it is told to stop", func() bool { return len(w.halts["j-1"]) > 0 })
 		if after >= 0 {
 			w.run(after)
-			w.bounce(w.awaitLeader(), 2*second)
+			w.restart(w.awaitLeader(), 2*second)
 		}
 		w.until(30*second, "the replica runs", func() bool { return w.running("j-2") == 1 })
 		if after < 0 && w.saves["j-1"] != 1 {
--- a/internal/coordination/gang_test.go
+++ b/internal/coordination/gang_test.go
@@ -68,7 +68,7 @@
 	w.run(2 * second)
 	for _, k := range w.fleet() {
 		if len(k.tasks) > 0 {
-			k.mute = true
+			k.reportsLost = true
 			break
 		}
 	}
@@ -179,7 +179,7 @@
 		it.value = protocol.Encode(rec)
 		k.tasks[fmt.Sprintf("j-2/%d@%d", i, try)] = &simTask{uid: "j-2", try: try, state: protocol.Gathering}
 	}
-	w.bounce(w.awaitLeader(), second)
+	w.restart(w.awaitLeader(), second)
 	w.awaitTold(120*second, "j-2", protocol.Done)
 	w.settle()
 }
--- a/internal/coordination/gangs.go
+++ b/internal/coordination/gangs.go
@@ -6,7 +6,7 @@
 )
 
 // keepCompleteGang looks at a gang that a new leader has read: only one whose places
-// are all in the books, under one number, goes on. Any other is cleared and starts anew,
+// are all in the ledger, under one number, goes on. Any other is cleared and starts anew,
 // as nobody knows which of its tasks an earlier leader, or an older version that
 // starts them one by one, has sent.
 func (r *term) keepCompleteGang(j *ledger.Job) {
@@ -14,7 +14,7 @@
 		return
 	}
 	j.Gang.Apply(ledger.PlacesIncomplete)
-	r.clearGang(j, "its gang is not complete in the books")
+	r.clearGang(j, "its gang is not complete in the ledger")
 }
 
 // startGang sends the runs of a gang once the last of its places is durable.
@@ -23,7 +23,7 @@
 		return
 	}
 	for _, a := range j.Gang.Attempts() {
-		r.kick(a.Machine)
+		r.dispatch(a.Machine)
 	}
 }
 
--- a/internal/coordination/guards_test.go
+++ b/internal/coordination/guards_test.go
@@ -166,13 +166,13 @@
 
 // A machine reaches no controller any more while commands still reach it: what it
 // has goes on elsewhere before its lease ends, where there is room.
-func TestMuteMachineIsLeftInTime(t *testing.T) {
+func TestMachineWhoseReportsAreLostIsLeftInTime(t *testing.T) {
 	w := newWorld(t, 76)
 	w.submit("j-1", map[string]any{"shape": "service", "shards": 2, "cores": 4.0, "apart": true})
 	w.until(60*second, "replicas run", func() bool { return w.running("j-1") == 2 })
 	w.run(5 * second)
 	k := w.fleet()[0]
-	k.mute = true
+	k.reportsLost = true
 	w.run(8500 * time.Millisecond) // of a lease of 10 s
 	for name, task := range k.tasks {
 		if task.state == protocol.Running {
--- a/internal/coordination/leader.go
+++ b/internal/coordination/leader.go
@@ -65,7 +65,7 @@
 	}
 	c.log.Info("no longer leader", "token", r.token, "why", why)
 	c.term = nil
-	r.refuseWaiting()
+	r.refusePending()
 	// Whatever else the view says may be old: read it again before acting.
 	c.view.leader, c.view.leaderless = nil, c.now
 	c.view.refresh(c.now)
@@ -313,7 +313,7 @@
 	return r.confirmed + 2*ttl - config.Drift(ttl)
 }
 
-// load reads all books after the election was won: whatever earlier leaders
+// load reads the whole ledger after the election was won: whatever earlier leaders
 // wrote is there by now, and nothing of theirs can be added any more.
 func (r *term) load() {
 	r.loadPage(0, "")
--- a/internal/coordination/limits_test.go
+++ b/internal/coordination/limits_test.go
@@ -18,7 +18,7 @@
 func (w *world) announceLimits() {
 	for i, cfg := range w.cfgs {
 		cfg.Cluster.State.Next = &config.NextState{ValueKB: 2, TxnOps: 10, WriteRPS: 35}
-		w.bounce(i, 100*time.Millisecond)
+		w.restart(i, 100*time.Millisecond)
 	}
 	w.run(2 * second)
 	w.awaitLeader()
@@ -37,7 +37,7 @@
 		}
 		w.submit("j-1", group(8, 0.5, nil))
 		w.at(2*second, func() { w.state.limits = lowerLimits })
-		w.at(2*second+crash, func() { w.bounce(w.aLeader(), second) })
+		w.at(2*second+crash, func() { w.restart(w.aLeader(), second) })
 		w.awaitTold(200*second, "j-1", protocol.Done)
 		for i := range 40 {
 			w.awaitTold(200*second, fmt.Sprintf("j-%d", 100+i), protocol.Done)
@@ -86,7 +86,7 @@
 		return w.cloud.finished["j-1/5"] && w.cloud.finished["j-1/20000"] && w.cloud.finished["j-1/39998"]
 	})
 	w.run(2 * second)
-	w.bounce(w.awaitLeader(), second)
+	w.restart(w.awaitLeader(), second)
 	w.awaitTold(90*second, "j-1", protocol.Done)
 	started := 0
 	for task, times := range w.starts {
@@ -134,7 +134,7 @@
 	for _, key := range []string{"d/j-7/0", "p/j-7/3"} {
 		w.state.change(key, &simItem{value: protocol.Encode(ledger.DoneRecord{Bits: "AQ=="})})
 	}
-	w.bounce(lead, second)
+	w.restart(lead, second)
 	w.run(10 * second)
 	for _, key := range []string{"d/j-7/0", "p/j-7/3"} {
 		if w.state.items[key] != nil {
--- a/internal/coordination/meetings_test.go
+++ b/internal/coordination/meetings_test.go
@@ -70,9 +70,9 @@
 	return f
 }
 
-// crowd submits work of all kinds: replicas of both teams, spread and not, and
+// initialJobs submits work of all kinds: replicas of both teams, spread and not, and
 // arrays that take long or save slowly. It waits until most of it runs.
-func (w *world) crowd() {
+func (w *world) initialJobs() {
 	w.t.Helper()
 	w.runs = func(task string) time.Duration { return time.Duration(20+len(task)*13%60) * second }
 	w.submit("j-s1", map[string]any{"shape": "service", "shards": 2, "apart": true, "cores": 4.0})
@@ -107,7 +107,7 @@
 }
 
 // bounce ends a controller and starts it again.
-func (w *world) bounce(i int, after time.Duration) {
+func (w *world) restart(i int, after time.Duration) {
 	w.crash(i)
 	w.at(after, func() {
 		if !w.nodes[i].alive {
@@ -126,7 +126,7 @@
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			w := newWorld(t, uint64(1000+seed))
 			m := w.mess()
-			w.crowd()
+			w.initialJobs()
 			play(w, m)
 			w.settle()
 		})
@@ -154,7 +154,7 @@
 			case 0:
 				k.hang(w.ms(2000, 30_000))
 			case 1:
-				k.deaf = true
+				k.answersLost = true
 			}
 		}
 		w.state.refuse[old] = true
@@ -185,7 +185,7 @@
 func TestMeetingHandOverAndBack(t *testing.T) {
 	meeting(t, 6, func(w *world, m *mess) {
 		for range 8 {
-			w.bounce(w.aLeader(), w.ms(50, 900))
+			w.restart(w.aLeader(), w.ms(50, 900))
 			w.run(w.ms(300, 4000))
 		}
 		w.cancelSome("j-s1")
@@ -197,7 +197,7 @@
 		w.run(w.ms(200, 5000))
 		w.cancelSome("j-b1")
 		for i := range 3 {
-			w.bounce(i, w.ms(50, 6000))
+			w.restart(i, w.ms(50, 6000))
 		}
 		w.run(30 * second)
 	})
@@ -212,34 +212,34 @@
 				k.cut = true
 				w.at(w.ms(3000, 40_000), func() { k.cut = false })
 			} else {
-				k.deaf = true
-				w.at(w.ms(3000, 60_000), func() { k.deaf = false })
+				k.answersLost = true
+				w.at(w.ms(3000, 60_000), func() { k.answersLost = false })
 			}
 		}
-		w.bounce(w.aLeader(), w.ms(500, 8000))
+		w.restart(w.aLeader(), w.ms(500, 8000))
 		w.run(w.ms(0, 6000))
 		w.cancelSome("j-s1", "j-b1")
 		w.run(70 * second)
 	})
 }
 
-// A machine stays deaf from before the take-over on: no message of it can prove
+// A machine hears no answer from before the take-over on: no message of it can prove
 // what is gone there, and a job that waits for it must not wait for ever.
-func TestMeetingDeafSinceTakeOver(t *testing.T) {
+func TestMeetingAnswersLostSinceTakeOver(t *testing.T) {
 	meeting(t, 4, func(w *world, m *mess) {
 		for _, k := range w.fleet() {
 			if k.up && len(k.tasks) > 0 {
-				k.deaf = true
+				k.answersLost = true
 			}
 		}
-		w.bounce(w.aLeader(), 2*second)
+		w.restart(w.aLeader(), 2*second)
 		w.run(second)
 		w.cancelSome("j-s2")
 		w.until(60*second, "j-s2 is called off", func() bool { return w.told["j-s2"] == protocol.Cancelled })
 		w.until(60*second, "j-s3 runs elsewhere", func() bool {
 			for _, k := range w.fleet() {
 				for _, task := range k.tasks {
-					if task.uid == "j-s3" && task.state == protocol.Running && !k.deaf && !k.gone {
+					if task.uid == "j-s3" && task.state == protocol.Running && !k.answersLost && !k.gone {
 						return true
 					}
 				}
@@ -282,7 +282,7 @@
 				"owner": []string{"red", "blue"}[i%2], "rank": rank, "saveEveryS": 5.0, "saveTakesS": 2.0})
 			w.run(w.ms(100, 3000))
 		}
-		w.bounce(w.aLeader(), w.ms(200, 3000))
+		w.restart(w.aLeader(), w.ms(200, 3000))
 		w.cancelSome("j-o3", "j-o5", "j-s1")
 		w.run(60 * second)
 	})
@@ -346,7 +346,7 @@
 			}
 		}
 		w.cancelSome("j-s1")
-		w.bounce(w.aLeader(), w.ms(500, 4000))
+		w.restart(w.aLeader(), w.ms(500, 4000))
 		w.run(w.ms(2500, 15_000))
 		w.cancelSome("j-b1")
 		for range 3 {
@@ -372,9 +372,9 @@
 		}
 		w.run(w.ms(8000, 14_000))
 		m.lateWrites = 0.2
-		w.bounce(w.aLeader(), w.ms(200, 5000))
+		w.restart(w.aLeader(), w.ms(200, 5000))
 		w.run(w.ms(10_000, 25_000))
-		w.bounce(w.aLeader(), w.ms(200, 5000))
+		w.restart(w.aLeader(), w.ms(200, 5000))
 		w.run(30 * second)
 	})
 }
@@ -418,7 +418,7 @@
 		w.reports = func(k *simWorker, node int) fate { return fate{lost: (k.zone == "b") != (node == 2)} }
 		w.cancelSome("j-s1", "j-s3")
 		if w.rng.IntN(2) == 0 {
-			w.bounce(w.rng.IntN(3), w.ms(200, 4000))
+			w.restart(w.rng.IntN(3), w.ms(200, 4000))
 		}
 		w.run(w.ms(12_000, 60_000))
 		w.script, w.reports = m.fate, nil
@@ -428,25 +428,25 @@
 
 // Workers can't open connections to any controller, while direct commands still
 // reach them: they must not be filled again and again.
-func TestMeetingMute(t *testing.T) {
+func TestMeetingReportsLost(t *testing.T) {
 	meeting(t, 6, func(w *world, m *mess) {
-		var mute []*simWorker
+		var reportsLost []*simWorker
 		for _, k := range w.some(0.6) {
-			k.mute = true
-			mute = append(mute, k)
+			k.reportsLost = true
+			reportsLost = append(reportsLost, k)
 		}
 		w.cancelSome("j-b1")
 		w.run(w.ms(3000, 12_000))
 		if w.rng.IntN(2) == 0 {
-			w.bounce(w.aLeader(), w.ms(200, 4000))
+			w.restart(w.aLeader(), w.ms(200, 4000))
 		}
 		w.run(25 * second)
 		began := map[*simWorker]int{}
-		for _, k := range mute {
+		for _, k := range reportsLost {
 			began[k] = k.lives
 		}
 		w.run(60 * second)
-		for _, k := range mute {
+		for _, k := range reportsLost {
 			if k.lives > began[k]+2 {
 				w.breaks("a mute machine was given %d tasks, all of which die with its lease", k.lives-began[k])
 			}
@@ -456,7 +456,7 @@
 			n := 0
 			for _, k := range w.fleet() {
 				for _, task := range k.tasks {
-					if task.uid == uid && task.state == protocol.Running && !k.mute && !k.gone {
+					if task.uid == uid && task.state == protocol.Running && !k.reportsLost && !k.gone {
 						n++
 					}
 				}
@@ -483,7 +483,7 @@
 		}
 		w.run(w.ms(4000, 14_000))
 		w.cancelSome("j-s1")
-		w.bounce(w.aLeader(), w.ms(200, 4000))
+		w.restart(w.aLeader(), w.ms(200, 4000))
 		w.run(25 * second)
 		w.cancelSome("j-b1", "j-s2")
 		w.run(40 * second)
@@ -502,7 +502,7 @@
 			k.cut = true
 			w.at(w.ms(5000, 30_000), func() { k.cut = false })
 		}
-		w.bounce(w.aLeader(), w.ms(500, 5000))
+		w.restart(w.aLeader(), w.ms(500, 5000))
 		w.run(w.ms(500, 5000))
 		w.cancelSome("j-l0", "j-l1", "j-s2")
 		w.submit("j-n1", map[string]any{"shape": "service", "shards": 2, "cores": 2.0, "owner": "blue", "rank": "high"})
@@ -524,7 +524,7 @@
 				w.cancelSome("j-s1", "j-h0")
 			}
 			if i == 2 {
-				w.bounce(w.aLeader(), w.ms(200, 4000))
+				w.restart(w.aLeader(), w.ms(200, 4000))
 				w.cancelSome("j-b1", "j-h1")
 			}
 		}
@@ -539,7 +539,7 @@
 			if i == 4 {
 				w.state.outage(w.ms(5000, 30_000))
 			}
-			w.bounce(w.aLeader(), w.ms(100, 9000))
+			w.restart(w.aLeader(), w.ms(100, 9000))
 			if i%3 == 0 {
 				w.cancelSome([]string{"j-s1", "j-b1", "j-s2", "j-b22"}[i/3])
 			}
@@ -567,7 +567,7 @@
 				}
 			}
 		}
-		w.bounce(w.aLeader(), w.ms(300, 6000))
+		w.restart(w.aLeader(), w.ms(300, 6000))
 		w.run(50 * second)
 	})
 }
@@ -584,7 +584,7 @@
 				w.cancelSome("j-t0", "j-s1")
 			}
 			if i == 3 {
-				w.bounce(w.aLeader(), w.ms(300, 4000))
+				w.restart(w.aLeader(), w.ms(300, 4000))
 				w.cancelSome("j-t1", "j-b1")
 			}
 		}
@@ -598,7 +598,7 @@
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			w := newWorld(t, 5000+seed)
 			m := w.mess()
-			w.crowd()
+			w.initialJobs()
 			for range 2 + w.rng.IntN(2) {
 				w.trouble(m, w.ms(8000, 60_000))
 				w.run(w.ms(0, 6000))
@@ -628,20 +628,20 @@
 		m.apart[node] = true
 		w.at(lasts, func() { m.apart[node] = false })
 	case 3:
-		w.bounce(node, min(lasts, w.ms(50, 12_000)))
+		w.restart(node, min(lasts, w.ms(50, 12_000)))
 	case 4:
 		for i := range 3 {
-			w.bounce(i, w.ms(50, 12_000))
+			w.restart(i, w.ms(50, 12_000))
 		}
 	case 5:
 		for _, k := range w.some(0.4) {
-			k.deaf = true
-			w.at(lasts, func() { k.deaf = false })
+			k.answersLost = true
+			w.at(lasts, func() { k.answersLost = false })
 		}
 	case 6:
 		for _, k := range w.some(0.4) {
-			k.mute = true
-			w.at(lasts, func() { k.mute = false })
+			k.reportsLost = true
+			w.at(lasts, func() { k.reportsLost = false })
 		}
 	case 7:
 		for _, k := range w.some(0.4) {
--- /dev/null
+++ b/internal/coordination/partition.go
@@ -0,0 +1,231 @@
+package coordination
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"claybarrow/internal/config"
+	"claybarrow/internal/ledger"
+	"claybarrow/internal/protocol"
+)
+
+// How long a worker waits for the answer to a report, and until it tries the
+// next controller.
+const (
+	reportWait  = 4 * time.Second
+	reportPause = time.Second
+)
+
+// reportTarget names the controller that the worker is to report to: one of its own
+// zone that is in touch with us, or none. A worker that comes back from there
+// can't reach it, and is left alone for a while.
+func (r *term) reportTarget(m *ledger.Machine, msg *protocol.Report) string {
+	c := r.c
+	if m.Zone == c.cfg.Zone || m.Zone == "" || msg.Token != r.token || c.now < r.since+c.cfg.Lease()/2 || c.now < m.DirectUntil {
+		return ""
+	}
+	var near []string
+	for _, s := range c.cfg.Siblings {
+		if s.Zone == m.Zone && c.now < r.peers[s.Label].asked+c.cfg.Lease()/8 && r.peers[s.Label].asked > 0 {
+			near = append(near, s.Label)
+		}
+	}
+	if len(near) == 0 {
+		return ""
+	}
+	to := slices.MinFunc(near, func(a, b string) int { return cmp.Compare(c.controllersBetween(a), c.controllersBetween(b)) })
+	// One that has ended since is no reason: on a day of restarts one after the
+	// other the workers of a zone were left with the leader, and lost in a cut.
+	// As its end may not be known yet, the first time counts for little.
+	process := r.peers[to].incarnation
+	if m.SentTo != process {
+		m.Bounces = 0
+	} else if c.now < m.SentAway+3*c.cfg.Lease() {
+		m.DirectUntil = c.now + c.cfg.Lease()/2<<min(m.Bounces, 5)
+		m.Bounces++
+		m.SentAway = 0
+		return ""
+	}
+	m.SentAway, m.SentTo = c.now, process
+	return to
+}
+
+// controllersBetween is how many controllers a worker tries between this one and the next of
+// the same zone, should it end: they go through them in turn, and each that is
+// cut off costs 4 s of a lease.
+func (c *Core) controllersBetween(label string) int {
+	type node struct{ label, zone string }
+	all := []node{{c.cfg.Label, c.cfg.Zone}}
+	for _, s := range c.cfg.Siblings {
+		all = append(all, node{s.Label, s.Zone})
+	}
+	slices.SortFunc(all, func(a, b node) int {
+		return cmp.Or(cmp.Compare(len(a.label), len(b.label)), cmp.Compare(a.label, b.label))
+	})
+	at := slices.IndexFunc(all, func(n node) bool { return n.label == label })
+	for i := 1; i < len(all); i++ {
+		if all[(at+i)%len(all)].zone == all[at].zone {
+			return i
+		}
+	}
+	return len(all)
+}
+
+// leaseOver says whether the worker's lease is proved over: nobody can have
+// answered it for that long.
+func (r *term) leaseOver(m *ledger.Machine) bool {
+	c := r.c
+	lease := config.Drift(c.cfg.Lease()) + c.cfg.Lease()/50
+	// An earlier term of our own may have answered it until we were elected.
+	last := max(m.Answered, m.FreshAt, r.since)
+	for _, p := range r.peers {
+		if p.zone == m.Zone || m.Zone == "" {
+			last = max(last, p.served)
+		}
+		if m.FreshAt > 0 {
+			continue
+		}
+		// The worker has not shown our token: an earlier leader may have
+		// answered it, until we heard of that one or for as long as it could
+		// go on without the state service.
+		if p.contact > 0 {
+			last = max(last, p.contact)
+		} else {
+			last = max(last, r.since+config.Drift(c.cfg.Coast()))
+		}
+	}
+	if c.now <= last+lease || m.Heard+lease > c.now {
+		return false
+	}
+	for _, p := range r.peers {
+		if (p.zone == m.Zone || m.Zone == "") && p.clear <= last+lease {
+			return false
+		}
+	}
+	return true
+}
+
+// findPartitions looks for zones that are cut off: nearly all machines there are
+// silent, those of other zones are not, and a controller of the zone, silent
+// too, may be keeping their leases.
+func (r *term) findPartitions() {
+	c := r.c
+	type count struct{ up, silent int }
+	zones := map[string]*count{}
+	for _, m := range r.Machines {
+		if !m.Up || m.Returning {
+			continue
+		}
+		z := zones[m.Zone]
+		if z == nil {
+			z = &count{}
+			zones[m.Zone] = z
+		}
+		z.up++
+		if c.now-max(m.Heard, r.since) > c.cfg.Lease()*3/10 {
+			z.silent++
+		}
+	}
+	heard := false
+	for _, z := range zones {
+		heard = heard || z.silent*2 < z.up
+	}
+	asked := map[string]time.Duration{}
+	for _, p := range r.peers {
+		asked[p.zone] = max(asked[p.zone], p.asked, r.since)
+	}
+	delete(asked, c.cfg.Zone)
+	partitioned := map[string]time.Duration{}
+	for zone, at := range asked {
+		z := zones[zone]
+		if z == nil {
+			z = &count{}
+		}
+		since, was := r.partitioned[zone]
+		if !was {
+			since = c.now
+		}
+		// Once partitioned, it stays so until something there is heard, or for as long
+		// as its follower may act: its silent machines may have been returned.
+		if c.now > at+c.cfg.Lease()/4 && z.silent*5 >= z.up*4 &&
+			(was && c.now < since+c.cfg.Coast() || !was && heard && z.silent > 0) {
+			partitioned[zone] = since
+		}
+	}
+	for zone := range partitioned {
+		if _, was := r.partitioned[zone]; !was {
+			c.log.Info("zone is partitioned", "zone", zone, "machines", zones[zone].up)
+		}
+	}
+	for zone := range r.partitioned {
+		if _, is := partitioned[zone]; !is {
+			c.log.Info("zone is no longer partitioned", "zone", zone)
+			// Its workers need a moment to find the leader again: they were once
+			// all returned as silent when a cut had ended.
+			r.healedAt[zone] = c.now
+		}
+	}
+	r.partitioned = partitioned
+}
+
+// lostController says whether a partitioned zone has most probably lost its tasks: it has a
+// single controller, was silent when we were elected, and all other controllers
+// ended with the leader before us, so that its own has most probably ended too.
+// Its workers then went through all the others before it was back, which takes
+// longer than a lease. Its machines are returned, as their tasks can go on
+// elsewhere only with the cloud's word.
+func (r *term) lostController(zone string) bool {
+	c := r.c
+	if !r.isPartitioned(zone) || c.now < r.since+c.cfg.Lease() {
+		return false
+	}
+	controllers, heard, ended := 0, 0, 0
+	// Those that ended with that leader started about when we were elected, or
+	// later; an end some time before the cut is no sign.
+	with := r.since - c.cfg.Lease()/4
+	if with < 0 {
+		ended++ // we ended ourselves
+	}
+	for _, p := range r.peers {
+		switch {
+		case p.zone == zone:
+			controllers++
+		case p.contact > 0:
+			heard++
+			if p.started > with {
+				ended++
+			} else {
+				return false
+			}
+		}
+	}
+	if controllers != 1 || heard == 0 || ended < 2 {
+		return false
+	}
+	// Going through all the others and a report's wait must take longer than the
+	// lease. Where it does not, its workers found their controller again, which
+	// renews leases for the leader: the machines of a zone of 158 were once returned
+	// with all that ran on them.
+	if c.searchTime() <= c.cfg.Lease() {
+		return false
+	}
+	for _, m := range r.Machines {
+		if m.Zone == zone && m.FreshAt > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// searchTime is how long a worker may need to go through all the other controllers
+// when none of them answers.
+func (c *Core) searchTime() time.Duration {
+	return time.Duration(len(c.cfg.Siblings))*(reportWait+reportPause) + c.cfg.Report()*5/4
+}
+
+// isPartitioned says whether the zone is cut off.
+func (r *term) isPartitioned(zone string) bool {
+	_, is := r.partitioned[zone]
+	return is
+}
--- a/internal/coordination/reach.go
+++ b/internal/coordination/reach.go
@@ -19,54 +19,54 @@
 
 // reach is what a leader knows of its own way to the workers.
 type reach struct {
-	reachedAt time.Duration   // last direct sign of any worker
-	deafTo    map[string]bool // machines missed since
-	suspectAt time.Duration   // when the first of them was
+	reachedAt      time.Duration   // last direct sign of any worker
+	missedMachines map[string]bool // machines missed since
+	suspectAt      time.Duration   // when the first of them was
 }
 
 // reached notes a direct sign of life of a worker.
 func (r *reach) reached(now time.Duration) {
 	r.reachedAt = now
-	if len(r.deafTo) > 0 {
-		r.deafTo = nil
+	if len(r.missedMachines) > 0 {
+		r.missedMachines = nil
 	}
 }
 
 // missed notes a machine that others heard while our request went unanswered.
 func (r *reach) missed(id string, now time.Duration) {
-	if r.deafTo == nil {
-		r.deafTo, r.suspectAt = map[string]bool{}, now
+	if r.missedMachines == nil {
+		r.missedMachines, r.suspectAt = map[string]bool{}, now
 	}
-	r.deafTo[id] = true
+	r.missedMachines[id] = true
 }
 
 // probes says whether a machine is asked for a sign of life, as others did not
 // answer though they are there: one that lately reported by another controller.
 func (r *term) probes(m *ledger.Machine) bool {
 	c := r.c
-	return len(r.deafTo) > 0 && !r.deafTo[m.ID] && m.Fresh && c.now < m.Heard+2*c.cfg.Report() &&
+	return len(r.missedMachines) > 0 && !r.missedMachines[m.ID] && m.Fresh && c.now < m.Heard+2*c.cfg.Report() &&
 		c.now > r.reachedAt+c.cfg.Lease()/20
 }
 
 // outOfReach says whether the workers are there for others and not for us.
 func (r *term) outOfReach() bool {
-	// Several deaf machines may be missed at once while there was nothing to say to
+	// Several machines that hear no answer may be missed at once while there was nothing to say to
 	// others: those that can be reached answer a probe well within a twentieth of a
 	// lease. Once it has stepped down, others have had their chance.
-	return len(r.deafTo) >= leastDeaf && r.c.now > r.reachedAt+r.c.cfg.Lease()/10 &&
-		r.c.now > r.suspectAt+r.c.cfg.Lease()/20 && r.c.now >= r.c.abstain
+	return len(r.missedMachines) >= leastMissed && r.c.now > r.reachedAt+r.c.cfg.Lease()/10 &&
+		r.c.now > r.suspectAt+r.c.cfg.Lease()/20 && r.c.now >= r.c.standBackUntil
 }
 
 // leastDeaf is how many machines have to be missed before a leader gives up: one
-// or two may be deaf themselves.
-const leastDeaf = 3
+// or two may hear nothing themselves.
+const leastMissed = 3
 
 // stepDown ends the leadership and its lease, so that another controller takes
 // over at once. This one stands back as long as the others have a chance to.
 func (r *term) stepDown() {
 	c := r.c
-	c.log.Info("stepping down: workers answer others, not us", "token", r.token, "machines", len(r.deafTo))
-	c.abstain = c.now + 4*c.cfg.Lease()
+	c.log.Info("stepping down: workers answer others, not us", "token", r.token, "machines", len(r.missedMachines))
+	c.standBackUntil = c.now + 4*c.cfg.Lease()
 	c.view.ended = r.lease
 	c.endTerm("it can't reach the workers")
 	c.stateCall("DELETE", fmt.Sprintf("/leases/%d", r.lease), nil, c.cfg.LeaderTTL()/2, func(Result) {})
@@ -74,5 +74,5 @@
 
 // standsBack says whether this controller leaves the leadership to others.
 func (c *Core) standsBack() bool {
-	return c.now < c.abstain && c.now < c.view.leaderless+c.cfg.Lease()/5
+	return c.now < c.standBackUntil && c.now < c.view.leaderless+c.cfg.Lease()/5
 }
--- a/internal/coordination/reports.go
+++ b/internal/coordination/reports.go
@@ -8,7 +8,7 @@
 )
 
 // onReport takes a worker's report.
-func (c *Core) onReport(from asker, body []byte) {
+func (c *Core) onReport(from requester, body []byte) {
 	var msg protocol.Report
 	if err := protocol.Decode(body, &msg); err != nil || msg.Machine == "" {
 		c.reply(from, 400, nil, 0)
@@ -16,8 +16,8 @@
 	}
 	r := c.term
 	if r == nil {
-		if c.standsIn(&msg) {
-			c.standIn(from, &msg)
+		if c.renewsLease(&msg) {
+			c.renewLease(from, &msg)
 			return
 		}
 		if c.forwards(&msg) {
@@ -47,7 +47,7 @@
 		c.refuse(from)
 		return
 	}
-	if label := r.reporter(m, &msg); label != "" && !from.relay {
+	if label := r.reportTarget(m, &msg); label != "" && !from.relay {
 		c.reply(from, 421, protocol.Encode(protocol.Elsewhere{Leader: label}), 0)
 		return
 	}
@@ -67,7 +67,7 @@
 		c.endTerm("a worker has seen a higher token")
 		return nil, false
 	}
-	if r.tombs[msg.Machine] != 0 {
+	if r.removed[msg.Machine] != 0 {
 		return nil, false
 	}
 	m := r.Machines[msg.Machine]
@@ -97,13 +97,13 @@
 	// Deafness: its session lapsed although we answered all the while, or
 	// several answered reports in a row still show an old token.
 	if lapsed && m.Answered > 0 && c.now-m.Answered < c.cfg.Lease()/2 {
-		m.Deaf += 3
+		m.UnseenAnswers += 3
 		m.AsideUntil = c.now + 2*c.cfg.Lease()
 		c.log.Info("answers don't reach the machine", "machine", m.ID, "session", msg.Session)
 	} else if reported && m.Answered > 0 && msg.Token < r.token {
-		m.Deaf++
+		m.UnseenAnswers++
 	} else if msg.Token == r.token && !lapsed && c.now > m.AsideUntil {
-		m.Deaf = 0
+		m.UnseenAnswers = 0
 	}
 	m.Session, m.Seq, m.Token = msg.Session, msg.Seq, msg.Token
 	if reported {
@@ -131,7 +131,7 @@
 	return m, true
 }
 
-// compare sets the books against the newest message.
+// compare sets the ledger against the newest message.
 func (r *term) compare(m *ledger.Machine, msg *protocol.Report, ours bool) {
 	seen := map[ledger.Key]bool{}
 	for _, t := range msg.Tasks {
@@ -143,7 +143,7 @@
 		}
 		a := m.Attempts[key]
 		if a == nil {
-			a = r.foreign(m, key)
+			a = r.adoptUnknown(m, key)
 			if a == nil {
 				continue
 			}
@@ -187,36 +187,36 @@
 			delete(m.Exited, key)
 		}
 	}
-	for key := range m.Strays {
+	for key := range m.UnknownTasks {
 		// Gone or ended: with any left the machine takes no work.
 		if m.Exited[key] != nil || ours && !seen[key] {
-			delete(m.Strays, key)
+			delete(m.UnknownTasks, key)
 		}
 	}
 }
 
-// foreign notes an attempt that the books did not have on that machine. Its
+// adoptUnknown notes an attempt that the ledger did not have on that machine. Its
 // presence blocks a second start; it is halted.
-func (r *term) foreign(m *ledger.Machine, key ledger.Key) *ledger.Attempt {
+func (r *term) adoptUnknown(m *ledger.Machine, key ledger.Key) *ledger.Attempt {
 	uid, index, ok := ledger.ParseTask(key.Task)
 	if !ok {
 		return nil
 	}
 	j := r.Jobs[uid]
 	if j == nil || index >= j.Spec.Tasks {
-		if m.Strays == nil {
-			m.Strays = map[ledger.Key]time.Duration{}
+		if m.UnknownTasks == nil {
+			m.UnknownTasks = map[ledger.Key]time.Duration{}
 		}
-		if _, known := m.Strays[key]; !known {
-			r.c.log.Info("stray task", "task", key.Task, "try", key.Try, "machine", m.ID)
-			m.Strays[key] = 0
+		if _, known := m.UnknownTasks[key]; !known {
+			r.c.log.Info("unknown task", "task", key.Task, "try", key.Try, "machine", m.ID)
+			m.UnknownTasks[key] = 0
 		}
 		return nil
 	}
-	r.c.log.Info("task not in the books", "task", key.Task, "try", key.Try, "machine", m.ID)
+	r.c.log.Info("task not in the ledger", "task", key.Task, "try", key.Try, "machine", m.ID)
 	a := r.Put(m, j, index, key.Try, r.c.now)
 	a.Durable, a.Loaded = true, true
-	r.halt(a, j.Spec.SaveS, "not in the books")
+	r.halt(a, j.Spec.SaveS, "not in the ledger")
 	r.record(m, writeLazy, nil)
 	return a
 }
--- a/internal/coordination/review.go
+++ b/internal/coordination/review.go
@@ -13,21 +13,21 @@
 	c := r.c
 	silent, up := 0, 0
 	for _, m := range r.Machines {
-		if m.Up && !m.Returning && !r.isDark(m.Zone) {
+		if m.Up && !m.Returning && !r.isPartitioned(m.Zone) {
 			up++
 			if r.silentFor(m) > c.cfg.Lease()*2/5 {
 				silent++
 			}
 		}
 	}
-	forsaken := map[string]bool{}
-	for zone := range r.dark {
-		forsaken[zone] = r.forsaken(zone)
+	lostController := map[string]bool{}
+	for zone := range r.partitioned {
+		lostController[zone] = r.lostController(zone)
 	}
-	pulse := r.pulse()
+	heardByZone := r.heardByZone()
 	room := &spareRoom{term: r}
 	// Many silent machines at once speak of our own network, not of theirs.
-	lonely := silent > 2 && silent > up/3
+	manySilent := silent > 2 && silent > up/3
 	for _, m := range r.machines() {
 		t := c.typeOf(m.Type)
 		if m.Returning || t == nil {
@@ -35,10 +35,10 @@
 		}
 		boot := seconds(t.BootS)
 		switch {
-		case forsaken[m.Zone] && len(m.Attempts) > 0:
+		case lostController[m.Zone] && len(m.Attempts) > 0:
 			r.giveBack(m, "its zone is cut off and the controller there has ended")
-		case r.isDark(m.Zone) && m.Up:
-			// Its deputy may be keeping its tasks alive. Even without one, what
+		case r.isPartitioned(m.Zone) && m.Up:
+			// Its follower may be keeping its tasks alive. Even without one, what
 			// must be spread waits for this zone, and for a cut's length a
 			// machine with its images is worth more than a new one.
 			m.IdleSince = c.now
@@ -50,20 +50,20 @@
 			} else if m.IdleSince == 0 {
 				m.IdleSince = c.now
 			}
-		case !lonely && r.powerless(m, pulse) && r.silentFor(m) > c.cfg.Lease()*2/5 && room.takes(m):
+		case !manySilent && r.unreachable(m, heardByZone) && r.silentFor(m) > c.cfg.Lease()*2/5 && room.takes(m):
 			r.giveBack(m, "no connection to it, while its zone is heard")
-		case !lonely && m.CallFails > 1 && m.FreshAt == 0 && r.silentFor(m) > c.cfg.Lease()/2:
+		case !manySilent && m.CallFails > 1 && m.FreshAt == 0 && r.silentFor(m) > c.cfg.Lease()/2:
 			// After a take-over the proof by time is far away, and the cloud's
 			// word that the machine is gone comes sooner. A machine that this
 			// leader did hear is left alone: cut off or hanging, its tasks go
 			// on until its lease ends, and it may come back.
 			r.giveBack(m, "not heard since the take-over")
-		case m.Deaf > 2 && m.CallFails > 1 && m.FreshAt == 0 && len(m.Attempts) > 0 && c.now > r.since+c.cfg.Lease():
+		case m.UnseenAnswers > 2 && m.CallFails > 1 && m.FreshAt == 0 && len(m.Attempts) > 0 && c.now > r.since+c.cfg.Lease():
 			// It reports and never shows our token: it hears no answer, so its
 			// lease is over, but no message of it can prove that what an earlier
 			// leader started there is gone.
 			r.giveBack(m, "it has not heard us since the take-over")
-		case !lonely && m.CallFails > 0 && r.silentFor(m) > 3*c.cfg.Lease():
+		case !manySilent && m.CallFails > 0 && r.silentFor(m) > 3*c.cfg.Lease():
 			r.giveBack(m, "silent")
 		case r.silentFor(m) > c.cfg.Lease()*2/5:
 			// Hanging or cut off, it may come back with its images; a dead one is
@@ -82,13 +82,13 @@
 	}
 }
 
-// powerless says whether a machine is most probably gone with all that is on it:
+// unreachable says whether a machine is most probably gone with all that is on it:
 // it is silent, and no connection to it can be made, while others of its zone were
 // heard since and we reach all that others hear. The cloud's deletion proves it
 // much sooner than its lease; hanging machines take connections, and are left
 // alone, as they may go on within their lease.
-func (r *term) powerless(m *ledger.Machine, pulse map[string]time.Duration) bool {
-	return m.NoConn && m.CallFails > 1 && len(r.deafTo) == 0 && !r.isDark(m.Zone) && pulse[m.Zone] > m.FailedAt &&
+func (r *term) unreachable(m *ledger.Machine, heardByZone map[string]time.Duration) bool {
+	return m.NoConn && m.CallFails > 1 && len(r.missedMachines) == 0 && !r.isPartitioned(m.Zone) && heardByZone[m.Zone] > m.FailedAt &&
 		r.soonElsewhere(m)
 }
 
@@ -134,9 +134,9 @@
 	return true
 }
 
-// pulse tells, by zone, since when a tenth of its machines, two at least, have
+// heardByZone tells, by zone, since when a tenth of its machines, two at least, have
 // been heard: a zone that has just been cut off has none after the cut.
-func (r *term) pulse() map[string]time.Duration {
+func (r *term) heardByZone() map[string]time.Duration {
 	heard := map[string][]time.Duration{}
 	for _, m := range r.Machines {
 		if m.Up && !m.Returning {
--- a/internal/coordination/rules_test.go
+++ b/internal/coordination/rules_test.go
@@ -260,16 +260,16 @@
 	w := newWorld(t, 10)
 	w.submit("j-1", map[string]any{"shape": "service", "shards": 2, "cores": 8.0})
 	w.until(60*second, "replicas run", func() bool { return w.running("j-1") == 2 })
-	var deaf *simWorker
+	var answersLost *simWorker
 	for _, k := range w.fleet() {
-		if len(k.tasks) > 0 && (deaf == nil || k.id < deaf.id) {
-			deaf = k
+		if len(k.tasks) > 0 && (answersLost == nil || k.id < answersLost.id) {
+			answersLost = k
 		}
 	}
-	w.reports = func(k *simWorker, _ int) fate { return fate{answerLost: k == deaf} }
-	w.script = func(_ int, c Call) fate { return fate{lost: c.Target == ToWorker && c.Addr == deaf.addr()} }
+	w.reports = func(k *simWorker, _ int) fate { return fate{answerLost: k == answersLost} }
+	w.script = func(_ int, c Call) fate { return fate{lost: c.Target == ToWorker && c.Addr == answersLost.addr()} }
 	w.until(60*second, "the replica is back elsewhere", func() bool {
-		return w.running("j-1") == 2 && len(deaf.tasks) == 0
+		return w.running("j-1") == 2 && len(answersLost.tasks) == 0
 	})
 	w.keptRules()
 }
@@ -583,7 +583,7 @@
 // the leader in it: its controller keeps the zone's workers, so that replicas
 // which must be spread, and have nowhere else to go, live on. A cancellation
 // meanwhile is not told before the task that nobody reaches is proved gone.
-func TestDeputyKeepsItsZone(t *testing.T) {
+func TestFollowerKeepsItsZone(t *testing.T) {
 	for _, inside := range []bool{false, true} {
 		w := newWorld(t, 31)
 		if inside {
@@ -623,7 +623,7 @@
 	}
 }
 
-// The deputy of a zone that is cut off ends. Nobody can know, so its tasks are
+// The follower of a zone that is cut off ends. Nobody can know, so its tasks are
 // started elsewhere only when its leave has run out as well.
 func TestDeputyEndsInTheCut(t *testing.T) {
 	w := newWorld(t, 32)
@@ -677,7 +677,7 @@
 	}
 }
 
-// The deputy of a zone that is cut off ends and is back at once: it knows
+// The follower of a zone that is cut off ends and is back at once: it knows
 // nothing, but goes on answering the zone's workers with the token they show.
 func TestDeputyRestartsInTheCut(t *testing.T) {
 	w := newWorld(t, 34)
--- a/internal/coordination/schedule.go
+++ b/internal/coordination/schedule.go
@@ -31,7 +31,7 @@
 		r.overview()
 	}
 	if c.now >= r.planAt {
-		r.findDark()
+		r.findPartitions()
 		r.planAt = c.now + c.cfg.LeaderTTL()*2/3
 		r.fillDirty = true // delays of failing jobs and set-aside machines end with time
 		r.plan()
@@ -39,7 +39,7 @@
 }
 
 // fill starts what waits, as rank and room allow. Starts leave only once they
-// are in the books of the state service.
+// are in the ledger of the state service.
 func (r *term) fill() {
 	r.fillDirty = false
 	if !r.certain() || len(r.c.types) == 0 {
@@ -90,7 +90,7 @@
 			r.gone(a, neverSent)
 			return
 		}
-		r.kick(m)
+		r.dispatch(m)
 		r.startGang(j)
 	})
 }
@@ -186,7 +186,7 @@
 		}
 	}
 	// What boots in a zone that is cut off can't be heard, and costs all the same.
-	blocked := func(p sched.Pool) bool { return r.isDark(p.Zone) || c.now < r.short[p].until || inFlight[p] > 0 }
+	blocked := func(p sched.Pool) bool { return r.isPartitioned(p.Zone) || c.now < r.short[p].until || inFlight[p] > 0 }
 	for _, want := range s.Plan(c.types, blocked, 64) {
 		if !c.cloud.has(c.now, 1) {
 			break
--- a/internal/coordination/sim_worker_test.go
+++ b/internal/coordination/sim_worker_test.go
@@ -36,11 +36,11 @@
 	node                int
 	lives               int
 	copies              [][]byte
-	// deaf: reports arrive, answers and direct commands don't. mute: the other way
+	// answersLost: reports arrive, answers and direct commands don't. reportsLost: the other way
 	// round. hung: it does nothing until it goes on, or for ever. held are the
 	// commands that came meanwhile.
-	deaf, mute, hung bool
-	held             []func()
+	answersLost, reportsLost, hung bool
+	held                           []func()
 	// taken is when the cloud takes the machine back, of which it has notice; 0: it does not.
 	taken time.Duration
 }
@@ -64,7 +64,7 @@
 }
 
 func (k *simWorker) addr() string    { return "10.1." + strings.TrimLeft(k.id[2:], "0") + ":9000" }
-func (k *simWorker) reachable() bool { return k.up && !k.gone && !k.cut && !k.deaf }
+func (k *simWorker) reachable() bool { return k.up && !k.gone && !k.cut && !k.answersLost }
 
 // hang stops a machine for a while. What comes meanwhile is executed when it goes
 // on, if its lease still runs then.
@@ -140,8 +140,8 @@
 	if w.reports != nil {
 		f = w.reports(k, k.node)
 	}
-	f.lost = f.lost || k.mute
-	f.answerLost = f.answerLost || k.deaf
+	f.lost = f.lost || k.reportsLost
+	f.answerLost = f.answerLost || k.answersLost
 	body := protocol.Encode(k.message())
 	k.copies = append(k.copies, body)
 	if w.lateCopy != nil {
@@ -159,7 +159,7 @@
 	}
 	w.at(latency, func() {
 		w.ask(k.node, Request{Op: OpReport, Body: body}, func(r Reply) {
-			if f.answerLost || k.gone || k.hung || k.deaf {
+			if f.answerLost || k.gone || k.hung || k.answersLost {
 				next(4 * time.Second)
 				return
 			}
--- a/internal/coordination/snapshot.go
+++ b/internal/coordination/snapshot.go
@@ -40,7 +40,7 @@
 	return sj
 }
 
-// snapshot renders the books for the scheduler. Waiting tasks are listed only
+// snapshot renders the ledger for the scheduler. Waiting tasks are listed only
 // as far as they could matter now.
 func (r *term) snapshot(running, booting bool) *sched.Snapshot {
 	c := r.c
@@ -72,11 +72,11 @@
 			sj.Waiting, sj.Resume = j.Waiting(512)
 		}
 		if j.HeldTotal > 0 || j.Cancelling || j.Finishing {
-			j.HungryAt = 0
-		} else if j.HungryAt == 0 {
-			j.HungryAt = c.now
+			j.WaitingSince = 0
+		} else if j.WaitingSince == 0 {
+			j.WaitingSince = c.now
 		}
-		sj.Starved = j.HungryAt > 0 && c.now > j.HungryAt+seconds(c.bootS())
+		sj.Starved = j.WaitingSince > 0 && c.now > j.WaitingSince+seconds(c.bootS())
 		sj.Claims = min(claims[uid], len(sj.Waiting))
 		if len(sj.Waiting) == 0 && !running {
 			continue
@@ -119,7 +119,7 @@
 					}
 				}
 			}
-		case booting && !m.Up && !m.Returning && !r.isDark(m.Zone) && c.now < m.Rented+seconds(t.BootS*1.6):
+		case booting && !m.Up && !m.Returning && !r.isPartitioned(m.Zone) && c.now < m.Rented+seconds(t.BootS*1.6):
 			sm.Booting = true
 		default:
 			continue
--- a/internal/coordination/store.go
+++ b/internal/coordination/store.go
@@ -48,7 +48,7 @@
 	readback string // the key to be read for what became of it
 }
 
-// store writes the books: one transaction at a time, so that an uncertain one
+// store writes the ledger: one transaction at a time, so that an uncertain one
 // blocks its keys simply by being the only one. Each key's version is a
 // condition, so a lost transaction that applies late can't undo a newer one.
 // Absent keys all have the version 0, though: one that creates keys could apply
@@ -60,8 +60,8 @@
 	pending  map[string]*write
 	queues   [writeKinds][]*write
 	current  *txn
-	// stray: a transaction without an answer may still be on its way.
-	stray bool
+	// unanswered: a transaction without an answer may still be on its way.
+	unanswered bool
 	// most is how many writes a transaction may have: fewer after one was called
 	// malformed, until what is at fault has been found.
 	most int
@@ -172,7 +172,7 @@
 
 // fence has the transaction write the leader key, unless it does so already.
 func (r *term) fence(t *txn) {
-	if !r.stray || t.fencing {
+	if !r.unanswered || t.fencing {
 		return
 	}
 	t.fencing = true
@@ -223,7 +223,7 @@
 			return
 		}
 		if t.fencing {
-			r.version, r.stray = reply.Revision, false
+			r.version, r.unanswered = reply.Revision, false
 		}
 		r.applied(t, reply.Revision)
 	case 409:
@@ -239,9 +239,9 @@
 			}
 			t.readback = keyLeader // an earlier try of ours may have written it
 		case !t.uncertain:
-			// Nobody else may write our keys: the books are not what we think.
+			// Nobody else may write our keys: the ledger is not what we think.
 			c.log.Error("versions differ", "keys", fmt.Sprint(reply.Failed))
-			c.endTerm("the books differ from memory")
+			c.endTerm("the ledger differs from memory")
 		case len(t.puts) == 0:
 			r.applied(t, 0)
 		default:
@@ -262,7 +262,7 @@
 			c.changes.level = min(c.changes.level, 0)
 		} else {
 			// Nobody is kept waiting for a service that is down.
-			r.refuseWaiting()
+			r.refusePending()
 		}
 		t.retryAt = c.now + c.pause()
 	}
@@ -270,7 +270,7 @@
 
 // lost notes that a try had no answer: it may have applied, or do so later.
 func (r *term) lost(t *txn) {
-	t.uncertain, r.stray = true, true
+	t.uncertain, r.unanswered = true, true
 	t.retryAt = r.c.now + r.c.pause()
 }
 
@@ -298,7 +298,7 @@
 }
 
 // putBack queues a transaction's writes again, first in their queues. What was
-// asked for anew meanwhile keeps the newer wish.
+// asked for anew meanwhile keeps the newer request.
 func (r *term) putBack(t *txn) {
 	for _, w := range slices.Backward(t.writes) {
 		if newer := r.pending[w.key]; newer != nil {
@@ -355,7 +355,7 @@
 	switch {
 	case res.Status == 200 && protocol.Decode(res.Body, &it) == nil:
 	case res.Status == 404 && (key == keyLeader || r.versions[key] != 0 && !deletes):
-		c.endTerm("the books differ from memory")
+		c.endTerm("the ledger differs from memory")
 		return
 	case res.Status == 404:
 	default:
@@ -370,7 +370,7 @@
 			return
 		}
 		// A try of ours wrote the leader key, and all else with it.
-		r.version, r.stray = it.Version, false
+		r.version, r.unanswered = it.Version, false
 		r.applied(t, it.Version)
 		return
 	}
--- a/internal/coordination/term.go
+++ b/internal/coordination/term.go
@@ -24,11 +24,11 @@
 	renewing  bool
 	coasting  bool
 	since     time.Duration // when the election was won
-	ready     bool          // the books are read
+	ready     bool          // the ledger is read
 
-	*ledger.Books
+	*ledger.Ledger
 	proposals map[string]*proposal
-	cancels   map[string][]asker
+	cancels   map[string][]requester
 
 	lastTry uint64
 	// Direct calls under way, and those of them that may well hang.
@@ -49,10 +49,10 @@
 	arrivals   map[string]*arrivals
 	claims     map[string]claim // by machine
 
-	// peers are the other controllers, dark the zones that are cut off.
-	peers map[string]*peer
-	dark  map[string]time.Duration
-	lit   map[string]time.Duration // when a zone was last found to be so no longer
+	// peers are the other controllers, partitioned the zones that are cut off.
+	peers       map[string]*peer
+	partitioned map[string]time.Duration
+	healedAt    map[string]time.Duration // when a zone was last found to be so no longer
 
 	// orphans are records of completions whose job is over: an earlier leader, or a
 	// version that does not know them, has left them.
@@ -69,7 +69,7 @@
 // proposal is a submission whose record is being written.
 type proposal struct {
 	job   *ledger.Job
-	wants []asker
+	wants []requester
 }
 
 var loadOrder = []string{ledger.JobPrefix, ledger.DonePrefix, ledger.PartPrefix, ledger.MachinePrefix, ledger.CounterPrefix}
@@ -77,13 +77,13 @@
 func newTerm(c *Core, token, lease, version uint64, confirmed time.Duration) *term {
 	r := &term{c: c, token: token, lease: lease, version: version, confirmed: confirmed, since: c.now,
 		renewAt:    c.now + c.cfg.LeaderTTL()/8,
-		Books:      ledger.New(c.cfg.LayoutBytes(), c.cfg.ValueBytes()),
+		Ledger:     ledger.New(c.cfg.LayoutBytes(), c.cfg.ValueBytes()),
 		proposals:  map[string]*proposal{},
-		cancels:    map[string][]asker{},
+		cancels:    map[string][]requester{},
 		arrivals:   map[string]*arrivals{},
 		claims:     map[string]claim{},
 		peers:      map[string]*peer{},
-		lit:        map[string]time.Duration{},
+		healedAt:   map[string]time.Duration{},
 		roundAt:    c.now + seconds(c.cfg.Operator.Green.RoundS),
 		fillAt:     c.now + seconds(c.cfg.Operator.Green.FillS),
 		countersAt: c.now + seconds(c.cfg.Operator.Green.CountersS),
@@ -193,7 +193,7 @@
 	}
 }
 
-// begin starts the work of a leader once the books are read.
+// begin starts the work of a leader once the ledger is read.
 func (r *term) begin() {
 	c := r.c
 	r.ready = true
@@ -221,11 +221,11 @@
 		r.mark(key, writeLazy, func() any { return nil }, nil)
 	}
 	r.orphans = nil
-	c.log.Info("books read", "token", r.token, "jobs", len(r.Jobs), "terminal", len(r.Terminal), "machines", len(r.Machines))
+	c.log.Info("ledger read", "token", r.token, "jobs", len(r.Jobs), "terminal", len(r.Terminal), "machines", len(r.Machines))
 	r.fillDirty = true
 }
 
-// newerElsewhere says whether the books have a later attempt of the same task.
+// newerElsewhere says whether the ledger has a later attempt of the same task.
 func (r *term) newerElsewhere(a *ledger.Attempt) bool {
 	if a.Job.HeldOf(a.Index) < 2 {
 		return false
--- a/internal/coordination/upgrade_test.go
+++ b/internal/coordination/upgrade_test.go
@@ -245,7 +245,7 @@
 		}
 		rec.State, rec.Spec.Gang = ledger.Cancelling, false
 		w.state.change(key, &simItem{value: protocol.Encode(rec)})
-		w.wished["j-1"] = true
+		w.cancelRequested["j-1"] = true
 		o.ends()
 		w.cancel("j-1")
 		w.awaitTold(20*second, "j-1", protocol.Cancelled)
--- a/internal/coordination/usable.go
+++ b/internal/coordination/usable.go
@@ -10,9 +10,9 @@
 // this leader, lately, and nothing speaks against it.
 func (r *term) usable(m *ledger.Machine) bool {
 	c := r.c
-	return m.Fresh && !m.Returning && !m.Notice && c.now >= m.AsideUntil && c.now >= m.DrainUntil && m.Deaf < 2 && m.CallFails < 2 &&
+	return m.Fresh && !m.Returning && !m.Notice && c.now >= m.AsideUntil && c.now >= m.DrainUntil && m.UnseenAnswers < 2 && m.CallFails < 2 &&
 		c.now < m.Heard+c.cfg.Lease()/4+2*c.cfg.Report() && !r.unreported(m, c.cfg.Lease()/2) &&
-		m.Size.Cores > 0 && len(m.Strays) == 0
+		m.Size.Cores > 0 && len(m.UnknownTasks) == 0
 }
 
 // unreported says whether no report of the machine has been answered for as long,
@@ -22,9 +22,9 @@
 	return r.c.now > max(m.Answered, m.FreshAt)+spell
 }
 
-// mute says whether a machine answers us but can reach no controller, as far as
+// reportsLost says whether a machine answers us but can reach no controller, as far as
 // can be known: those of its zone are in touch, so none stands in for us there.
-func (r *term) mute(m *ledger.Machine) bool {
+func (r *term) reportsLost(m *ledger.Machine) bool {
 	c := r.c
 	if !m.Fresh || m.CallFails > 0 || m.Heard < c.now-2*c.cfg.Report()-c.cfg.Lease()/10 || !r.unreported(m, c.cfg.Lease()*11/20) {
 		return false
@@ -52,11 +52,11 @@
 
 // silentFor is how long nothing new was heard of a machine in this term.
 func (r *term) silentFor(m *ledger.Machine) time.Duration {
-	return r.c.now - max(m.Heard, r.since, r.lit[m.Zone])
+	return r.c.now - max(m.Heard, r.since, r.healedAt[m.Zone])
 }
 
 // overdue reports whether a machine is late and can't be reached: its tasks
 // will probably be needed elsewhere.
 func (r *term) overdue(m *ledger.Machine) bool {
-	return m.CallFails > 1 && r.silentFor(m) > r.c.cfg.Lease()*2/5 && !r.isDark(m.Zone)
+	return m.CallFails > 1 && r.silentFor(m) > r.c.cfg.Lease()*2/5 && !r.isPartitioned(m.Zone)
 }
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -18,11 +18,11 @@
 	comeBack     = 1 // seconds
 )
 
-func (c *Core) reply(to asker, status int, body []byte, retryAfter int) {
+func (c *Core) reply(to requester, status int, body []byte, retryAfter int) {
 	c.replyUntil(to, status, body, retryAfter, 0)
 }
 
-func (c *Core) replyUntil(to asker, status int, body []byte, retryAfter int, until time.Duration) {
+func (c *Core) replyUntil(to requester, status int, body []byte, retryAfter int, until time.Duration) {
 	if to.relay {
 		body = protocol.EncodePeer(protocol.RelayReply{Status: status, Body: body, RetryAfter: retryAfter})
 		status, retryAfter = 200, 0
@@ -32,19 +32,19 @@
 
 // tell answers with what only a leader may say, and only as long as it is certain
 // to be one.
-func (r *term) tell(to asker, status int, s protocol.Standing) {
+func (r *term) tell(to requester, status int, s protocol.Standing) {
 	r.c.replyUntil(to, status, protocol.Encode(s), 0, r.certainUntil())
 }
 
 // refuse answers at once that it can't be decided now.
-func (c *Core) refuse(to asker) { c.reply(to, 503, nil, comeBack) }
+func (c *Core) refuse(to requester) { c.reply(to, 503, nil, comeBack) }
 
-func (c *Core) standing(to asker, status int, s protocol.Standing) {
+func (c *Core) standing(to requester, status int, s protocol.Standing) {
 	c.reply(to, status, protocol.Encode(s), 0)
 }
 
 func (c *Core) request(q Request) {
-	from := asker{id: q.ID}
+	from := requester{id: q.ID}
 	switch q.Op {
 	case OpReady:
 		if c.isReady() {
@@ -97,7 +97,7 @@
 	}
 	// One that can't reach the leader who is there, as connections between
 	// controllers are refused, could only send its users away one by one.
-	if d := &c.deputy; d.failed && len(c.cfg.Siblings) > 0 {
+	if d := &c.follower; d.failed && len(c.cfg.Siblings) > 0 {
 		patience := c.cfg.Lease() / 2
 		if c.view.known && c.view.leader != nil {
 			patience = min(2*c.cfg.LeaderTTL(), c.cfg.Lease()*3/20)
@@ -110,7 +110,7 @@
 }
 
 // relay passes a user's request on to the leader.
-func (c *Core) relay(from asker, q Request) {
+func (c *Core) relay(from requester, q Request) {
 	if q.Op == OpSubmit {
 		// What is malformed needs no leader, unless the id may be known to it.
 		if uid, _, err := protocol.ParseSubmission(q.Body); err != nil && !protocol.ValidUID(uid) {
@@ -119,17 +119,17 @@
 		}
 	}
 	addr := c.addrOf(c.leaderLabel())
-	if addr == "" || len(c.waiters) >= c.cfg.Cluster.Resources.FDs/2 {
+	if addr == "" || len(c.pendingRequests) >= c.cfg.Cluster.Resources.FDs/2 {
 		c.refuse(from)
 		return
 	}
-	c.waiters[from.id] = &waiter{from: from, deadline: c.now + decideWithin}
+	c.pendingRequests[from.id] = &pendingRequest{from: from, deadline: c.now + decideWithin}
 	body := protocol.EncodePeer(protocol.Relay{Op: string(q.Op), UID: q.UID, Body: q.Body})
 	c.call(ToPeer, addr, "POST", "/relay", body, relayWithin, func(r Result) {
-		if c.waiters[from.id] == nil {
+		if c.pendingRequests[from.id] == nil {
 			return
 		}
-		delete(c.waiters, from.id)
+		delete(c.pendingRequests, from.id)
 		var reply protocol.RelayReply
 		if r.Status != 200 || protocol.DecodePeer(r.Body, &reply) != nil || reply.Status < 200 || reply.Status > 599 {
 			c.refuse(from)
@@ -139,45 +139,45 @@
 	})
 }
 
-// expireWaiters answers what was given up, at once and finally.
-func (c *Core) expireWaiters() {
-	for _, id := range slices.Sorted(maps.Keys(c.waiters)) {
-		if w := c.waiters[id]; c.now >= w.deadline {
-			delete(c.waiters, id)
+// expirePending answers what was given up, at once and finally.
+func (c *Core) expirePending() {
+	for _, id := range slices.Sorted(maps.Keys(c.pendingRequests)) {
+		if w := c.pendingRequests[id]; c.now >= w.deadline {
+			delete(c.pendingRequests, id)
 			c.refuse(w.from)
 		}
 	}
 }
 
-// wait notes that the asker is answered later, or refused at its deadline.
-func (r *term) wait(from asker) bool {
-	if len(r.c.waiters) >= r.c.cfg.Cluster.Resources.FDs/2 {
+// wait notes that the requester is answered later, or refused at its deadline.
+func (r *term) wait(from requester) bool {
+	if len(r.c.pendingRequests) >= r.c.cfg.Cluster.Resources.FDs/2 {
 		r.c.reply(from, 429, nil, comeBack)
 		return false
 	}
-	r.c.waiters[from.id] = &waiter{from: from, deadline: r.c.now + decideWithin}
+	r.c.pendingRequests[from.id] = &pendingRequest{from: from, deadline: r.c.now + decideWithin}
 	return true
 }
 
-// refuseWaiting answers all that wait, at once and with when to come back.
-func (r *term) refuseWaiting() {
-	for _, id := range slices.Sorted(maps.Keys(r.c.waiters)) {
-		w := r.c.waiters[id]
-		delete(r.c.waiters, id)
+// refusePending answers all that wait, at once and with when to come back.
+func (r *term) refusePending() {
+	for _, id := range slices.Sorted(maps.Keys(r.c.pendingRequests)) {
+		w := r.c.pendingRequests[id]
+		delete(r.c.pendingRequests, id)
 		r.c.refuse(w.from)
 	}
 }
 
-// waiting says whether the asker still waits, and ends that.
-func (r *term) waiting(from asker) bool {
-	if r.c.waiters[from.id] == nil {
+// waiting says whether the requester still waits, and ends that.
+func (r *term) waiting(from requester) bool {
+	if r.c.pendingRequests[from.id] == nil {
 		return false
 	}
-	delete(r.c.waiters, from.id)
+	delete(r.c.pendingRequests, from.id)
 	return true
 }
 
-func (r *term) user(from asker, op Op, uid string, body []byte) {
+func (r *term) user(from requester, op Op, uid string, body []byte) {
 	switch op {
 	case OpSubmit:
 		r.submit(from, body)
@@ -209,7 +209,7 @@
 	return s
 }
 
-func (r *term) submit(from asker, body []byte) {
+func (r *term) submit(from requester, body []byte) {
 	c := r.c
 	uid, spec, err := protocol.ParseSubmission(body)
 	// A job accepted before is answered first, whatever its repeat holds.
@@ -249,7 +249,7 @@
 		return
 	}
 	j := r.AddJob(spec, c.wall)
-	p := &proposal{job: j, wants: []asker{from}}
+	p := &proposal{job: j, wants: []requester{from}}
 	r.proposals[uid] = p
 	r.mark(ledger.JobPrefix+uid, writeUser, func() any { return j.Record() }, func() {
 		delete(r.proposals, uid)
@@ -270,7 +270,7 @@
 func (r *term) dropStale() {
 	for _, uid := range sortedKeys(r.proposals) {
 		p := r.proposals[uid]
-		if slices.ContainsFunc(p.wants, func(a asker) bool { return r.c.waiters[a.id] != nil }) {
+		if slices.ContainsFunc(p.wants, func(a requester) bool { return r.c.pendingRequests[a.id] != nil }) {
 			continue
 		}
 		if r.unmark(ledger.JobPrefix + uid) {
@@ -317,8 +317,8 @@
 
 // find returns an accepted job that is not over. For all else it answers: final
 // states never change and may be told even by a leader that can't know whether
-// it still is one; the rest only by one that is, with complete books.
-func (r *term) find(from asker, uid string) *ledger.Job {
+// it still is one; the rest only by one that is, with a complete ledger.
+func (r *term) find(from requester, uid string) *ledger.Job {
 	c := r.c
 	if s, ok := r.terminalStanding(uid); ok {
 		c.standing(from, 200, s)
@@ -338,7 +338,7 @@
 	return nil
 }
 
-func (r *term) poll(from asker, uid string) {
+func (r *term) poll(from requester, uid string) {
 	// One that is about to be done or cancelled is told so once that is durable;
 	// until then what it was before is still true for its user.
 	if j := r.find(from, uid); j != nil {
@@ -346,13 +346,13 @@
 	}
 }
 
-func (r *term) cancel(from asker, uid string) {
+func (r *term) cancel(from requester, uid string) {
 	c := r.c
 	j := r.find(from, uid)
 	if j == nil || !r.wait(from) {
 		return
 	}
-	waiting := slices.DeleteFunc(r.cancels[uid], func(a asker) bool { return c.waiters[a.id] == nil })
+	waiting := slices.DeleteFunc(r.cancels[uid], func(a requester) bool { return c.pendingRequests[a.id] == nil })
 	r.cancels[uid] = append(waiting, from)
 	if j.Cancelling || j.Finishing {
 		return // answered when that is durable
@@ -372,9 +372,9 @@
 }
 
 // settleCancel records the end of a cancelled job, and then tells of it, once its
-// last task is proved gone. A deputy in a zone that is cut off may keep a task
+// last task is proved gone. A follower in a zone that is cut off may keep a task
 // alive for longer than cancel_s, but only of a job whose user has not been told.
-// The wish itself is stored at once: a user who has not been told asks again, but
+// The request itself is stored at once: a user who has not been told asks again, but
 // gives up after a while, and the job must not run on after a change of leader.
 func (r *term) settleCancel(j *ledger.Job) {
 	if !j.Cancelling || j.Finishing || j.HeldTotal > 0 {
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -30,13 +30,13 @@
 		if m.Notice {
 			r.beforeNotice(m)
 		}
-		if len(m.Attempts) > 0 && r.mute(m) {
+		if len(m.Attempts) > 0 && r.reportsLost(m) {
 			// Its lease runs out: what is there goes on elsewhere sooner.
 			for _, a := range m.Sorted() {
 				r.halt(a, a.Job.Spec.SaveS, "the machine reaches no controller")
 			}
 		}
-		r.kick(m)
+		r.dispatch(m)
 		if c.term != r {
 			return
 		}
@@ -50,12 +50,12 @@
 			m.DeadSession = m.Session
 			c.log.Info("machine is silent, its lease is over", "machine", m.ID, "tasks", len(m.Attempts))
 		}
-		m.Fresh, m.Greeted = false, false
+		m.Fresh, m.Probed = false, false
 		for _, a := range m.Sorted() {
 			r.gone(a, leaseOver)
 		}
 		clear(m.Exited)
-		clear(m.Strays)
+		clear(m.UnknownTasks)
 	}
 }
 
--- a/internal/coordination/world_test.go
+++ b/internal/coordination/world_test.go
@@ -323,7 +323,7 @@
 		req.Body = protocol.Encode(w.specs[uid])
 	}
 	if op == OpCancel {
-		w.wished[uid] = true
+		w.cancelRequested[uid] = true
 	}
 	w.ask(node, req, func(r Reply) {
 		var s protocol.Standing
@@ -362,7 +362,7 @@
 	}
 	if s.State == protocol.Cancelled && before != s.State {
 		w.stopped[uid] = w.now
-		if !w.wished[uid] {
+		if !w.cancelRequested[uid] {
 			w.breaks("went_back: %s is called cancelled, and nobody asked for it", uid)
 		}
 	}
--- a/internal/ledger/attempt.go
+++ b/internal/ledger/attempt.go
@@ -14,7 +14,7 @@
 	Index   int
 	Try     uint64
 	Machine *Machine
-	// Durable: written ahead, so the run may leave. Loaded: from the books of
+	// Durable: written ahead, so the run may leave. Loaded: from the ledger of
 	// an earlier leader, whose commands may be under way until the worker has
 	// our token.
 	Durable, Loaded bool
@@ -63,10 +63,10 @@
 	}
 }
 
-// Gone is an exited attempt that the worker still reports and that is to be
+// ExitedTask is an exited attempt that the worker still reports and that is to be
 // cleared when that is safe.
-type Gone struct {
-	// Attempt is nil if the books did not have it.
+type ExitedTask struct {
+	// Attempt is nil if the ledger did not have it.
 	Attempt *Attempt
 	// Ready: whatever its end means is durable.
 	Ready bool
--- a/internal/ledger/completions.go
+++ b/internal/ledger/completions.go
@@ -53,9 +53,9 @@
 }
 
 // DoneKey is the key of the record that holds the task's completion.
-func (b *Books) DoneKey(j *Job, index int) string { return b.doneRange(j, index).key }
+func (b *Ledger) DoneKey(j *Job, index int) string { return b.doneRange(j, index).key }
 
-func (b *Books) doneRange(j *Job, index int) doneRange {
+func (b *Ledger) doneRange(j *Job, index int) doneRange {
 	chunk := index / b.layout.chunk
 	first := chunk * b.layout.chunk
 	if index < first+b.layout.head && !j.oversized[chunk] {
@@ -66,7 +66,7 @@
 }
 
 // DoneChunk renders the record that holds the task's completion.
-func (b *Books) DoneChunk(j *Job, index int) DoneRecord {
+func (b *Ledger) DoneChunk(j *Job, index int) DoneRecord {
 	in := b.doneRange(j, index)
 	raw := make([]byte, (in.last-in.first+7)/8)
 	for i := in.first; i < in.last; i++ {
@@ -78,7 +78,7 @@
 }
 
 // DoneKeys lists the keys of all records of completions that the job may have.
-func (b *Books) DoneKeys(j *Job) []string {
+func (b *Ledger) DoneKeys(j *Job) []string {
 	keys := map[string]bool{}
 	for i := 0; i < j.Spec.Tasks; i += b.layout.chunk {
 		keys[DonePrefix+j.Spec.UID+"/"+strconv.Itoa(i/b.layout.chunk)] = true
@@ -90,7 +90,7 @@
 }
 
 // LoadDone reads a record back. It returns false for one of a job that is over.
-func (b *Books) LoadDone(key string, r DoneRecord) (bool, error) {
+func (b *Ledger) LoadDone(key string, r DoneRecord) (bool, error) {
 	rest, chunked := strings.CutPrefix(key, DonePrefix)
 	length := b.layout.chunk
 	if !chunked {
--- a/internal/ledger/completions_test.go
+++ b/internal/ledger/completions_test.go
@@ -13,7 +13,7 @@
 )
 
 // stored writes all of a job's completions as they are written one after the other.
-func stored(t *testing.T, b *Books, j *Job, limit int) map[string]DoneRecord {
+func stored(t *testing.T, b *Ledger, j *Job, limit int) map[string]DoneRecord {
 	t.Helper()
 	out := map[string]DoneRecord{}
 	for i := range j.Spec.Tasks {
--- a/internal/ledger/gang_test.go
+++ b/internal/ledger/gang_test.go
@@ -32,7 +32,7 @@
 }
 
 // A gang of three tasks, each on a machine of its own.
-func placedGang(t *testing.T) (*Books, *Job, []*Attempt) {
+func placedGang(t *testing.T) (*Ledger, *Job, []*Attempt) {
 	t.Helper()
 	b := New(16<<10, 16<<10)
 	j := b.AddJob(&protocol.Spec{UID: "j-1", Tasks: 3, Gang: true}, 1)
@@ -72,15 +72,15 @@
 // Only a complete attempt may be started: one task each, under one number, durable and
 // none of them to be stopped.
 func TestCompleteGang(t *testing.T) {
-	for name, change := range map[string]func(*Books, *Job, []*Attempt){
-		"one is not durable":   func(_ *Books, _ *Job, all []*Attempt) { all[1].Durable = false },
-		"one is to be stopped": func(_ *Books, _ *Job, all []*Attempt) { all[1].Halt = true },
-		"one is missing":       func(b *Books, _ *Job, all []*Attempt) { b.Drop(all[1]) },
-		"another number": func(b *Books, j *Job, all []*Attempt) {
+	for name, change := range map[string]func(*Ledger, *Job, []*Attempt){
+		"one is not durable":   func(_ *Ledger, _ *Job, all []*Attempt) { all[1].Durable = false },
+		"one is to be stopped": func(_ *Ledger, _ *Job, all []*Attempt) { all[1].Halt = true },
+		"one is missing":       func(b *Ledger, _ *Job, all []*Attempt) { b.Drop(all[1]) },
+		"another number": func(b *Ledger, j *Job, all []*Attempt) {
 			b.Drop(all[1])
 			b.Put(b.AddMachine("i-2"), j, 1, 8, 0).Durable = true
 		},
-		"one twice": func(b *Books, j *Job, all []*Attempt) {
+		"one twice": func(b *Ledger, j *Job, all []*Attempt) {
 			b.Drop(all[1])
 			b.Put(b.AddMachine("i-2"), j, 0, 7, 0).Durable = true
 		},
@@ -96,8 +96,8 @@
 // What the workers say moves the attempt on, under its own number only.
 func TestGangRunsWhenATaskDoes(t *testing.T) {
 	b, j, all := placedGang(t)
-	stray := b.Put(b.AddMachine("i-4"), j, 0, 6, 0)
-	stray.SetState(protocol.Running)
+	unanswered := b.Put(b.AddMachine("i-4"), j, 0, 6, 0)
+	unanswered.SetState(protocol.Running)
 	all[0].SetState(protocol.Gathering)
 	if j.Gang.State != GangGathering {
 		t.Errorf("it is %v", j.Gang.State)
--- a/internal/ledger/job.go
+++ b/internal/ledger/job.go
@@ -16,7 +16,7 @@
 	// Stored: the job's record is durable, the user may be told so.
 	Stored bool
 	// Cancelling: no starts any more, and whatever runs is stopped, by this leader
-	// or a later one: the wish is stored.
+	// or a later one: the request is stored.
 	Cancelling bool
 	// Finishing: all tasks are done, or cancelled and proved gone, and the last
 	// record is being written.
@@ -29,7 +29,7 @@
 	// oversized are the chunks whose stored record is larger than may be written now.
 	oversized map[int]bool
 	Done      int
-	held      map[int]int // attempts in the books, by task
+	held      map[int]int // attempts in the ledger, by task
 	inZone    map[string]int
 	HeldTotal int
 	Running   int
@@ -38,8 +38,8 @@
 	// Gang is a gang's current attempt; nil: the job is no gang.
 	Gang *Gang
 
-	// HungryAt is since when it has waited with no task anywhere, 0: it does not.
-	HungryAt time.Duration
+	// WaitingSince is since when it has waited with no task anywhere, 0: it does not.
+	WaitingSince time.Duration
 
 	// Failures in a row and when the next start may be made.
 	Failures  int
@@ -53,8 +53,8 @@
 	Tasks     int
 }
 
-// AddJob puts a job in the books.
-func (b *Books) AddJob(spec *protocol.Spec, submitted int64) *Job {
+// AddJob puts a job in the ledger.
+func (b *Ledger) AddJob(spec *protocol.Spec, submitted int64) *Job {
 	j := &Job{Spec: spec, Submitted: submitted, Scale: sched.NewScale(),
 		Need: sched.Need{Cores: spec.Cores, Accel: spec.Accelerators, Mem: spec.MemoryGB},
 		done: make([]uint64, (spec.Tasks+63)/64), held: map[int]int{}, inZone: map[string]int{}}
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -1,5 +1,5 @@
-// Package ledger keeps the books: jobs, tasks, machines, and the attempts that
-// may be on each machine. An attempt stays in the books until it is proved
+// Package ledger keeps the record of jobs, tasks, machines, and the attempts that
+// may be on each machine. An attempt stays in the ledger until it is proved
 // gone; limits, zones and room count all that is in them.
 package ledger
 
@@ -9,8 +9,8 @@
 	"claybarrow/internal/sched"
 )
 
-// Books are all of it.
-type Books struct {
+// Ledger holds all jobs, machines and teams.
+type Ledger struct {
 	Jobs     map[string]*Job
 	Terminal map[string]TerminalState
 	Machines map[string]*Machine
@@ -19,15 +19,15 @@
 	sorted   []*Machine
 }
 
-// New makes empty books. layoutBytes is the store's limit for one value that the layout
+// New makes an empty ledger. layoutBytes is the store's limit for one value that the layout
 // of completions is computed from, valueBytes the limit that is written within.
-func New(layoutBytes, valueBytes int) *Books {
-	return &Books{Jobs: map[string]*Job{}, Terminal: map[string]TerminalState{}, Machines: map[string]*Machine{},
+func New(layoutBytes, valueBytes int) *Ledger {
+	return &Ledger{Jobs: map[string]*Job{}, Terminal: map[string]TerminalState{}, Machines: map[string]*Machine{},
 		Teams: map[string]*sched.Team{}, layout: newLayout(layoutBytes, valueBytes)}
 }
 
 // Put notes that an attempt may be on the machine.
-func (b *Books) Put(m *Machine, j *Job, index int, try uint64, now time.Duration) *Attempt {
+func (b *Ledger) Put(m *Machine, j *Job, index int, try uint64, now time.Duration) *Attempt {
 	a := &Attempt{Job: j, Index: index, Try: try, Machine: m, Since: now}
 	m.Attempts[a.Key()] = a
 	m.Used = m.Used.Plus(j.Need)
@@ -44,8 +44,8 @@
 	return a
 }
 
-// Drop takes an attempt that is proved gone out of the books.
-func (b *Books) Drop(a *Attempt) {
+// Drop takes an attempt that is proved gone out of the ledger.
+func (b *Ledger) Drop(a *Attempt) {
 	m, j := a.Machine, a.Job
 	if m.Attempts[a.Key()] != a {
 		return
--- a/internal/ledger/machine.go
+++ b/internal/ledger/machine.go
@@ -15,11 +15,11 @@
 	Spot                 bool
 	Size                 sched.Need
 	Attempts             map[Key]*Attempt
-	Exited               map[Key]*Gone
+	Exited               map[Key]*ExitedTask
 	Used                 sched.Need
-	// Strays are tasks of jobs that the books don't have, with the time of the
+	// UnknownTasks are tasks of jobs that the ledger does not have, with the time of the
 	// last halt.
-	Strays map[Key]time.Duration
+	UnknownTasks map[Key]time.Duration
 
 	// The newest message: its session and sequence number, the token it had.
 	Session, Seq, Token uint64
@@ -29,9 +29,9 @@
 	Fresh               bool
 	Known               bool // heard of in this term
 	// DeadSession and older ones are proved over.
-	DeadSession uint64
-	Deaf        int // answered reports that show an old token, or lapses
-	AsideUntil  time.Duration
+	DeadSession   uint64
+	UnseenAnswers int // answered reports that show an old token, or lapses
+	AsideUntil    time.Duration
 	// DrainUntil: its replicas are being moved, nothing new comes meanwhile.
 	DrainUntil time.Duration
 	Errors     int
@@ -66,22 +66,22 @@
 	NoConn   bool
 	FailedAt time.Duration
 	NextCall time.Duration
-	Greeted  bool
+	Probed   bool
 }
 
 // AddMachine returns the machine, made if need be.
-func (b *Books) AddMachine(id string) *Machine {
+func (b *Ledger) AddMachine(id string) *Machine {
 	m := b.Machines[id]
 	if m == nil {
-		m = &Machine{ID: id, Attempts: map[Key]*Attempt{}, Exited: map[Key]*Gone{}, Images: map[string]bool{}}
+		m = &Machine{ID: id, Attempts: map[Key]*Attempt{}, Exited: map[Key]*ExitedTask{}, Images: map[string]bool{}}
 		b.Machines[id] = m
 		b.sorted = nil
 	}
 	return m
 }
 
-// RemoveMachine takes a machine out of the books.
-func (b *Books) RemoveMachine(m *Machine) {
+// RemoveMachine takes a machine out of the ledger.
+func (b *Ledger) RemoveMachine(m *Machine) {
 	delete(b.Machines, m.ID)
 	b.sorted = nil
 }
@@ -89,7 +89,7 @@
 // SortedMachines lists the machines by name. The list is kept until a machine
 // comes or goes, as it is asked for at every tick, and is never changed: who
 // goes through it may add and remove machines meanwhile.
-func (b *Books) SortedMachines() []*Machine {
+func (b *Ledger) SortedMachines() []*Machine {
 	if b.sorted == nil {
 		b.sorted = slices.Collect(maps.Values(b.Machines))
 		slices.SortFunc(b.sorted, func(x, y *Machine) int { return strings.Compare(x.ID, y.ID) })
--- a/internal/protocol/wire.go
+++ b/internal/protocol/wire.go
@@ -247,7 +247,7 @@
 
 // Heartbeat keeps a controller in touch with the leader. Token is the highest known
 // to it, LeaderClock the one of the leader's last answer under that token, and
-// ServedMS how long ago it last answered a worker in the leader's stead (-1:
+// ServedMS how long ago it last answered a worker for the leader (-1:
 // never).
 type Heartbeat struct {
 	From        string `cbor:"1,keyasint"`
--- a/internal/sched/emptying.go
+++ b/internal/sched/emptying.go
@@ -4,10 +4,10 @@
 	"maps"
 )
 
-// Dear says whether a machine costs at least what the fleet's machines do on
+// Costly says whether a machine costs at least what the fleet's machines do on
 // average. Where all types cost the same all are dear: sums of like prices round
 // up or down, which once kept a fleet of one type from being emptied at all.
-func (s *Snapshot) Dear(m *Machine) bool {
+func (s *Snapshot) Costly(m *Machine) bool {
 	total := 0.0
 	for _, o := range s.Machines {
 		total += o.Type.Price
--- a/internal/sched/fill.go
+++ b/internal/sched/fill.go
@@ -36,7 +36,7 @@
 			}
 		}
 	}
-	out = s.feedGangs(out)
+	out = s.placeStarvedGangs(out)
 	for _, j := range s.Jobs {
 		if j.Phantom {
 			s.reserve(j)
--- a/internal/sched/gang.go
+++ b/internal/sched/gang.go
@@ -6,11 +6,11 @@
 	"slices"
 )
 
-// feedGangs places gangs that have waited for longer than a boot, the oldest first.
+// placeStarvedGangs places gangs that have waited for longer than a boot, the oldest first.
 // What there is of the room for one that does not fit is held back from all others:
 // small jobs would take it again and again. Nothing of that outlives the snapshot,
 // so gangs can't block one another.
-func (s *Snapshot) feedGangs(out []Placement) []Placement {
+func (s *Snapshot) placeStarvedGangs(out []Placement) []Placement {
 	var starved []*Job
 	for _, j := range s.Jobs {
 		if j.Gang && j.Starved && len(j.Waiting) > 0 {
--- a/internal/sched/sched_test.go
+++ b/internal/sched/sched_test.go
@@ -362,13 +362,13 @@
 	s := &Snapshot{}
 	for n := range 300 {
 		s.Machines = append(s.Machines, &Machine{Type: typ})
-		if !s.Dear(s.Machines[0]) {
+		if !s.Costly(s.Machines[0]) {
 			t.Fatalf("%d machines of one type are not dear", n+1)
 		}
 	}
 	cheap := &Machine{Type: small}
 	s.Machines = append(s.Machines, cheap)
-	if s.Dear(cheap) || !s.Dear(s.Machines[0]) {
+	if s.Costly(cheap) || !s.Costly(s.Machines[0]) {
 		t.Fatal("the cheap one is dear")
 	}
 }
--- a/internal/transport/door.go
+++ b/internal/transport/limiter.go
@@ -9,13 +9,13 @@
 	"time"
 )
 
-// door is a listener with a bounded number of connections, so that room stays
+// connLimiter is a listener with a bounded number of connections, so that room stays
 // for the state service, the cloud and the workers. When it is full, the
 // connection that has been idle for longest gives way to the new one: when a
 // controller ends or its peers can't be reached, all workers of a zone or two
-// turn to one door, and most of what is open there then waits for nothing. Only
+// turn to one listener, and most of what is open there then waits for nothing. Only
 // if none is idle is the new one closed at once.
-type door struct {
+type connLimiter struct {
 	net.Listener
 	most int
 
@@ -23,23 +23,23 @@
 	open int
 	// idle are the connections without a request, least lately used first.
 	idle *list.List
-	at   map[*doorConn]*list.Element
+	at   map[*limitedConn]*list.Element
 }
 
-func openDoor(addr string, most int) (*door, error) {
+func openDoor(addr string, most int) (*connLimiter, error) {
 	l, err := net.Listen("tcp4", addr)
 	if err != nil {
 		return nil, err
 	}
-	return newDoor(l, most), nil
+	return newConnLimiter(l, most), nil
 }
 
-func newDoor(l net.Listener, most int) *door {
-	return &door{Listener: l, most: max(1, most), idle: list.New(), at: map[*doorConn]*list.Element{}}
+func newConnLimiter(l net.Listener, most int) *connLimiter {
+	return &connLimiter{Listener: l, most: max(1, most), idle: list.New(), at: map[*limitedConn]*list.Element{}}
 }
 
 // Accept takes the next connection that there is room for.
-func (d *door) Accept() (net.Conn, error) {
+func (d *connLimiter) Accept() (net.Conn, error) {
 	for {
 		conn, err := d.Listener.Accept()
 		if err != nil {
@@ -59,25 +59,25 @@
 		d.mu.Lock()
 		d.open++
 		d.mu.Unlock()
-		return &doorConn{Conn: conn, door: d}, nil
+		return &limitedConn{Conn: conn, connLimiter: d}, nil
 	}
 }
 
-func (d *door) full() bool {
+func (d *connLimiter) full() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return d.open >= d.most
 }
 
 // letGo closes the connection that has been idle for longest.
-func (d *door) letGo() bool {
+func (d *connLimiter) letGo() bool {
 	d.mu.Lock()
 	e := d.idle.Front()
 	if e == nil {
 		d.mu.Unlock()
 		return false
 	}
-	c := d.idle.Remove(e).(*doorConn)
+	c := d.idle.Remove(e).(*limitedConn)
 	delete(d.at, c)
 	d.mu.Unlock()
 	c.Close()
@@ -86,8 +86,8 @@
 
 // note follows a connection's state. One that is new and has sent nothing yet is
 // as idle as one between two requests.
-func (d *door) note(conn net.Conn, state http.ConnState) {
-	c, ok := conn.(*doorConn)
+func (d *connLimiter) note(conn net.Conn, state http.ConnState) {
+	c, ok := conn.(*limitedConn)
 	if !ok {
 		return
 	}
@@ -103,7 +103,7 @@
 }
 
 // busier says whether more than so many percent of the room is taken.
-func (d *door) busier(percent int) bool {
+func (d *connLimiter) busier(percent int) bool {
 	if d == nil {
 		return false
 	}
@@ -112,15 +112,15 @@
 	return d.open*100 > d.most*percent
 }
 
-type doorConn struct {
+type limitedConn struct {
 	net.Conn
-	door   *door
-	closed bool // guarded by the door's lock
+	connLimiter *connLimiter
+	closed      bool // guarded by the connLimiter's lock
 }
 
 // Close closes the connection and counts it out once.
-func (c *doorConn) Close() error {
-	d := c.door
+func (c *limitedConn) Close() error {
+	d := c.connLimiter
 	d.mu.Lock()
 	if !c.closed {
 		c.closed = true
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -37,7 +37,7 @@
 	inbox   chan coordination.Event
 	asks    chan ask // users, other controllers, the load balancer
 	reports chan ask // workers
-	users   *door
+	users   *connLimiter
 	clients map[coordination.Target]*http.Client
 	start   time.Time
 }
@@ -94,7 +94,7 @@
 	}
 	failed := make(chan error, 2)
 	for _, s := range []struct {
-		l *door
+		l *connLimiter
 		h http.Handler
 	}{{users, n.userRoutes()}, {peers, n.peerRoutes()}} {
 		server := &http.Server{Handler: s.h, ReadHeaderTimeout: n.cfg.Lease(), ReadTimeout: n.cfg.Lease(),
@@ -282,7 +282,7 @@
 			leaveAt = 100
 		}
 		if n.users.busier(leaveAt) {
-			// Room for those that come by the same door.
+			// Room for those that come by the same listener.
 			w.Header().Set("Connection", "close")
 		}
 		timer := time.NewTimer(replyWithin)
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -120,7 +120,7 @@
 	}
 	// As sockets get short, users' connections end with the answer, and workers'
 	// only later.
-	n.users = newDoor(nil, 100)
+	n.users = newConnLimiter(nil, 100)
 	for range cap(n.reports) {
 		n.reports <- ask{} // so that reports, too, are answered at once
 	}
@@ -149,11 +149,11 @@
 func (p *pipes) Close() error   { return nil }
 func (p *pipes) Addr() net.Addr { return nil }
 
-// When the door is full, the connection that has been idle for longest gives way;
+// When the limiter is full, the connection that has been idle for longest gives way;
 // one with a request under way never does.
 func TestFullDoorLetsTheIdleGo(t *testing.T) {
 	p := &pipes{}
-	d := newDoor(p, 3)
+	d := newConnLimiter(p, 3)
 	accept := func() net.Conn {
 		c, err := d.Accept()
 		if err != nil {
