--- a/internal/coordination/commands.go
+++ b/internal/coordination/commands.go
@@ -137,102 +137,126 @@
 // good as unanswered, however long the workers' lease.
 const callWithin = 1600 * time.Millisecond
 
+// directCall is a request to a worker that is under way.
+type directCall struct {
+	machine *ledger.Machine
+	session uint64
+	runs    []*ledger.Attempt // whose runs it carries
+	sent    time.Duration
+	mayHang bool
+}
+
+// wantsProbe says whether an empty request is worth a call. It brings our token to a
+// machine that may be up, and tells whether the direct way works again. A booting one
+// would only time out.
+func (r *term) wantsProbe(m *ledger.Machine) bool {
+	unheard := !m.Fresh && !m.Probed && (m.Up || m.Listed)
+	overdue := m.Known && m.Session > m.DeadSession && r.c.now > m.Heard+r.c.cfg.Report()*3/2
+	// The last: others did not answer. Is it them, or can't we reach anybody?
+	return unheard || m.CallFails > 0 || overdue || r.probes(m)
+}
+
+// mayCall says whether a call to the machine may leave now. Calls wait for one another
+// before anything is noted as sent: a take-over of hundreds of machines, or a
+// partitioned zone whose calls all hang, must not take the sockets, and what answers
+// must not wait for what hangs.
+func (r *term) mayCall(m *ledger.Machine) bool {
+	sockets := r.c.cfg.Cluster.Resources.FDs
+	return r.calling < sockets/8 && !(r.mayHang(m) && r.hanging >= sockets/12)
+}
+
 // dispatch sends what there is to send directly, one request at a time.
 func (r *term) dispatch(m *ledger.Machine) {
 	c := r.c
 	if m.Calling || m.Addr == "" || c.now < m.NextCall || !r.ready || c.term != r {
 		return
 	}
-	// An empty request brings our token to a machine that may be up, and tells
-	// whether the direct way works again. A booting one would only time out.
-	probe := (!m.Fresh && !m.Probed && (m.Up || m.Listed)) || m.CallFails > 0 ||
-		// A report is overdue: is the machine there at all?
-		(m.Known && m.Session > m.DeadSession && c.now > m.Heard+c.cfg.Report()*3/2) ||
-		// Others did not answer: is it them, or can't we reach anybody?
-		r.probes(m)
-	if !m.Known && !probe {
-		return
-	}
-	// Calls wait for one another before anything is noted as sent: a take-over of
-	// hundreds of machines, or a partitioned zone whose calls all hang, must not take the
-	// sockets, and what answers must not wait for what hangs.
-	fds := c.cfg.Cluster.Resources.FDs
-	if r.calling >= fds/8 || r.mayHang(m) && r.hanging >= fds/12 {
+	probe := r.wantsProbe(m)
+	if !m.Known && !probe || !r.mayCall(m) {
 		return
 	}
 	cmds := r.commands(m, false)
 	if len(cmds) == 0 && !probe {
 		return
 	}
-	r.calling++
-	mayHang := r.mayHang(m)
-	if mayHang {
-		r.hanging++
-	}
-	m.Calling, m.Probed = true, true
-	var runs []*ledger.Attempt
+	call := &directCall{machine: m, session: m.Session, sent: c.now, mayHang: r.mayHang(m)}
 	for _, cmd := range cmds {
 		if cmd.Verb == protocol.VerbRun {
-			runs = append(runs, m.Attempts[ledger.Key{Task: cmd.Task, Try: cmd.Attempt}])
+			call.runs = append(call.runs, m.Attempts[ledger.Key{Task: cmd.Task, Try: cmd.Attempt}])
 		}
 	}
+	r.calling++
+	if call.mayHang {
+		r.hanging++
+	}
+	m.Calling, m.Probed = true, true
 	body := protocol.Commands{Token: r.token, Session: m.Session, Commands: cmds}
 	if body.Commands == nil {
 		body.Commands = []protocol.Command{}
 	}
-	called := c.now
 	c.call(ToWorker, m.Addr, "POST", "/commands", body, min(c.cfg.Lease()/10, callWithin), func(res Result) {
-		if c.term != r {
-			return
-		}
-		m.Calling = false
-		if res.Status != 0 {
-			r.reached(c.now)
-		} else if m.Heard > called {
-			r.missed(m.ID, c.now)
-		}
-		r.calling--
-		if mayHang {
-			r.hanging--
-		}
-		for _, a := range runs {
-			a.Flying--
-			switch res.Status {
-			case 200:
-				a.Acked = true
-			case 409:
-			default:
-				a.Lost = true
-			}
-		}
-		if r.Machines[m.ID] != m {
-			return
+		if c.term == r {
+			r.onDirectAnswer(call, res)
 		}
-		if res.Status != 200 && res.Status != 409 {
-			m.CallFails++
-			m.NoConn, m.FailedAt = res.NoConn, called
-			m.Probed = false
-			m.NextCall = c.now + min(c.cfg.Report()/2, c.cfg.LeaderTTL()*2/3)*time.Duration(min(m.CallFails, 4))
-			return
-		}
-		m.CallFails, m.NoConn = 0, false
-		var msg protocol.Report
-		if protocol.Decode(res.Body, &msg) != nil || msg.Machine != m.ID {
+	})
+}
+
+// onDirectAnswer takes the answer to a direct request, or that there was none.
+func (r *term) onDirectAnswer(call *directCall, res Result) {
+	c, m := r.c, call.machine
+	m.Calling = false
+	r.calling--
+	if call.mayHang {
+		r.hanging--
+	}
+	if res.Status != 0 {
+		r.reached(c.now)
+	} else if m.Heard > call.sent {
+		r.missed(m.ID, c.now)
+	}
+	call.settleRuns(res.Status)
+	if r.Machines[m.ID] != m {
+		return
+	}
+	if res.Status != 200 && res.Status != 409 {
+		m.CallFails++
+		m.NoConn, m.FailedAt = res.NoConn, call.sent
+		m.Probed = false
+		m.NextCall = c.now + min(c.cfg.Report()/2, c.cfg.LeaderTTL()*2/3)*time.Duration(min(m.CallFails, 4))
+		return
+	}
+	m.CallFails, m.NoConn = 0, false
+	var msg protocol.Report
+	if protocol.Decode(res.Body, &msg) != nil || msg.Machine != m.ID {
+		m.NextCall = c.now + c.cfg.Report()
+		return
+	}
+	r.observe(&msg, false)
+	if c.term != r {
+		return
+	}
+	if res.Status == 409 {
+		// The session was not the one we thought; its answer says which.
+		m.Probed = false
+		m.NextCall = c.now + c.cfg.Report()/20
+		if msg.Session == call.session {
 			m.NextCall = c.now + c.cfg.Report()
-			return
 		}
-		r.observe(&msg, false)
-		if c.term != r {
-			return
-		}
-		if res.Status == 409 {
-			// The session was not the one we thought; its answer says which.
-			m.Probed = false
-			m.NextCall = c.now + c.cfg.Report()/20
-			if msg.Session == body.Session {
-				m.NextCall = c.now + c.cfg.Report()
-			}
+	}
+	r.dispatch(m)
+}
+
+// settleRuns notes what became of the runs that the request carried: without an answer
+// a copy of them may still be executed.
+func (call *directCall) settleRuns(status int) {
+	for _, a := range call.runs {
+		a.Flying--
+		switch status {
+		case 200:
+			a.Acked = true
+		case 409:
+		default:
+			a.Lost = true
 		}
-		r.dispatch(m)
-	})
+	}
 }
--- a/internal/coordination/fleet_test.go
+++ b/internal/coordination/fleet_test.go
@@ -21,14 +21,14 @@
 		w.until(90*second, "replicas run", all)
 		w.run(15 * second)
 		lead := w.leader()
-		deafOnes := map[string]bool{}
+		unhearing := map[string]bool{}
 		for _, k := range w.fleet() {
-			if len(deafOnes) < leastMissed && len(k.tasks) > 0 {
-				deafOnes[k.addr()] = true
+			if len(unhearing) < leastMissed && len(k.tasks) > 0 {
+				unhearing[k.addr()] = true
 			}
 		}
 		w.script = func(node int, c Call) fate {
-			return fate{lost: node == lead && c.Target == ToWorker && (!answersLost || deafOnes[c.Addr])}
+			return fate{lost: node == lead && c.Target == ToWorker && (!answersLost || unhearing[c.Addr])}
 		}
 		if !answersLost {
 			w.reports = func(_ *simWorker, node int) fate { return fate{lost: node == lead} }
@@ -42,7 +42,7 @@
 			}
 		}
 		if (w.leader() == lead) != answersLost {
-			t.Errorf("deaf machines %v: the leader is %d, was %d", answersLost, w.leader(), lead)
+			t.Errorf("machines that hear nothing %v: the leader is %d, was %d", answersLost, w.leader(), lead)
 		}
 		w.script, w.reports = nil, nil
 		w.awaitTold(200*second, "j-3", "done")
@@ -83,7 +83,7 @@
 // With a lease longer than the way round all controllers, a zone's workers find
 // their controller again when it has ended in a cut together with all others: its
 // machines are not given up (loss, credit checks' fleet: 158 machines were).
-func TestLongLeaseZoneIsNotForsaken(t *testing.T) {
+func TestLongLeaseZoneIsNotGivenUp(t *testing.T) {
 	w := newWorld(t, 37)
 	for _, cfg := range w.cfgs {
 		cfg.Cluster.Workers.LeaseS = 31
@@ -136,7 +136,7 @@
 		r.dispatch(m)
 	}
 	if r.calling != r.hanging || r.hanging != fds/12 {
-		t.Errorf("%d calls under way, %d of them doubtful, with %d sockets", r.calling, r.hanging, fds)
+		t.Errorf("%d calls under way, %d of them may hang, with %d sockets", r.calling, r.hanging, fds)
 	}
 	m := r.AddMachine("i-000001")
 	m.Type, m.Zone, m.Addr, m.Known, m.Fresh, m.Up = "m8", "a", "10.2.1.1:1", true, true, true
--- a/internal/coordination/follower.go
+++ b/internal/coordination/follower.go
@@ -51,7 +51,7 @@
 	return ""
 }
 
-// keepDeputy stays in touch with the leader.
+// keepFollowing stays in touch with the leader.
 func (c *Core) keepFollowing() {
 	d := &c.follower
 	if c.view.leader != nil {
--- a/internal/coordination/guards_test.go
+++ b/internal/coordination/guards_test.go
@@ -148,7 +148,7 @@
 
 // A task that no book knows ends on the only machine with room: the machine takes
 // work again.
-func TestStrayIsForgottenWhenGone(t *testing.T) {
+func TestUnknownTaskIsForgottenWhenGone(t *testing.T) {
 	w := newWorld(t, 75)
 	w.submit("j-1", map[string]any{"shape": "service", "cores": 2.0})
 	w.until(60*second, "the replica runs", func() bool { return w.running("j-1") == 1 })
--- a/internal/coordination/meetings_test.go
+++ b/internal/coordination/meetings_test.go
@@ -448,7 +448,7 @@
 		w.run(60 * second)
 		for _, k := range reportsLost {
 			if k.lives > began[k]+2 {
-				w.breaks("a mute machine was given %d tasks, all of which die with its lease", k.lives-began[k])
+				w.breaks("a machine whose reports are lost was given %d tasks, all of which die with its lease", k.lives-began[k])
 			}
 		}
 		// Their work runs elsewhere.
@@ -462,7 +462,7 @@
 				}
 			}
 			if n == 0 {
-				w.breaks("%s runs on mute machines alone", uid)
+				w.breaks("%s runs on machines whose reports are lost alone", uid)
 			}
 		}
 	})
--- a/internal/coordination/reach.go
+++ b/internal/coordination/reach.go
@@ -57,7 +57,7 @@
 		r.c.now > r.suspectAt+r.c.cfg.Lease()/20 && r.c.now >= r.c.standBackUntil
 }
 
-// leastDeaf is how many machines have to be missed before a leader gives up: one
+// leastMissed is how many machines have to be missed before a leader gives up: one
 // or two may hear nothing themselves.
 const leastMissed = 3
 
--- a/internal/coordination/reports.go
+++ b/internal/coordination/reports.go
@@ -94,7 +94,7 @@
 	if !m.Up {
 		c.log.Info("machine up", "machine", m.ID, "type", m.Type, "zone", m.Zone, "spot", m.Spot)
 	}
-	// Deafness: its session lapsed although we answered all the while, or
+	// Answers are lost: its session lapsed although we answered all the while, or
 	// several answered reports in a row still show an old token.
 	if lapsed && m.Answered > 0 && c.now-m.Answered < c.cfg.Lease()/2 {
 		m.UnseenAnswers += 3
--- a/internal/coordination/rules_test.go
+++ b/internal/coordination/rules_test.go
@@ -256,7 +256,7 @@
 
 // Reports arrive, answers and direct commands don't: the tasks die with the
 // worker's lease, and the machine is not filled again.
-func TestDeafMachine(t *testing.T) {
+func TestMachineThatHearsNoAnswer(t *testing.T) {
 	w := newWorld(t, 10)
 	w.submit("j-1", map[string]any{"shape": "service", "shards": 2, "cores": 8.0})
 	w.until(60*second, "replicas run", func() bool { return w.running("j-1") == 2 })
@@ -364,13 +364,13 @@
 }
 
 // Random troubles in random order, each with a fixed seed.
-func TestStorms(t *testing.T) {
+func TestManyRequestsAtOnce(t *testing.T) {
 	for seed := range uint64(12) {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) { storm(t, 100+seed) })
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { burst(t, 100+seed) })
 	}
 }
 
-func storm(t *testing.T, seed uint64) {
+func burst(t *testing.T, seed uint64) {
 	w := newWorld(t, seed)
 	var jobs []string
 	cancelled := map[string]bool{}
@@ -625,7 +625,7 @@
 
 // The follower of a zone that is cut off ends. Nobody can know, so its tasks are
 // started elsewhere only when its leave has run out as well.
-func TestDeputyEndsInTheCut(t *testing.T) {
+func TestFollowerEndsInTheCut(t *testing.T) {
 	w := newWorld(t, 32)
 	w.awaitLeader()
 	w.submit("j-1", map[string]any{"shape": "service", "shards": 4, "apart": true})
@@ -679,7 +679,7 @@
 
 // The follower of a zone that is cut off ends and is back at once: it knows
 // nothing, but goes on answering the zone's workers with the token they show.
-func TestDeputyRestartsInTheCut(t *testing.T) {
+func TestFollowerRestartsInTheCut(t *testing.T) {
 	w := newWorld(t, 34)
 	w.awaitLeader()
 	w.submit("j-1", map[string]any{"shape": "service", "shards": 4, "apart": true})
@@ -783,7 +783,7 @@
 // All controllers end in a cut, and the zone's only one with them: its workers
 // look for longer than a lease, so their tasks go on elsewhere without waiting for
 // the cut to end. The end of a leader alone is no such sign.
-func TestForsakenZone(t *testing.T) {
+func TestZoneIsGivenUp(t *testing.T) {
 	for _, all := range []bool{true, false} {
 		w := newWorld(t, 37)
 		lead := w.awaitLeader()
--- a/internal/coordination/snapshot.go
+++ b/internal/coordination/snapshot.go
@@ -64,20 +64,7 @@
 		if !j.Stored {
 			continue
 		}
-		sj := schedJob(j)
-		sj.AimS = r.aimOf(j.Spec.Class)
-		sj.LeftS, sj.Late = r.timeLeft(j)
-		sj.Patient = float64(c.wall-j.Submitted)/1000 > 2*c.bootS()
-		if c.now >= j.NotBefore {
-			sj.Waiting, sj.Resume = j.Waiting(512)
-		}
-		if j.HeldTotal > 0 || j.Cancelling || j.Finishing {
-			j.WaitingSince = 0
-		} else if j.WaitingSince == 0 {
-			j.WaitingSince = c.now
-		}
-		sj.Starved = j.WaitingSince > 0 && c.now > j.WaitingSince+seconds(c.bootS())
-		sj.Claims = min(claims[uid], len(sj.Waiting))
+		sj := r.jobView(j, claims[uid])
 		if len(sj.Waiting) == 0 && !running {
 			continue
 		}
@@ -85,39 +72,22 @@
 		jobs[j] = sj
 		s.Jobs = append(s.Jobs, sj)
 	}
-	room := c.cfg.ValueBytes() / ledger.EntryBytes
 	for _, m := range r.machines() {
 		t := c.typeOf(m.Type)
 		if t == nil {
 			continue
 		}
-		sm := &sched.Machine{ID: m.ID, Type: t, Zone: m.Zone, Spot: m.Spot, Free: m.Size.Minus(m.Used),
-			Room: room - len(m.Attempts), Used: len(m.Attempts) > 0, For: r.claims[m.ID].job}
 		if c.now < m.DrainUntil {
 			for _, a := range m.Attempts {
 				s.Moving = s.Moving || a.Job.Spec.Service
 			}
 		}
+		sm := r.machineView(m, t)
 		switch {
 		case r.usable(m):
-			sm.Images = m.Images
-			for _, a := range m.Attempts {
-				if a.State == "" || a.State == protocol.Pulling {
-					if !m.Images[a.Job.Spec.Image] {
-						if sm.Fetching == nil {
-							sm.Fetching = map[string]bool{}
-						}
-						sm.Fetching[a.Job.Spec.Image] = true
-					}
-				}
-			}
+			showImages(sm, m)
 			if running {
-				for _, a := range m.Sorted() {
-					if sj := jobs[a.Job]; sj != nil && !a.Halt {
-						sm.Running = append(sm.Running, sched.Held{Job: sj, Index: a.Index,
-							SinceS: (c.now - a.Since).Seconds()})
-					}
-				}
+				sm.Running = r.runningOn(m, jobs)
 			}
 		case booting && !m.Up && !m.Returning && !r.isPartitioned(m.Zone) && c.now < m.Rented+seconds(t.BootS*1.6):
 			sm.Booting = true
@@ -129,6 +99,59 @@
 	return s
 }
 
+// jobView is a job as the scheduler sees it, with what waits of it now.
+func (r *term) jobView(j *ledger.Job, claims int) *sched.Job {
+	c := r.c
+	sj := schedJob(j)
+	sj.AimS = r.aimOf(j.Spec.Class)
+	sj.LeftS, sj.Late = r.timeLeft(j)
+	sj.Patient = float64(c.wall-j.Submitted)/1000 > 2*c.bootS()
+	if c.now >= j.NotBefore {
+		sj.Waiting, sj.Resume = j.Waiting(512)
+	}
+	if j.HeldTotal > 0 || j.Cancelling || j.Finishing {
+		j.WaitingSince = 0
+	} else if j.WaitingSince == 0 {
+		j.WaitingSince = c.now
+	}
+	sj.Starved = j.WaitingSince > 0 && c.now > j.WaitingSince+seconds(c.bootS())
+	sj.Claims = min(claims, len(sj.Waiting))
+	return sj
+}
+
+// machineView is a machine as the scheduler sees it, without what is on it.
+func (r *term) machineView(m *ledger.Machine, t *sched.Type) *sched.Machine {
+	entries := r.c.cfg.ValueBytes() / ledger.EntryBytes
+	return &sched.Machine{ID: m.ID, Type: t, Zone: m.Zone, Spot: m.Spot, Free: m.Size.Minus(m.Used),
+		Room: entries - len(m.Attempts), Used: len(m.Attempts) > 0, For: r.claims[m.ID].job}
+}
+
+// showImages tells which images a machine has, and which it is fetching.
+func showImages(sm *sched.Machine, m *ledger.Machine) {
+	sm.Images = m.Images
+	for _, a := range m.Attempts {
+		image := a.Job.Spec.Image
+		if a.State != "" && a.State != protocol.Pulling || m.Images[image] {
+			continue
+		}
+		if sm.Fetching == nil {
+			sm.Fetching = map[string]bool{}
+		}
+		sm.Fetching[image] = true
+	}
+}
+
+// runningOn lists a machine's tasks that may be stopped for others.
+func (r *term) runningOn(m *ledger.Machine, jobs map[*ledger.Job]*sched.Job) []sched.Held {
+	var out []sched.Held
+	for _, a := range m.Sorted() {
+		if sj := jobs[a.Job]; sj != nil && !a.Halt {
+			out = append(out, sched.Held{Job: sj, Index: a.Index, SinceS: (r.c.now - a.Since).Seconds()})
+		}
+	}
+	return out
+}
+
 // keepLimits leaves a little of each team's limit to its services: as much as
 // arrives in three rounds. Batches that fill a limit to the brim make each new
 // replica wait for a round's stop and a save, and some aims are a second.
--- a/internal/sched/fill.go
+++ b/internal/sched/fill.go
@@ -12,30 +12,23 @@
 	Machine *Machine
 }
 
+// Passes of a fill over batches and gangs.
+const (
+	withinGuarantees = iota // within their teams' guarantees
+	withinSlots             // within slots, the upper queue under its cap
+	interrupted             // what a machine's end interrupted
+	spareRoom               // whatever room is left
+	fillPasses
+)
+
 // Fill starts waiting tasks in rank order: services, those within their team's
 // guarantee first; then the room kept for expected ones; then batches, first
 // within guarantees, then within slots (the upper queue under its cap), then
 // what was interrupted, then whatever room is spare.
 func (s *Snapshot) Fill() []Placement {
 	Order(s.Jobs)
-	var out []Placement
-	for _, guaranteed := range []bool{true, false} {
-		for _, j := range s.Jobs {
-			if j.Service && !j.Phantom {
-				out = s.place(out, j, func(t *Team) bool { return !guaranteed || t.InGuarantee(j.Need) })
-			}
-		}
-	}
-	// Room kept for what may come, or left of a limit, is no reason for a batch to
-	// go without a single task for as long as there is no other.
-	for _, j := range s.Jobs {
-		if t := s.Teams[j.Team]; j.Starved && !j.Service && !j.Gang && j.Held == 0 && len(j.Waiting) > 0 && t != nil && t.InLimit(j.Need) {
-			if m := s.best(j); m != nil {
-				out = append(out, Placement{j, j.Waiting[0], m})
-				s.take(j, m)
-			}
-		}
-	}
+	out := s.placeServices(nil)
+	out = s.placeStarved(out)
 	out = s.placeStarvedGangs(out)
 	for _, j := range s.Jobs {
 		if j.Phantom {
@@ -46,62 +39,103 @@
 	if s.Moving {
 		return out
 	}
-	for pass := range 4 {
-		upper := 0.0
-		if pass == 2 {
-			// Beyond slots the upper queue has no precedence: its cap has been
-			// used up in the pass before.
-			// Jobs with a deadline go by the time they have left, and those that
-			// can't meet theirs go last: least attained service spreads a full
-			// team's limit over all its jobs, and then all of them are late.
-			sort.SliceStable(s.Jobs, func(a, b int) bool {
-				x, y := s.Jobs[a], s.Jobs[b]
-				if x.Late != y.Late {
-					return y.Late
-				}
-				if x.LeftS != y.LeftS {
-					return x.LeftS < y.LeftS
-				}
-				return x.Rank() < y.Rank()
-			})
+	for pass := range fillPasses {
+		if pass == interrupted {
+			orderBeyondSlots(s.Jobs)
 		}
+		out = s.placeBatches(out, pass)
+	}
+	return out
+}
+
+// placeServices starts replicas, those within their teams' guarantees first.
+func (s *Snapshot) placeServices(out []Placement) []Placement {
+	for _, guaranteed := range []bool{true, false} {
 		for _, j := range s.Jobs {
-			if j.Service {
-				continue
-			}
-			s.releaseClaimed(j)
-			if j.Gang {
-				if pass < 2 {
-					out = s.placeGang(out, j, func(t *Team, whole Need) bool {
-						return t.InLimit(whole.Plus(t.Kept)) && (pass == 1 || t.InGuarantee(whole))
-					})
-				}
-				s.keepClaimed(j)
-				continue
+			if j.Service && !j.Phantom {
+				out = s.place(out, j, func(t *Team) bool { return !guaranteed || t.InGuarantee(j.Need) })
 			}
-			if j.Upper && pass == 1 {
+		}
+	}
+	return out
+}
+
+// placeStarved gives each batch that has waited for longer than a boot one task. Room
+// kept for what may come, or left of a limit, is no reason for a batch to go without
+// a single task for as long as there is no other.
+func (s *Snapshot) placeStarved(out []Placement) []Placement {
+	for _, j := range s.Jobs {
+		if j.Service || j.Gang || !j.Starved || j.Held > 0 || len(j.Waiting) == 0 {
+			continue
+		}
+		if t := s.Teams[j.Team]; t == nil || !t.InLimit(j.Need) {
+			continue
+		}
+		if m := s.best(j); m != nil {
+			out = append(out, Placement{j, j.Waiting[0], m})
+			s.take(j, m)
+		}
+	}
+	return out
+}
+
+// orderBeyondSlots sorts jobs for the room beyond slots: there the upper queue has no
+// precedence, as its cap has been used up. Jobs with a deadline go by the time they
+// have left, and those that can't meet theirs go last: least attained service spreads a
+// full team's limit over all its jobs, and then all of them are late.
+func orderBeyondSlots(jobs []*Job) {
+	sort.SliceStable(jobs, func(a, b int) bool {
+		x, y := jobs[a], jobs[b]
+		if x.Late != y.Late {
+			return y.Late
+		}
+		if x.LeftS != y.LeftS {
+			return x.LeftS < y.LeftS
+		}
+		return x.Rank() < y.Rank()
+	})
+}
+
+// placeBatches is one pass over batches and gangs. Gangs have no slots to go beyond, so
+// the first two passes are all of theirs.
+func (s *Snapshot) placeBatches(out []Placement, pass int) []Placement {
+	upper := 0.0 // of the fleet, that the upper queue has in this pass
+	for _, j := range s.Jobs {
+		if j.Service || j.Gang && pass > withinSlots {
+			continue
+		}
+		s.releaseClaimed(j)
+		if j.Gang {
+			out = s.placeGang(out, j, func(t *Team, whole Need) bool {
+				return t.InLimit(whole.Plus(t.Kept)) && (pass == withinSlots || t.InGuarantee(whole))
+			})
+		} else {
+			if j.Upper && pass == withinSlots {
 				upper += Share(j.Need, s.Capacity) * float64(min(j.Slots, j.Tasks))
 			}
-			out = s.place(out, j, func(t *Team) bool {
-				switch pass {
-				case 0:
-					return t.InGuarantee(j.Need)
-				case 2:
-					// What a machine's end took had been decided by rank, and goes
-					// on before new tasks take the room: large jobs have attained
-					// most, and each of their interrupted tasks waited for a boot.
-					return j.Resume > 0
-				case 1:
-					return j.Held < j.Slots && (!j.Upper || upper <= s.UpperCap || j.Held == 0)
-				}
-				return true
-			})
-			s.keepClaimed(j)
+			out = s.place(out, j, func(t *Team) bool { return s.mayTake(j, t, pass, upper) })
 		}
+		s.keepClaimed(j)
 	}
 	return out
 }
 
+// mayTake says whether a batch may start one more task in a pass.
+func (s *Snapshot) mayTake(j *Job, t *Team, pass int, upper float64) bool {
+	switch pass {
+	case withinGuarantees:
+		return t.InGuarantee(j.Need)
+	case withinSlots:
+		return j.Held < j.Slots && (!j.Upper || upper <= s.UpperCap || j.Held == 0)
+	case interrupted:
+		// What a machine's end took had been decided by rank, and goes on before new
+		// tasks take the room: large jobs have attained most, and each of their
+		// interrupted tasks waited for a boot.
+		return j.Resume > 0
+	}
+	return true
+}
+
 // claimed is what was freed for a job and it has not taken yet.
 func (j *Job) claimed() Need { return j.Need.Times(float64(min(j.Claims, len(j.Waiting)))) }
 
