A controller that does not lead never passes for the leader

It asks the other controller of the zone who leads, is named itself, repeats that in its answers for the first half a lease of its life (its last word from a leader, never, counted as time 0), and passes for the leader: the other one stops renewing the zone's leases, forwards reports to it, and 33 machines lose theirs at 346 s. Ruled out: the refusals of the state service (the zone is cut off), the leader outside (it rightly starts nothing there). Change: only an answer with a reading of the leader's clock is a leader's, nobody names itself without leading, and a leader that was never heard is asked but not named to workers. TestFormerLeaderRestartsInTheCut fails without it.

--- a/internal/coordination/follower.go
+++ b/internal/coordination/follower.go
@@ -29,7 +29,8 @@
 	// served: the last answer given to a worker for the leader.
 	served   time.Duration
 	serving  bool
-	heard    time.Duration // when the leader last answered
+	heard    time.Duration // when the leader last answered; 0: never
+	toldAt   time.Duration // when another controller last named the leader
 	failed   bool          // the last request did not reach a leader
 	lostAt   time.Duration // since when none did
 	busy     bool
@@ -45,7 +46,19 @@
 	if l := c.view.leader; l != nil && (c.view.known || l.Token >= c.follower.highest) {
 		return l.Label
 	}
-	if d := &c.follower; d.leader != "" && c.now < d.heard+c.cfg.Lease()/2 {
+	if d := &c.follower; d.leader != "" && d.heard > 0 && c.now < d.heard+c.cfg.Lease()/2 {
+		return d.leader
+	}
+	return ""
+}
+
+// leaderToAsk is the controller that is asked for the leader's clock: whoever leads as far as
+// is known, or is said to by another one.
+func (c *Core) leaderToAsk() string {
+	if label := c.leaderLabel(); label != "" {
+		return label
+	}
+	if d := &c.follower; d.leader != "" && d.toldAt > 0 && c.now < d.toldAt+c.cfg.Lease()/2 {
 		return d.leader
 	}
 	return ""
@@ -64,7 +77,7 @@
 	if d.busy || c.now < d.next || len(c.cfg.Siblings) == 0 {
 		return
 	}
-	asked := c.leaderLabel()
+	asked := c.leaderToAsk()
 	if asked == "" || asked == c.cfg.Label || (d.failed && d.turn%2 == 1) {
 		asked = c.cfg.Siblings[d.turn/2%len(c.cfg.Siblings)].Label
 	}
@@ -88,10 +101,14 @@
 		d.busy, d.next = false, sent+c.cfg.Heartbeat()
 		var g protocol.HeartbeatReply
 		ok := res.Status == 200 && protocol.DecodePeer(res.Body, &g) == nil && g.Token >= d.highest
-		if ok && g.Leader != "" {
-			d.highest, d.leader = max(d.highest, g.Token), g.Leader
+		if ok && g.Leader != "" && g.Leader != c.cfg.Label {
+			d.highest, d.leader, d.toldAt = max(d.highest, g.Token), g.Leader, c.now
 		}
-		if !ok || g.Leader != asked {
+		// Only a leader gives a reading of its clock. One that had led, ended and was
+		// back in a zone that is cut off once heard from the other controller there that
+		// it leads, said so itself, and passed for the leader: the other one no longer
+		// renewed the zone's leases.
+		if !ok || g.Leader != asked || g.LeaderClock == 0 {
 			d.turn++
 			c.lostLeader()
 			return
@@ -197,7 +214,9 @@
 	}
 	g := protocol.HeartbeatReply{Token: c.follower.highest}
 	if r == nil {
-		g.Leader = c.leaderLabel()
+		if label := c.leaderLabel(); label != c.cfg.Label {
+			g.Leader = label // our own is that of an earlier process
+		}
 		c.reply(from, 200, protocol.EncodePeer(g), 0)
 		return
 	}
--- a/internal/coordination/rules_test.go
+++ b/internal/coordination/rules_test.go
@@ -712,6 +712,48 @@
 	w.keptRules()
 }
 
+// A zone with the leader and one more controller is cut off, another leads outside, and
+// the one that led ends and is back. It leads nobody, and must not pass for the leader
+// with what the other one tells it: that one would stop renewing the zone's leases.
+func TestFormerLeaderRestartsInTheCut(t *testing.T) {
+	for _, back := range []time.Duration{500 * time.Millisecond, 3 * second} {
+		w := newWorld(t, 36)
+		w.crash(2)
+		lead := w.awaitLeader()
+		w.run(3 * second)
+		w.boot(2)
+		w.submit("j-1", map[string]any{"shape": "service", "shards": 6, "yard": "a"})
+		w.until(90*second, "replicas run", func() bool { return w.running("j-1") == 6 })
+		w.run(15 * second)
+		w.cutZone()
+		cut := w.script
+		w.script = func(node int, c Call) fate { // from the rest, as it is the other zone's turn
+			if c.Target == ToState || c.Target == ToCloud {
+				return fate{lost: node != 2}
+			}
+			return cut(node, c)
+		}
+		w.until(10*second, "another leads outside", func() bool { return w.nodes[2].core.term != nil })
+		w.run(15 * second)
+		w.crash(lead)
+		w.at(back, func() { w.boot(lead) })
+		ask := protocol.EncodePeer(protocol.Heartbeat{From: fmt.Sprintf("n%d", 1-lead), Incarnation: "x", ServedMS: -1})
+		for range 400 {
+			w.run(tick)
+			if n := w.running("j-1"); n != 6 {
+				t.Fatalf("back after %v: %d of 6 replicas run", back, n)
+			}
+			w.ask(lead, Request{Op: OpHeartbeat, Body: ask}, func(r Reply) {
+				var answer protocol.HeartbeatReply
+				if protocol.DecodePeer(r.Body, &answer) == nil && answer.Leader == fmt.Sprintf("n%d", lead) {
+					w.breaks("a follower calls itself the leader")
+				}
+			})
+		}
+		w.settle()
+	}
+}
+
 // A process that ends forgets whom it served: to the leader a new incarnation
 // has served until it was heard.
 func TestNewIncarnationMayHaveServed(t *testing.T) {
