--- a/internal/coordination/leader.go
+++ b/internal/coordination/leader.go
@@ -41,6 +41,7 @@
 	busy           bool
 	next           time.Duration
 	ended          uint64 // lease of an earlier incarnation that we ended
+	unanswered     bool   // the last list had no answer, which has been logged
 	gen            int    // answers to calls of an older generation are dropped
 }
 
@@ -91,9 +92,13 @@
 			var items protocol.Items
 			if r.Status != 200 || protocol.Decode(r.Body, &items) != nil {
 				v.next = c.now + c.pause()
+				if !v.unanswered {
+					v.unanswered = true
+					c.log.Info("the state service does not tell who leads", "addr", c.cfg.Services.State, "status", r.Status)
+				}
 				return
 			}
-			v.known, v.revision = true, items.Revision
+			v.known, v.revision, v.unanswered = true, items.Revision, false
 			v.counter, v.counterVersion = 0, 0
 			c.seeLeader(nil, 0)
 			for _, it := range items.Items {
