--- a/internal/coordination/gang_test.go
+++ b/internal/coordination/gang_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"testing"
 	"time"
 
@@ -295,3 +296,29 @@
 	w.awaitTold(60*second, "j-1", protocol.Done)
 	w.settle()
 }
+
+// A gang that was accepted is answered with its state when it is submitted again,
+// whatever the repeat holds: also one that would be refused as new.
+func TestRepeatedGangIsToldItsState(t *testing.T) {
+	w := newWorld(t, 100)
+	w.submit("j-1", group(2, 1, nil))
+	w.until(30*second, "it is accepted", func() bool { return w.told["j-1"] != "" })
+	first := w.specs["j-1"]
+	for name, change := range map[string]map[string]any{
+		"no tasks": {"shards": 0}, "beyond the limit": {"shards": 500}, "unknown shape": {"shape": "heap"},
+		"another shape": {"shape": "service"}, "unknown team": {"owner": "green"},
+	} {
+		repeat := maps.Clone(first)
+		maps.Copy(repeat, change)
+		lead := w.awaitLeader()
+		w.ask(lead, Request{Op: OpSubmit, Body: protocol.Encode(repeat)}, func(r Reply) {
+			var s protocol.Standing
+			if r.Status != 200 || protocol.Decode(r.Body, &s) != nil || s.UID != "j-1" || s.State == "" {
+				t.Errorf("%s: %d, %+v", name, r.Status, s)
+			}
+		})
+		w.run(second)
+	}
+	w.awaitTold(60*second, "j-1", protocol.Done)
+	w.settle()
+}
