--- a/internal/ledger/completions_test.go
+++ b/internal/ledger/completions_test.go
@@ -183,3 +183,17 @@
 		t.Errorf("a record of a job that is over: %v, %v", known, err)
 	}
 }
+
+// A lower limit on values to come changes nothing in the meaning of stored keys,
+// and all records that are written are within it.
+func TestLowerLimitsKeepTheLayout(t *testing.T) {
+	b := New(8<<10, 2<<10)
+	j := b.AddJob(&protocol.Spec{UID: "j-1", Tasks: 3000}, 1)
+	j.MarkDone(2999)
+	if key := b.DoneKey(j, 2999); key != "d/j-1/0" {
+		t.Errorf("key %s", key)
+	}
+	if n := len(protocol.Encode(b.DoneChunk(j, 2999))); n > 2<<10 {
+		t.Errorf("%d bytes", n)
+	}
+}
