--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -51,10 +51,11 @@
 	deadline time.Duration
 }
 
-// requester is who asked: a user directly or another controller for one.
+// requester is who asked: a user or worker directly, or another controller for one.
 type requester struct {
 	id    uint64
 	relay bool
+	by    string // the controller that forwarded a report, if it tells
 }
 
 // New makes a core. Random numbers are injected so that failures replay.
--- a/internal/coordination/follower.go
+++ b/internal/coordination/follower.go
@@ -122,10 +122,16 @@
 }
 
 // renewsLease says whether this controller answers the worker for the leader: it reaches neither a leader nor the state service that would name one,
-// and the worker is of its own zone and has had a leader.
+// and the worker is of its own zone and has had a leader. For a moment it does so too while the
+// state service still names a leader that does not answer: that one has most probably ended or
+// stands still, and the next will be known before long. Workers that were sent to it waited for
+// 4 s there and as long for the next controller that had ended, and their leases ran out.
 func (c *Core) renewsLease(msg *protocol.Report) bool {
 	d := &c.follower
-	if !d.failed || msg.Zone != c.cfg.Zone || msg.Token == 0 || (c.view.known && c.view.leader != nil) {
+	if !d.failed || msg.Zone != c.cfg.Zone || msg.Token == 0 {
+		return false
+	}
+	if c.view.known && c.view.leader != nil && c.now > d.lostAt+c.successionTime() {
 		return false
 	}
 	if !d.serving {
@@ -148,6 +154,10 @@
 	}
 }
 
+// successionTime is how long it takes at the most until the state service no longer names a
+// leader that has ended: its lease, and the election of the next.
+func (c *Core) successionTime() time.Duration { return 2 * c.cfg.LeaderTTL() }
+
 func (c *Core) renewLease(from requester, msg *protocol.Report) {
 	c.reply(from, 200, protocol.Encode(protocol.ReportReply{Token: msg.Token, Commands: []protocol.Command{}}), 0)
 }
@@ -168,7 +178,7 @@
 func (c *Core) forward(from requester, msg *protocol.Report, body []byte) {
 	d := &c.follower
 	leader := d.leader
-	relay := protocol.EncodePeer(protocol.Relay{Op: string(OpReport), Body: body})
+	relay := protocol.EncodePeer(protocol.Relay{Op: string(OpReport), Body: body, From: c.cfg.Label})
 	c.call(ToPeer, c.addrOf(leader), "POST", "/forward", relay, min(c.cfg.Lease()/8, forwardWithin), func(res Result) {
 		var reply protocol.RelayReply
 		switch {
@@ -198,6 +208,7 @@
 	started     time.Duration // when its process did, by our clock
 	// clear: up to here it had served nobody later than served.
 	clear, served time.Duration
+	route         route
 }
 
 // onHeartbeat answers a controller that stays in touch with the leader.
--- a/internal/coordination/partition.go
+++ b/internal/coordination/partition.go
@@ -1,77 +1,12 @@
 package coordination
 
 import (
-	"cmp"
-	"slices"
 	"time"
 
 	"claybarrow/internal/config"
 	"claybarrow/internal/ledger"
-	"claybarrow/internal/protocol"
 )
 
-// How long a worker waits for the answer to a report, and until it tries the
-// next controller.
-const (
-	reportWait  = 4 * time.Second
-	reportPause = time.Second
-)
-
-// reportTarget names the controller that the worker is to report to: one of its own
-// zone that is in touch with us, or none. A worker that comes back from there
-// can't reach it, and is left alone for a while.
-func (r *term) reportTarget(m *ledger.Machine, msg *protocol.Report) string {
-	c := r.c
-	if m.Zone == c.cfg.Zone || m.Zone == "" || msg.Token != r.token || c.now < r.since+c.cfg.Lease()/2 || c.now < m.DirectUntil {
-		return ""
-	}
-	var near []string
-	for _, s := range c.cfg.Siblings {
-		if s.Zone == m.Zone && c.now < r.peers[s.Label].asked+c.cfg.Lease()/8 && r.peers[s.Label].asked > 0 {
-			near = append(near, s.Label)
-		}
-	}
-	if len(near) == 0 {
-		return ""
-	}
-	to := slices.MinFunc(near, func(a, b string) int { return cmp.Compare(c.controllersBetween(a), c.controllersBetween(b)) })
-	// One that has ended since is no reason: on a day of restarts one after the
-	// other the workers of a zone were left with the leader, and lost in a cut.
-	// As its end may not be known yet, the first time counts for little.
-	process := r.peers[to].incarnation
-	if m.SentTo != process {
-		m.Bounces = 0
-	} else if c.now < m.SentAway+3*c.cfg.Lease() {
-		m.DirectUntil = c.now + c.cfg.Lease()/2<<min(m.Bounces, 5)
-		m.Bounces++
-		m.SentAway = 0
-		return ""
-	}
-	m.SentAway, m.SentTo = c.now, process
-	return to
-}
-
-// controllersBetween is how many controllers a worker tries between this one and the next of
-// the same zone, should it end: they go through them in turn, and each that is
-// cut off costs 4 s of a lease.
-func (c *Core) controllersBetween(label string) int {
-	type node struct{ label, zone string }
-	all := []node{{c.cfg.Label, c.cfg.Zone}}
-	for _, s := range c.cfg.Siblings {
-		all = append(all, node{s.Label, s.Zone})
-	}
-	slices.SortFunc(all, func(a, b node) int {
-		return cmp.Or(cmp.Compare(len(a.label), len(b.label)), cmp.Compare(a.label, b.label))
-	})
-	at := slices.IndexFunc(all, func(n node) bool { return n.label == label })
-	for i := 1; i < len(all); i++ {
-		if all[(at+i)%len(all)].zone == all[at].zone {
-			return i
-		}
-	}
-	return len(all)
-}
-
 // leaseOver says whether the worker's lease is proved over: nobody can have
 // answered it for that long.
 func (r *term) leaseOver(m *ledger.Machine) bool {
--- a/internal/coordination/reports.go
+++ b/internal/coordination/reports.go
@@ -47,11 +47,13 @@
 		c.refuse(from)
 		return
 	}
-	if label := r.reportTarget(m, &msg); label != "" && !from.relay {
-		c.reply(from, 421, protocol.Encode(protocol.Elsewhere{Leader: label}), 0)
-		return
-	}
-	if !from.relay {
+	if from.relay {
+		r.forwardedBy(from.by, m.Zone)
+	} else {
+		if label := r.reportTarget(m, &msg); label != "" {
+			c.reply(from, 421, protocol.Encode(protocol.Elsewhere{Leader: label}), 0)
+			return
+		}
 		r.reached(c.now)
 	}
 	m.Answered = c.now
--- a/internal/coordination/usable.go
+++ b/internal/coordination/usable.go
@@ -22,8 +22,8 @@
 	return r.c.now > max(m.Answered, m.FreshAt)+spell
 }
 
-// reportsLost says whether a machine answers us but can reach no controller, as far as
-// can be known: those of its zone are in touch, so none stands in for us there.
+// reportsLost says whether a machine answers us but can reach no controller, as far as can
+// be known: those of its zone are in touch, so none renews its lease for us there.
 func (r *term) reportsLost(m *ledger.Machine) bool {
 	c := r.c
 	if !m.Fresh || m.CallFails > 0 || m.Heard < c.now-2*c.cfg.Report()-c.cfg.Lease()/10 || !r.unreported(m, c.cfg.Lease()*11/20) {
@@ -37,6 +37,15 @@
 	return true
 }
 
+// leaveBy is how long after the last answered report a task leaves a machine that reaches
+// no controller: with time to save, and shortly before the lease ends. The worker may
+// still be looking for a controller, 5 s for each that has ended: tasks that left earlier
+// were mostly moved in vain, 200 of them at once after a change of leader.
+func (r *term) leaveBy(a *ledger.Attempt) time.Duration {
+	lease := r.c.cfg.Lease()
+	return max(lease*11/20, lease*4/5-seconds(a.Job.Spec.SaveS))
+}
+
 // heardAll: no round stops anything until the fleet was heard or is silent.
 func (r *term) heardAll() bool {
 	if !r.listed {
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -61,6 +61,7 @@
 			c.refuse(from)
 			return
 		}
+		from.by = relay.From
 		c.onReport(from, relay.Body)
 	case OpHeartbeat:
 		c.onHeartbeat(from, q.Body)
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -33,7 +33,9 @@
 		if len(m.Attempts) > 0 && r.reportsLost(m) {
 			// Its lease runs out: what is there goes on elsewhere sooner.
 			for _, a := range m.Sorted() {
-				r.halt(a, a.Job.Spec.SaveS, "the machine reaches no controller")
+				if r.unreported(m, r.leaveBy(a)) {
+					r.halt(a, a.Job.Spec.SaveS, "the machine reaches no controller")
+				}
 			}
 		}
 		r.dispatch(m)
--- a/internal/protocol/wire.go
+++ b/internal/protocol/wire.go
@@ -236,6 +236,8 @@
 	Op   string `cbor:"1,keyasint"`
 	UID  string `cbor:"2,keyasint,omitempty"`
 	Body []byte `cbor:"3,keyasint,omitempty"`
+	// From is the controller that forwards a worker's report.
+	From string `cbor:"4,keyasint,omitempty"`
 }
 
 // RelayReply is the leader's answer.
