Workers are kept while a leader is replaced: tests mended, late forwards and reports before the ledger is read

What they found: a report that was on its way to the former leader when its follower was elected was answered 503, and so was every report while the ledger is read; both sent workers round controllers that had ended. Such answers count against the proof by time (term.renewed).

--- a/internal/coordination/follower.go
+++ b/internal/coordination/follower.go
@@ -183,7 +183,7 @@
 		var reply protocol.RelayReply
 		switch {
 		case c.term != nil:
-			c.refuse(from)
+			c.term.takeOverReport(from, msg, body)
 		case res.Status == 200 && protocol.DecodePeer(res.Body, &reply) == nil && reply.Status >= 200 && reply.Status <= 599:
 			c.reply(from, reply.Status, reply.Body, reply.RetryAfter)
 		default:
--- a/internal/coordination/partition.go
+++ b/internal/coordination/partition.go
@@ -13,7 +13,7 @@
 	c := r.c
 	lease := config.Drift(c.cfg.Lease()) + c.cfg.Lease()/50
 	// An earlier term of our own may have answered it until we were elected.
-	last := max(m.Answered, m.FreshAt, r.since)
+	last := max(m.Answered, m.FreshAt, r.since, r.renewed)
 	for _, p := range r.peers {
 		if p.zone == m.Zone || m.Zone == "" {
 			last = max(last, p.served)
--- a/internal/coordination/reports.go
+++ b/internal/coordination/reports.go
@@ -33,7 +33,7 @@
 		return
 	}
 	if !r.ready {
-		c.refuse(from)
+		r.renewBeforeReady(from, &msg)
 		return
 	}
 	m, fresh := r.observe(&msg, true)
@@ -61,6 +61,37 @@
 	c.reply(from, 200, protocol.Encode(reply), 0)
 }
 
+// takeOverReport answers a report that we passed on to another leader, who did not answer,
+// and lead ourselves now. Turned away, the worker would look for us elsewhere, and wait for
+// each controller that has ended. It may have answered a direct request since: then the
+// report is no evidence, but its lease is renewed all the same.
+func (r *term) takeOverReport(from requester, msg *protocol.Report, body []byte) {
+	c := r.c
+	m := r.Machines[msg.Machine]
+	if !r.ready || m == nil || m.Session != msg.Session || msg.Seq > m.Seq || msg.Token > r.token {
+		c.onReport(from, body)
+		return
+	}
+	m.Answered = c.now
+	c.reply(from, 200, protocol.Encode(protocol.ReportReply{Token: r.token, Commands: []protocol.Command{}}), 0)
+}
+
+// renewBeforeReady keeps a worker whose report comes while the ledger is being read:
+// without commands and with the token that it shows, as a follower does. Turned away,
+// it would wait for each controller that has ended.
+func (r *term) renewBeforeReady(from requester, msg *protocol.Report) {
+	c := r.c
+	if msg.Token > r.token {
+		c.endTerm("a worker has seen a higher token")
+	}
+	if msg.Token > r.token || msg.Token == 0 || from.relay {
+		c.refuse(from)
+		return
+	}
+	r.renewed = c.now
+	c.renewLease(from, msg)
+}
+
 // observe takes a worker's report, sent by itself or as an answer to a direct
 // request. It returns false for what is not the machine's newest message.
 func (r *term) observe(msg *protocol.Report, reported bool) (*ledger.Machine, bool) {
--- a/internal/coordination/routes_test.go
+++ b/internal/coordination/routes_test.go
@@ -1,8 +1,12 @@
 package coordination
 
 import (
+	"strings"
 	"testing"
 	"time"
+
+	"claybarrow/internal/ledger"
+	"claybarrow/internal/protocol"
 )
 
 // The workers of a zone lose the way to their zone's controller, which stays in touch
@@ -91,13 +95,20 @@
 // keeps its workers meanwhile. Sent to the leader, they would wait for both of the others,
 // for longer than their lease.
 func TestLeaderStandsStill(t *testing.T) {
-	w := newWorld(t, 38)
+	for seed := range uint64(6) {
+		leaderStandsStill(t, 380+seed)
+	}
+}
+
+func leaderStandsStill(t *testing.T, seed uint64) {
+	w := newWorld(t, seed)
 	lead := w.awaitLeader()
 	if lead == 2 {
 		t.Fatal("the leader is in the second zone")
 	}
-	w.submit("j-1", map[string]any{"shape": "service", "shards": 4, "apart": true})
-	w.until(90*second, "replicas run", func() bool { return w.running("j-1") == 4 })
+	w.submit("j-1", map[string]any{"shape": "service", "shards": 4, "apart": true, "cores": 8.0})
+	w.submit("j-2", map[string]any{"shape": "service", "shards": 2, "apart": true, "cores": 8.0, "owner": "blue"})
+	w.until(90*second, "replicas run", func() bool { return w.running("j-1") == 4 && w.running("j-2") == 2 })
 	w.until(30*second, "workers report to their zone's controller", func() bool {
 		for _, k := range w.fleet() {
 			if k.zone == "b" && len(k.tasks) > 0 && k.node != 2 {
@@ -107,7 +118,7 @@
 		return true
 	})
 	w.crash(1 - lead)
-	w.run(5 * second)
+	w.run(5*second + w.ms(0, 1000))
 	w.script = func(node int, c Call) fate {
 		return fate{lost: node == lead || c.Target == ToPeer && c.Addr != w.cfgs[2].PeerListen}
 	}
@@ -131,8 +142,9 @@
 	w.until(60*second, "replicas run", func() bool { return w.running("j-1") == 2 })
 	w.run(5 * second)
 	k := w.fleet()[0]
+	w.reportWait = 2 * second
 	k.reportsLost = true
-	w.run(7 * second)
+	w.run(6 * second)
 	k.reportsLost = false
 	w.run(10 * second)
 	for task, n := range w.starts {
@@ -142,3 +154,68 @@
 	}
 	w.settle()
 }
+
+// While the state service still names a leader that does not answer, a zone's controller
+// renews its workers' leases; if that leader goes on for longer, they are sent to it.
+func TestLeaderDoesNotAnswerItsFollower(t *testing.T) {
+	w := newWorld(t, 40)
+	lead := w.awaitLeader()
+	w.run(5 * second)
+	body := protocol.Encode(protocol.Report{Machine: "i-900000", Type: "m8", Zone: "b", Session: 1, Seq: 1, Token: 1})
+	status := 0
+	report := func() { w.ask(2, Request{Op: OpReport, Body: body}, func(r Reply) { status = r.Status }) }
+	w.script = func(_ int, c Call) fate { return fate{lost: c.Target == ToPeer} }
+	w.run(1500 * time.Millisecond)
+	if report(); status != 200 {
+		t.Errorf("the worker is answered %d", status)
+	}
+	w.run(6 * second)
+	if report(); status != 421 || w.leader() != lead {
+		t.Errorf("the worker of a leader that goes on is answered %d", status)
+	}
+}
+
+// A worker that reports while a new leader still reads the ledger keeps its lease, and
+// nothing is started or proved by that.
+func TestReportBeforeTheLedgerIsRead(t *testing.T) {
+	w := newWorld(t, 42)
+	lead := w.awaitLeader()
+	w.run(5 * second)
+	w.script = func(_ int, c Call) fate { return fate{lost: strings.HasPrefix(c.Path, "/store?under="+ledger.JobPrefix)} }
+	w.crash(lead)
+	next := -1
+	w.until(20*second, "another is elected", func() bool {
+		for i, n := range w.nodes {
+			if n.alive && n.core.term != nil {
+				next = i
+			}
+		}
+		return next >= 0
+	})
+	w.run(second)
+	r := w.nodes[next].core.term
+	if r.ready {
+		t.Fatal("the ledger is read")
+	}
+	var got Reply
+	report := func(token uint64) {
+		body := protocol.Encode(protocol.Report{Machine: "i-900000", Type: "m8", Zone: "a", Session: 1, Seq: 1, Token: token})
+		w.ask(next, Request{Op: OpReport, Body: body}, func(r Reply) { got = r })
+	}
+	report(1)
+	var reply protocol.ReportReply
+	if got.Status != 200 || protocol.Decode(got.Body, &reply) != nil || reply.Token != 1 || len(reply.Commands) > 0 {
+		t.Errorf("answered %d with %+v", got.Status, reply)
+	}
+	if r.renewed != r.c.now {
+		t.Error("the answer does not count against the proof by time")
+	}
+	report(0)
+	if got.Status != 503 {
+		t.Errorf("a worker without a leader yet is answered %d", got.Status)
+	}
+	report(r.token + 1)
+	if got.Status != 503 || w.nodes[next].core.term != nil {
+		t.Errorf("a worker with a higher token is answered %d", got.Status)
+	}
+}
--- a/internal/coordination/sim_worker_test.go
+++ b/internal/coordination/sim_worker_test.go
@@ -154,13 +154,13 @@
 	sent, session := w.now, k.session
 	if f.lost {
 		k.node = (k.node + 1) % 3
-		next(4 * time.Second)
+		next(w.reportWait)
 		return
 	}
 	w.at(latency, func() {
 		w.ask(k.node, Request{Op: OpReport, Body: body}, func(r Reply) {
 			if f.answerLost || k.gone || k.hung || k.answersLost {
-				next(4 * time.Second)
+				next(w.reportWait)
 				return
 			}
 			switch {
--- a/internal/coordination/term.go
+++ b/internal/coordination/term.go
@@ -25,6 +25,7 @@
 	coasting  bool
 	since     time.Duration // when the election was won
 	ready     bool          // the ledger is read
+	renewed   time.Duration // when a worker was last answered before that
 
 	*ledger.Ledger
 	proposals map[string]*proposal
--- a/internal/coordination/world_test.go
+++ b/internal/coordination/world_test.go
@@ -77,6 +77,8 @@
 	runs    func(task string) time.Duration
 	// pulls is how long a task waits for its image; nil: a moment.
 	pulls func(task string) time.Duration
+	// reportWait is how long a worker waits for the answer to a report.
+	reportWait time.Duration
 	// off are the addresses that take no connections.
 	off map[string]bool
 }
@@ -94,7 +96,7 @@
 
 func newWorld(t *testing.T, seed uint64) *world {
 	w := &world{t: t, rng: rand.New(rand.NewPCG(seed, 1)), workers: map[string]*simWorker{}, specs: map[string]map[string]any{},
-		told: map[string]protocol.JobState{}, stopped: map[string]time.Duration{}, checker: newChecker(),
+		told: map[string]protocol.JobState{}, stopped: map[string]time.Duration{}, checker: newChecker(), reportWait: 4 * time.Second,
 		runs: func(string) time.Duration { return 30 * time.Second }}
 	w.state = &simState{w: w, items: map[string]*simItem{}, leases: map[uint64]*simLease{}, refuse: map[int]bool{},
 		limits: stateLimits{valueBytes: 16 << 10, changes: 32}}
