--- a/internal/coordination/routes_test.go
+++ b/internal/coordination/routes_test.go
@@ -181,7 +181,9 @@
 	w := newWorld(t, 42)
 	lead := w.awaitLeader()
 	w.run(5 * second)
-	w.script = func(_ int, c Call) fate { return fate{lost: strings.HasPrefix(c.Path, "/store?under="+ledger.JobPrefix)} }
+	w.script = func(_ int, c Call) fate {
+		return fate{lost: strings.HasPrefix(c.Path, "/store?under="+ledger.JobPrefix)}
+	}
 	w.crash(lead)
 	next := -1
 	w.until(20*second, "another is elected", func() bool {
