Jobs that fail everywhere are told from faulty machines by evidence

Now a job is at fault once it failed on three machines and is tried with one task at a time, ever more seldom (at most cancel_s apart); a machine is at fault by three jobs, or by what it failed that completed elsewhere.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -310,6 +310,9 @@
 // Heartbeat is the time between two signs of life of a controller to the leader.
 func (c *Config) Heartbeat() time.Duration { return c.LeaderTTL() / 3 }
 
+// Cancel is how long the tasks of a cancelled job may take to end.
+func (c *Config) Cancel() time.Duration { return seconds(c.Cluster.Workers.CancelS) }
+
 // Coast is how long a leader may go on answering workers after it sent the
 // last lease renewal that was confirmed, and how long a zone's silence is taken
 // for a cut. Longer than most cuts and outages, as nobody is told of a
--- a/internal/coordination/exits.go
+++ b/internal/coordination/exits.go
@@ -1,8 +1,6 @@
 package coordination
 
 import (
-	"time"
-
 	"claybarrow/internal/ledger"
 	"claybarrow/internal/protocol"
 )
@@ -29,7 +27,7 @@
 	c.log.Debug("exited", "task", key.Task, "try", key.Try, "machine", m.ID, "cause", t.Cause)
 	switch t.Cause {
 	case protocol.CauseDone:
-		j.Failures, m.Errors = 0, 0
+		r.succeeded(j, m)
 		if j.Spec.Service || j.Cancelling && j.Finishing {
 			break
 		}
@@ -52,7 +50,7 @@
 			}
 		}
 	case protocol.CauseError:
-		r.onError(m, j, key)
+		r.onError(m, j, g.Attempt, key)
 	case protocol.CauseNoRoom, protocol.CauseBusy:
 		// The machine knows better than the ledger: leave it alone a moment.
 		m.AsideUntil = max(m.AsideUntil, c.now+c.cfg.Report())
@@ -69,38 +67,6 @@
 	}
 }
 
-// onError tells a faulty machine from a faulty job: a job that fails on many
-// machines waits longer and longer; a machine where several jobs fail is set
-// aside and returned.
-func (r *term) onError(m *ledger.Machine, j *ledger.Job, key ledger.Key) {
-	c := r.c
-	if j.FailedOn == nil {
-		j.FailedOn = map[string]bool{}
-	}
-	j.FailedOn[m.ID] = true
-	c.log.Info("task failed", "task", key.Task, "machine", m.ID, "failures", j.Failures+1, "machines", len(j.FailedOn))
-	r.backOff(j)
-	if len(j.FailedOn) >= 3 {
-		return // the job's fault
-	}
-	m.Errors++
-	m.AsideUntil = max(m.AsideUntil, c.now+c.cfg.Lease())
-	if m.Errors >= 3 {
-		m.AsideUntil = c.now + 100*c.cfg.Lease()
-		c.log.Info("machine is faulty", "machine", m.ID)
-	}
-}
-
-// backOff delays a failing job, and counts the time as attained service: a job
-// that fails at once would keep the top rank for ever otherwise.
-func (r *term) backOff(j *ledger.Job) {
-	j.Failures++
-	// At most a lease: a job that waits for longer with room beside it is stuck.
-	wait := min(r.c.cfg.Report()*time.Duration(int64(1)<<min(j.Failures-1, 5)), r.c.cfg.Lease())
-	j.NotBefore = max(j.NotBefore, r.c.now+wait)
-	j.Scale.Attained += wait.Seconds() * shareOf(j, r.capacity())
-}
-
 // goneReason is why an attempt is proved gone.
 type goneReason string
 
--- /dev/null
+++ b/internal/coordination/failures_test.go
@@ -0,0 +1,94 @@
+package coordination
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"claybarrow/internal/ledger"
+	"claybarrow/internal/protocol"
+)
+
+// failing has tasks of the named jobs fail as soon as they begin, on the given machines or
+// on all.
+func (w *world) failing(jobs map[string]bool, machines map[string]bool) {
+	w.fails = func(k *simWorker, uid string) bool {
+		return (jobs == nil || jobs[uid]) && (machines == nil || machines[k.id])
+	}
+}
+
+// A job with a mistake fails on every machine: it is tried ever more seldom with one task at
+// a time, puts no machine aside, leaves the room to others, and can be cancelled at any time.
+func TestJobThatFailsEverywhere(t *testing.T) {
+	w := newWorld(t, 91)
+	w.failing(map[string]bool{"j-9": true}, nil)
+	w.runs = func(string) time.Duration { return 10 * second }
+	w.submit("j-9", map[string]any{"shards": 12, "cores": 1.0})
+	w.submit("j-1", map[string]any{"shards": 6})
+	w.until(90*second, "it is found out", func() bool { return w.term().Jobs["j-9"] != nil && w.term().Jobs["j-9"].Failures.Everywhere })
+	for _, m := range w.term().machines() {
+		if m.Faults.Faulty || len(m.Faults.Suspects) > 0 || m.AsideUntil > 0 {
+			t.Errorf("%s bears the blame: %+v", m.ID, m.Faults)
+		}
+	}
+	w.awaitTold(120*second, "j-1", protocol.Done)
+	w.submit("j-2", map[string]any{"shape": "service"})
+	w.until(60*second, "another runs beside it", func() bool { return w.running("j-2") == 1 })
+	before := w.failures
+	w.run(105 * second)
+	if n := w.failures - before; n < 2 || n > 6 {
+		t.Errorf("tried %d times in three times cancel_s", n)
+	}
+	w.cancel("j-9")
+	w.awaitTold(10*second, "j-9", protocol.Cancelled)
+	w.settle()
+}
+
+// A faulty machine is given no more work: its tasks complete elsewhere, which tells.
+func TestFaultyMachineIsPutAside(t *testing.T) {
+	w := newWorld(t, 92)
+	w.runs = func(string) time.Duration { return 10 * second }
+	w.submit("j-0", map[string]any{"shape": "service", "cores": 2.0, "shards": 2, "apart": true})
+	w.until(60*second, "replicas run", func() bool { return w.running("j-0") == 2 })
+	bad := w.fleet()[0].id
+	w.failing(nil, map[string]bool{bad: true})
+	for i := range 2 {
+		w.submit(fmt.Sprintf("j-%d", i+1), map[string]any{"shards": 4, "cores": 1.0})
+	}
+	for i := range 2 {
+		w.awaitTold(200*second, fmt.Sprintf("j-%d", i+1), protocol.Done)
+	}
+	if m := w.term().Machines[bad]; m != nil && !m.Faults.Faulty {
+		t.Errorf("%d tasks failed on it: %+v", w.failures, m.Faults)
+	}
+	for _, m := range w.term().machines() {
+		if m.ID != bad && (m.Faults.Faulty || m.Faults.Confirmed > 0) {
+			t.Errorf("%s bears the blame: %+v", m.ID, m.Faults)
+		}
+	}
+	w.settle()
+}
+
+// Two jobs with mistakes on the same machines are not evidence enough against these.
+func TestEvidenceOfFailures(t *testing.T) {
+	var m ledger.MachineFaults
+	if m.Suspect("j-1") || m.Suspect("j-1") || m.Suspect("j-2") {
+		t.Error("two jobs are enough")
+	}
+	m.Withdraw("j-2")
+	if m.Suspect("j-3") || !m.Confirm("j-1") || !m.Faulty {
+		t.Errorf("a confirmed failure and a suspect: %+v", m)
+	}
+	if m.Clear(); !m.Faulty {
+		t.Error("a task that was still running clears it")
+	}
+	var f ledger.JobFailures
+	if f.Note("a", 0) || f.Probing() || f.Note("a", 0) || f.Note("b", second) || !f.Probing() || f.Everywhere || !f.Note("c", 0) || f.Note("d", 0) {
+		t.Errorf("%+v", f)
+	}
+	f = ledger.JobFailures{}
+	f.Note("a", 0)
+	if !f.Avoid(second, 2*second)["a"] || len(f.Avoid(3*second, 2*second)) > 0 {
+		t.Error("a machine is avoided for a while")
+	}
+}
--- a/internal/coordination/review.go
+++ b/internal/coordination/review.go
@@ -72,7 +72,7 @@
 			m.IdleSince = c.now
 		case len(m.Attempts) > 0 || needed[m.ID]:
 			m.IdleSince = c.now
-		case m.Errors >= 3:
+		case m.Faults.Faulty:
 			r.giveBack(m, "faulty")
 		case c.now < m.DrainUntil:
 			r.giveBack(m, "emptied")
--- a/internal/coordination/schedule.go
+++ b/internal/coordination/schedule.go
@@ -80,6 +80,7 @@
 		}
 	}
 	a := r.Put(m, j, index, try, c.now)
+	r.retried(j)
 	c.log.Debug("start", "task", a.Key().Task, "try", a.Try, "machine", m.ID)
 	r.record(m, writeStart, func() {
 		if m.Attempts[a.Key()] != a {
--- a/internal/coordination/sim_worker_test.go
+++ b/internal/coordination/sim_worker_test.go
@@ -284,6 +284,11 @@
 func (k *simWorker) start(task string, t *simTask) {
 	w := k.w
 	spec := w.specs[t.uid]
+	if w.fails != nil && w.fails(k, t.uid) {
+		w.failures++
+		t.state, t.cause = protocol.Exited, protocol.CauseError
+		return
+	}
 	t.state = protocol.Running
 	w.starts[task]++
 	// Stricter than the protocol's page, which allows cancel_s: "from then on no
--- a/internal/coordination/snapshot.go
+++ b/internal/coordination/snapshot.go
@@ -99,6 +99,9 @@
 	return s
 }
 
+// mostWaiting bounds how many waiting tasks of a job are looked at in one go.
+const mostWaiting = 512
+
 // jobView is a job as the scheduler sees it, with what waits of it now.
 func (r *term) jobView(j *ledger.Job, claims int) *sched.Job {
 	c := r.c
@@ -107,7 +110,11 @@
 	sj.LeftS, sj.Late = r.timeLeft(j)
 	sj.Patient = float64(c.wall-j.Submitted)/1000 > 2*c.bootS()
 	if c.now >= j.NotBefore {
-		sj.Waiting, sj.Resume = j.Waiting(512)
+		sj.Waiting, sj.Resume = j.Waiting(mostWaiting)
+	}
+	sj.Avoid = j.Failures.Avoid(c.now, c.cfg.Cancel())
+	if j.Failures.Probing() && j.Gang == nil && len(sj.Waiting) > 1 {
+		sj.Waiting, sj.Resume = sj.Waiting[:1], min(sj.Resume, 1)
 	}
 	if j.HeldTotal > 0 || j.Cancelling || j.Finishing {
 		j.WaitingSince = 0
--- a/internal/coordination/usable.go
+++ b/internal/coordination/usable.go
@@ -10,7 +10,7 @@
 // this leader, lately, and nothing speaks against it.
 func (r *term) usable(m *ledger.Machine) bool {
 	c := r.c
-	return m.Fresh && !m.Returning && !m.Notice && c.now >= m.AsideUntil && c.now >= m.DrainUntil && m.UnseenAnswers < 2 && m.CallFails < 2 &&
+	return m.Fresh && !m.Returning && !m.Notice && !m.Faults.Faulty && c.now >= m.AsideUntil && c.now >= m.DrainUntil && m.UnseenAnswers < 2 && m.CallFails < 2 &&
 		c.now < m.Heard+c.cfg.Lease()/4+2*c.cfg.Report() && !r.unreported(m, c.cfg.Lease()/2) &&
 		m.Size.Cores > 0 && len(m.UnknownTasks) == 0
 }
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -383,6 +383,7 @@
 	}
 	uid := j.Spec.UID
 	j.Finishing = true
+	r.withdrawFailures(j)
 	r.mark(ledger.JobPrefix+uid, writeUser, func() any { return j.Record() }, func() {
 		r.Terminal[uid] = ledger.TerminalState{Cancelled: true}
 		r.dropChunks(j)
--- a/internal/coordination/world_test.go
+++ b/internal/coordination/world_test.go
@@ -77,6 +77,9 @@
 	runs    func(task string) time.Duration
 	// pulls is how long a task waits for its image; nil: a moment.
 	pulls func(task string) time.Duration
+	// fails says whether a task fails as soon as it begins; failures counts those that did.
+	fails    func(k *simWorker, uid string) bool
+	failures int
 	// reportWait is how long a worker waits for the answer to a report.
 	reportWait time.Duration
 	// off are the addresses that take no connections.
@@ -301,6 +304,9 @@
 	return -1
 }
 
+// term is the leader's.
+func (w *world) term() *term { return w.nodes[w.awaitLeader()].core.term }
+
 func (w *world) awaitLeader() int {
 	w.t.Helper()
 	w.until(30*time.Second, "a leader", func() bool { return w.leader() >= 0 })
--- a/internal/ledger/job.go
+++ b/internal/ledger/job.go
@@ -41,9 +41,8 @@
 	// WaitingSince is since when it has waited with no task anywhere, 0: it does not.
 	WaitingSince time.Duration
 
-	// Failures in a row and when the next start may be made.
-	Failures  int
-	FailedOn  map[string]bool
+	// NotBefore is when the next start may be made, after failures.
+	Failures  JobFailures
 	NotBefore time.Duration
 }
 
--- a/internal/ledger/machine.go
+++ b/internal/ledger/machine.go
@@ -34,7 +34,7 @@
 	AsideUntil    time.Duration
 	// DrainUntil: its replicas are being moved, nothing new comes meanwhile.
 	DrainUntil time.Duration
-	Errors     int
+	Faults     MachineFaults
 
 	// SentAway is when it was told to report to a controller of its zone, SentTo
 	// which process that was; until DirectUntil it reports to the leader itself,
--- a/internal/sched/emptying.go
+++ b/internal/sched/emptying.go
@@ -34,7 +34,7 @@
 		var pick *Machine
 		for _, m := range rest.Machines {
 			if m.Used && m.For == "" && m.Room > 0 && (!j.Service || j.Image == "" || m.Images[j.Image]) && j.Need.Fits(m.Free) &&
-				j.AllowedOn(m.Type.Name, m.Zone, m.Spot) && j.ZoneOpen(m.Zone) &&
+				j.MayRunOn(m) &&
 				(pick == nil || rest.score(j, m) < rest.score(j, pick)) {
 				pick = m
 			}
--- a/internal/sched/gang.go
+++ b/internal/sched/gang.go
@@ -116,7 +116,7 @@
 func (s *Snapshot) zonesFor(j *Job) []string {
 	room := map[string]int{}
 	for _, m := range s.Machines {
-		if (m.For == "" || m.For == j.ID) && j.AllowedOn(m.Type.Name, m.Zone, m.Spot) {
+		if (m.For == "" || m.For == j.ID) && j.AllowedOn(m.Type.Name, m.Zone, m.Spot) && !j.Avoid[m.ID] {
 			if n := min(perMachine(j.Need, m.Free), float64(m.Room)); n >= 1 {
 				room[m.Zone] += int(min(n, 1e6))
 			}
--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -16,6 +16,7 @@
 	Spot                   bool
 	SaveS                  float64         // time to save when stopped
 	Types                  map[string]bool // nil: any
+	Avoid                  map[string]bool // machines where it failed
 	Zone                   string
 	OneZone, Spread        bool
 	Tasks                  int
@@ -83,6 +84,11 @@
 	return (!spot || j.Spot) && (j.Zone == "" || j.Zone == zone) && (j.Types == nil || j.Types[typ])
 }
 
+// MayRunOn says whether the job may have a task on the machine, room apart.
+func (j *Job) MayRunOn(m *Machine) bool {
+	return j.AllowedOn(m.Type.Name, m.Zone, m.Spot) && j.ZoneOpen(m.Zone) && !j.Avoid[m.ID]
+}
+
 // ZoneOpen says whether one more task may go to the zone, given the others.
 func (j *Job) ZoneOpen(zone string) bool {
 	if j.OneZone {
--- a/internal/sched/stops.go
+++ b/internal/sched/stops.go
@@ -180,7 +180,7 @@
 	var chosen []Held
 	cheapest := math.Inf(1)
 	for _, m := range s.Machines {
-		if m.Booting || m.For != "" || !j.Need.Fits(m.Type.Size) || !j.AllowedOn(m.Type.Name, m.Zone, m.Spot) || !j.ZoneOpen(m.Zone) {
+		if m.Booting || m.For != "" || !j.Need.Fits(m.Type.Size) || !j.MayRunOn(m) {
 			continue
 		}
 		var may []Held
