--- a/internal/coordination/failures_test.go
+++ b/internal/coordination/failures_test.go
@@ -22,7 +22,7 @@
 func TestJobThatFailsEverywhere(t *testing.T) {
 	w := newWorld(t, 91)
 	w.failing(map[string]bool{"j-9": true}, nil)
-	w.runs = func(string) time.Duration { return 10 * second }
+	w.runs = func(string) time.Duration { return 50 * second }
 	w.submit("j-9", map[string]any{"shards": 12, "cores": 1.0})
 	w.submit("j-1", map[string]any{"shards": 6})
 	w.until(90*second, "it is found out", func() bool { return w.term().Jobs["j-9"] != nil && w.term().Jobs["j-9"].Failures.Everywhere })
@@ -72,7 +72,7 @@
 // Two jobs with mistakes on the same machines are not evidence enough against these.
 func TestEvidenceOfFailures(t *testing.T) {
 	var m ledger.MachineFaults
-	if m.Suspect("j-1") || m.Suspect("j-1") || m.Suspect("j-2") {
+	if m.Suspect("j-1") || m.Suspect("j-2") || len(m.Suspects) != 2 {
 		t.Error("two jobs are enough")
 	}
 	m.Withdraw("j-2")
