Batches without accelerators leave the cores that free accelerators need

Beyond slots such batches now leave three quarters of each free accelerator's cores, and no machines with accelerators are rented for them where others do.

--- a/internal/sched/fill.go
+++ b/internal/sched/fill.go
@@ -40,11 +40,13 @@
 		return out
 	}
 	for pass := range fillPasses {
+		s.sparingCores = pass == spareRoom
 		if pass == interrupted {
 			orderBeyondSlots(s.Jobs)
 		}
 		out = s.placeBatches(out, pass)
 	}
+	s.sparingCores = false
 	return out
 }
 
@@ -246,7 +248,7 @@
 	list := s.roomy(j.Need.Accel > 0, j.Need.Cores > 0)
 	s.Looked += len(list)
 	for _, m := range list {
-		if (m.For != "" && m.For != j.ID) || m.Room <= 0 || !j.Need.Fits(m.Free) || !j.MayRunOn(m) {
+		if (m.For != "" && m.For != j.ID) || m.Room <= 0 || !j.Need.Fits(m.Free) || !j.MayRunOn(m) || s.sparingCores && !j.Service && j.blocksAccelerators(m) {
 			continue
 		}
 		if sc := s.score(j, m); sc < bestScore {
@@ -256,6 +258,16 @@
 	return pick
 }
 
+// blocksAccelerators says whether a task without accelerators would take cores that free
+// accelerators need: each keeps three quarters of its part of them.
+func (j *Job) blocksAccelerators(m *Machine) bool {
+	if j.Need.Accel > 0 || m.Type.Size.Accel <= 0 {
+		return false
+	}
+	left := m.Free.Minus(j.Need)
+	return left.Cores < 0.75*m.Type.Size.Cores*m.Free.Accel/m.Type.Size.Accel
+}
+
 // score is lower for a better machine. The weights only order the wishes:
 // ready before booting, image there, cheap kind, no accelerators blocked by
 // work that has no use for them, and a tight fit.
@@ -275,10 +287,7 @@
 		sc += 50
 	}
 	if j.Need.Accel == 0 && m.Type.Size.Accel > 0 {
-		// Cores beside accelerators are lent only as far as each free
-		// accelerator keeps three quarters of its part of them.
-		left := m.Free.Minus(j.Need)
-		if left.Cores < 0.75*m.Type.Size.Cores*m.Free.Accel/m.Type.Size.Accel {
+		if j.blocksAccelerators(m) {
 			sc += 400
 		}
 		sc += 30
--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 )
 
 // Pool is a type, zone and kind that can be rented.
@@ -22,6 +23,7 @@
 // waiting and expected work needs. blocked pools are short.
 func (s *Snapshot) Plan(types []*Type, blocked func(Pool) bool, maxNew int) []Rental {
 	Order(s.Jobs)
+	s.sparingCores = true
 	want := map[Pool]int{}
 	var order []Pool
 	created := 0
@@ -72,12 +74,24 @@
 	return out
 }
 
+// mayUse says whether a task of the job fits the type and is allowed on it.
+func (j *Job) mayUse(t *Type) bool {
+	return j.Need.Fits(t.Size) && (j.Types == nil || j.Types[t.Name])
+}
+
+// hasPlainType says whether the job may use a type without accelerators. Then none with
+// accelerators is rented for it.
+func (j *Job) hasPlainType(types []*Type) bool {
+	return slices.ContainsFunc(types, func(t *Type) bool { return t.Size.Accel == 0 && j.mayUse(t) })
+}
+
 func (s *Snapshot) cheapestPool(j *Job, later []*Job, types []*Type, blocked func(Pool) bool) (Pool, *Type) {
 	var pick Pool
 	var typ *Type
 	best := math.Inf(1)
+	plain := !j.Service && j.Need.Accel == 0 && j.hasPlainType(types)
 	for _, t := range types {
-		if !j.Need.Fits(t.Size) || (j.Types != nil && !j.Types[t.Name]) {
+		if !j.mayUse(t) || plain && t.Size.Accel > 0 {
 			continue
 		}
 		fit := perMachine(j.Need, t.Size)
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -47,11 +47,12 @@
 	UpperCap float64 // share of the fleet
 	// Moving: replicas are on their way from one machine to others, whose room
 	// batches must not take meanwhile.
-	Moving bool
-	// Open says whether a pool can be rented from, as far as known; nil: no.
-	Open     func(Pool) bool
+	Moving   bool
 	Capacity Need // of ready machines
-	Looked   int  // machines looked at so far: the work done, in place of a time
+	// sparingCores: batches that use no accelerators leave the cores that free
+	// accelerators need, whatever else is full.
+	sparingCores bool
+	Looked       int // machines looked at so far: the work done, in place of a time
 	// gangLooked counts those that a round looked at for gangs.
 	gangLooked int
 	// spare are the machines with any room: with cores, and with accelerators.
