Room for expected replicas is kept where their images are; pushed-out images are not counted on

Cause (credit checks, visitors): gateways started at once, but 39 of 61 after 90 s waited 1 to 9 s for an image: the guests had filled the machines that had them, and the room kept was wherever it fitted tightest. Machines were also believed to keep every image they ever had (the cache holds 400 GB, the classes' images are 1,300). Ruled out: the team's limit (all began within 10 ms), stops.

--- a/internal/coordination/exits.go
+++ b/internal/coordination/exits.go
@@ -31,7 +31,7 @@
 		if j.Spec.Service || j.Cancelling && j.Finishing {
 			break
 		}
-		m.Images[j.Spec.Image] = true
+		r.useImage(m, j)
 		if j.Gang != nil {
 			// If one task is done, all are; what tells so is kept until it is durable.
 			g.Ready = false
@@ -86,6 +86,9 @@
 func (r *term) gone(a *ledger.Attempt, why goneReason) {
 	m := a.Machine
 	r.Drop(a)
+	if m.Images[a.Job.Spec.Image] {
+		r.useImage(m, a.Job)
+	}
 	if len(m.Attempts) == 0 {
 		m.IdleSince = r.c.now
 	}
--- a/internal/coordination/expected.go
+++ b/internal/coordination/expected.go
@@ -61,11 +61,13 @@
 		}
 		a := r.arrivals[class]
 		tasks := 0
+		images := map[string]float64{}
 		var sample *ledger.Job
 		from := c.wall - int64(window*1000)
 		for _, x := range a.last {
 			if x.at >= from {
 				tasks += x.job.Spec.Tasks
+				images[x.job.Spec.Image] += float64(x.job.Spec.Tasks)
 				sample = x.job
 			}
 		}
@@ -79,7 +81,7 @@
 		}
 		sp := sample.Spec
 		j := &sched.Job{ID: "~" + class, Class: class, Service: true, Need: sample.Need, Spot: sp.Spot, Types: sample.Types,
-			Spread: false, Tasks: k, Phantom: true, Degradation: 1, Priority: int(sp.Priority)}
+			Spread: false, Tasks: k, Phantom: true, Degradation: 1, Priority: int(sp.Priority), Images: imageShares(images, tasks), ImageGB: sp.ImageGB, AimS: aim}
 		for i := range k {
 			j.Waiting = append(j.Waiting, i)
 		}
@@ -88,6 +90,15 @@
 	return out
 }
 
+// imageShares tells which images the tasks need, in a fixed order, so runs replay.
+func imageShares(tasksByImage map[string]float64, tasks int) []sched.ImageShare {
+	var out []sched.ImageShare
+	for _, image := range sortedKeys(tasksByImage) {
+		out = append(out, sched.ImageShare{Image: image, Share: tasksByImage[image] / float64(tasks)})
+	}
+	return out
+}
+
 // bootS is the longest usual boot time.
 func (c *Core) bootS() float64 {
 	boot := 0.0
--- a/internal/coordination/reports.go
+++ b/internal/coordination/reports.go
@@ -186,7 +186,7 @@
 		if a.State != t.State {
 			a.SetState(t.State)
 			if t.State == protocol.Running {
-				m.Images[a.Job.Spec.Image] = true
+				r.useImage(m, a.Job)
 				r.c.log.Debug("running", "task", t.Task, "try", t.Attempt, "machine", m.ID)
 			}
 		}
--- a/internal/coordination/term.go
+++ b/internal/coordination/term.go
@@ -170,7 +170,7 @@
 		}
 		a := r.Put(m, j, e.Index, e.Try, r.c.now)
 		a.Durable, a.Loaded, a.Sent = true, true, true
-		m.Images[j.Spec.Image] = true
+		r.useImage(m, j)
 		m.Up = true
 	}
 }
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -23,6 +23,11 @@
 	}, then)
 }
 
+// useImage notes that a task of the job has its image on the machine.
+func (r *term) useImage(m *ledger.Machine, j *ledger.Job) {
+	m.UseImage(j.Spec.Image, j.Spec.ImageGB, r.c.typeInfo[m.Type].CacheGB)
+}
+
 // watchMachines looks at what time alone tells.
 func (r *term) watchMachines() {
 	c := r.c
--- /dev/null
+++ b/internal/ledger/images_test.go
@@ -0,0 +1,30 @@
+package ledger
+
+import (
+	"testing"
+
+	"claybarrow/internal/protocol"
+)
+
+// A machine is not believed to have an image that newer ones have pushed out, as long as no
+// task needs it: replicas were sent to machines for images that these no longer had.
+func TestLeastRecentlyUsedImagesAreDropped(t *testing.T) {
+	b := New(1024, 1024)
+	m := b.AddMachine("i-1")
+	j := b.AddJob(&protocol.Spec{UID: "j-1", Tasks: 1, Image: "needed"}, 0)
+	b.Put(m, j, 0, 1, 0)
+	for _, name := range []string{"needed", "old", "recent", "old-but-used"} {
+		m.UseImage(name, 30, 0)
+	}
+	m.UseImage("old", 30, 130)
+	m.UseImage("new", 30, 130)
+	for name, want := range map[string]bool{"needed": true, "old": true, "recent": false, "old-but-used": true, "new": true} {
+		if m.Images[name] != want {
+			t.Errorf("%s: %v", name, m.Images[name])
+		}
+	}
+	m.UseImage("huge", 200, 130)
+	if !m.Images["needed"] || m.Images["new"] {
+		t.Errorf("after an image as large as the cache: %v", m.Images)
+	}
+}
--- a/internal/ledger/machine.go
+++ b/internal/ledger/machine.go
@@ -45,7 +45,10 @@
 
 	Notice   bool
 	NoticeBy time.Duration
-	Images   map[string]bool
+	// Images are those it is believed to have, see UseImage.
+	Images    map[string]bool
+	imageUses map[string]imageUse
+	lastUse   uint64
 
 	// Exists is when it surely existed; a list surely younger without it
 	// proves that it is gone.
--- a/internal/sched/fill.go
+++ b/internal/sched/fill.go
@@ -277,6 +277,9 @@
 		sc += 1000
 	}
 	switch {
+	case j.Phantom && len(j.Images) > 0:
+		// Room is kept where the images are: kept elsewhere, each replica began with a fetch.
+		sc += 60 * j.fetchWeight(m.Type) * j.missingShare(m)
 	case j.Image == "" || m.Images[j.Image]:
 	case m.Fetching[j.Image]:
 		sc += 20
--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -37,12 +37,22 @@
 	// Claims is for how many of its tasks others were stopped and have not all
 	// gone yet.
 	Claims int
+	// Images are the images that expected tasks may need, with the share of each; missing
+	// is what share of them a machine lacks, as far as asked.
+	Images  []ImageShare
+	missing map[*Machine]float64
 	// Patient: it has waited so long that no rented machine will come.
 	Patient bool
 	// Starved: it has had no task anywhere for longer than a boot.
 	Starved bool
 }
 
+// ImageShare is the share of expected tasks that need an image.
+type ImageShare struct {
+	Image string
+	Share float64
+}
+
 // Rank is attained service over degradation: the least goes first.
 func (j *Job) Rank() float64 { return j.Attained / j.Degradation }
 
@@ -101,6 +111,24 @@
 	return !j.Spread || j.InZone[zone] < (j.Tasks+1)/2
 }
 
+// missingShare is the share of expected tasks whose image the machine lacks.
+func (j *Job) missingShare(m *Machine) float64 {
+	if share, known := j.missing[m]; known {
+		return share
+	}
+	share := 0.0
+	for _, expected := range j.Images {
+		if !m.Images[expected.Image] {
+			share += expected.Share
+		}
+	}
+	if j.missing == nil {
+		j.missing = map[*Machine]float64{}
+	}
+	j.missing[m] = share
+	return share
+}
+
 // fetchWeight is how much a missing image matters on a type: its fetch by the
 // time that the users give a start. Small images on slow machines miss an aim of
 // a second, while a dearer machine has them at once.
--- a/internal/sched/sparing_test.go
+++ b/internal/sched/sparing_test.go
@@ -28,6 +28,20 @@
 	}
 }
 
+// Room for expected replicas is kept on machines that have the images they may need.
+func TestRoomIsKeptWhereTheImagesAre(t *testing.T) {
+	ms := machines(box, "a", "a", "a")
+	ms[2].Images = map[string]bool{"x": true, "y": true}
+	ms[1].Images = map[string]bool{"x": true}
+	expected := batch("~web", 8, func(j *Job) {
+		j.Service, j.Phantom, j.Images = true, true, []ImageShare{{"x", 0.5}, {"y", 0.3}, {"z", 0.2}}
+	})
+	s := snap(ms, expected, batch("work", 24, func(j *Job) { j.Upper, j.Slots = false, 24 }))
+	if got := started(s.Fill())["work"]; got != 16 || ms[2].Free.Cores != 0 || !ms[0].Used || !ms[1].Used || ms[2].Used {
+		t.Errorf("%d tasks started, of 8 places kept not all are on %s", got, ms[2].ID)
+	}
+}
+
 // No machines with accelerators are rented for batches that can do without.
 func TestPlanRentsPlainMachinesForPlainBatches(t *testing.T) {
 	open := func(Pool) bool { return false }
