A leader that stood still asks for its lease before it acts

After a gap longer than its lease it now gives no commands until the state service confirms the lease, or as long as an election takes where that does not answer. Test with pauses of 8, 30 and 120 s, seen to fail without.

--- a/internal/coordination/commands.go
+++ b/internal/coordination/commands.go
@@ -168,7 +168,7 @@
 // dispatch sends what there is to send directly, one request at a time.
 func (r *term) dispatch(m *ledger.Machine) {
 	c := r.c
-	if m.Calling || m.Addr == "" || c.now < m.NextCall || !r.ready || c.term != r {
+	if m.Calling || m.Addr == "" || c.now < m.NextCall || !r.ready || c.term != r || r.suspended() {
 		return
 	}
 	probe := r.wantsProbe(m)
--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -79,7 +79,11 @@
 
 // Handle takes one message and returns what is to be done.
 func (c *Core) Handle(at Clock, ev Event) []Effect {
+	woke := c.wake(at.Steady - c.now)
 	c.now, c.wall, c.out = max(c.now, at.Steady), at.Wall, nil
+	if woke {
+		c.afterStandstill()
+	}
 	switch ev := ev.(type) {
 	case Tick:
 		c.tick()
--- a/internal/coordination/leader.go
+++ b/internal/coordination/leader.go
@@ -293,6 +293,7 @@
 				c.log.Info("state service answers again", "token", r.token)
 			}
 			r.confirmed = max(r.confirmed, sent)
+			r.suspendedUntil = 0
 			r.renewAt = sent + ttl/5
 		case 404:
 			c.endTerm("the lease has ended")
--- a/internal/coordination/reports.go
+++ b/internal/coordination/reports.go
@@ -32,8 +32,8 @@
 		c.reply(from, 421, protocol.Encode(protocol.Elsewhere{Leader: leader}), 0)
 		return
 	}
-	if !r.ready {
-		r.renewBeforeReady(from, &msg)
+	if !r.ready || r.suspended() {
+		r.renewOnly(from, &msg)
 		return
 	}
 	m, fresh := r.observe(&msg, true)
@@ -76,10 +76,11 @@
 	c.reply(from, 200, protocol.Encode(protocol.ReportReply{Token: r.token, Commands: []protocol.Command{}}), 0)
 }
 
-// renewBeforeReady keeps a worker whose report comes while the ledger is being read:
-// without commands and with the token that it shows, as a follower does. Turned away,
-// it would wait for each controller that has ended.
-func (r *term) renewBeforeReady(from requester, msg *protocol.Report) {
+// renewOnly keeps a worker whose report comes while the ledger is being read, or before a
+// leader that stood still knows whether it still leads: without commands and with the
+// token that it shows, as a follower does. Turned away, it would wait for each controller
+// that has ended.
+func (r *term) renewOnly(from requester, msg *protocol.Report) {
 	c := r.c
 	if msg.Token > r.token {
 		c.endTerm("a worker has seen a higher token")
--- /dev/null
+++ b/internal/coordination/standstill_test.go
@@ -0,0 +1,81 @@
+package coordination
+
+import (
+	"testing"
+	"time"
+)
+
+// standStill has a controller handle nothing for a while; what comes meanwhile waits for it.
+func (w *world) standStill(i int, d time.Duration) {
+	n := w.nodes[i]
+	n.still = true
+	w.at(d, func() {
+		n.still = false
+		w.feed(i, Tick{})
+		held := n.held
+		n.held = nil
+		for _, do := range held {
+			do()
+		}
+	})
+}
+
+// A leader that stood still for longer than its lease, and wakes while another leads, sends
+// no command and takes no machine for lost before it has found out.
+func TestLeaderThatStoodStill(t *testing.T) {
+	for _, d := range []time.Duration{8 * second, 30 * second, 2 * time.Minute} {
+		w := newWorld(t, 43)
+		lead := w.awaitLeader()
+		w.submit("j-1", map[string]any{"shape": "service", "shards": 4, "apart": true})
+		w.until(90*second, "replicas run", func() bool { return w.running("j-1") == 4 })
+		w.run(5 * second)
+		w.standStill(lead, d)
+		w.run(d - time.Millisecond)
+		replaced := false
+		for i, n := range w.nodes {
+			replaced = replaced || i != lead && n.core.term != nil && n.core.term.ready
+		}
+		if !replaced {
+			t.Fatalf("after %v nobody else leads", d)
+		}
+		old := w.nodes[lead].core
+		commands := 0
+		w.script = func(node int, c Call) fate {
+			if node == lead && c.Target == ToWorker && old.term != nil {
+				commands++
+			}
+			return fate{}
+		}
+		w.run(3 * second)
+		if old.term != nil {
+			t.Errorf("after %v it still leads", d)
+		}
+		if commands > 0 {
+			t.Errorf("after %v it sent %d requests to workers first", d, commands)
+		}
+		for task, n := range w.starts {
+			if n > 1 {
+				t.Errorf("after %v %s was moved", d, task)
+			}
+		}
+		w.script = nil
+		w.settle()
+	}
+}
+
+// Nobody else could be elected meanwhile: it goes on where it was.
+func TestLeaderThatStoodStillAlone(t *testing.T) {
+	w := newWorld(t, 44)
+	lead := w.awaitLeader()
+	w.submit("j-1", map[string]any{"shards": 4})
+	w.until(90*second, "tasks run", func() bool { return w.running("j-1") == 4 })
+	w.state.outage(8 * second)
+	w.run(second)
+	w.standStill(lead, 4*second)
+	w.run(15 * second)
+	if r := w.nodes[lead].core.term; r == nil || r.suspended() {
+		t.Error("it does not lead any more")
+	}
+	w.awaitTold(90*second, "j-1", "done")
+	w.settle()
+}
--- a/internal/coordination/term.go
+++ b/internal/coordination/term.go
@@ -25,7 +25,9 @@
 	coasting  bool
 	since     time.Duration // when the election was won
 	ready     bool          // the ledger is read
-	renewed   time.Duration // when a worker was last answered before that
+	renewed   time.Duration // when a worker was last answered without commands
+	// suspendedUntil: after a standstill, see suspended.
+	suspendedUntil time.Duration
 
 	*ledger.Ledger
 	proposals map[string]*proposal
@@ -258,7 +260,7 @@
 			}
 		}
 	}
-	if !r.ready {
+	if !r.ready || r.suspended() {
 		return
 	}
 	r.watchMachines()
@@ -272,7 +274,7 @@
 
 // settle runs after every message: what piled up leaves.
 func (r *term) settle() {
-	if r.c.term != r || !r.ready {
+	if r.c.term != r || !r.ready || r.suspended() {
 		return
 	}
 	// What is decided while a transaction is under way could only leave with the
--- a/internal/coordination/world_test.go
+++ b/internal/coordination/world_test.go
@@ -93,6 +93,9 @@
 	born  time.Duration // the steady clock of a process starts with it
 	last  uint64
 	wants map[uint64]func(Reply)
+	// still: the process handles nothing; held is what waits for it.
+	still bool
+	held  []func()
 	// scripted answers in the place of a process that is not alive; nil: nobody does.
 	scripted func(Request) Reply
 }
@@ -181,6 +184,7 @@
 func (w *world) boot(i int) {
 	n := w.nodes[i]
 	n.alive, n.life, n.born, n.scripted = true, n.life+1, w.now, nil
+	n.still, n.held = false, nil
 	life := n.life
 	n.wants = map[uint64]func(Reply){}
 	sink := io.Discard
@@ -192,7 +196,9 @@
 	var beat func()
 	beat = func() {
 		if n.alive && n.life == life {
-			w.feed(i, Tick{})
+			if !n.still {
+				w.feed(i, Tick{})
+			}
 			w.at(tick, beat)
 		}
 	}
@@ -203,6 +209,15 @@
 
 func (w *world) feed(i int, ev Event) {
 	n := w.nodes[i]
+	if n.still {
+		life := n.life
+		n.held = append(n.held, func() {
+			if n.alive && n.life == life {
+				w.feed(i, ev)
+			}
+		})
+		return
+	}
 	for _, e := range n.core.Handle(Clock{Steady: w.now - n.born, Wall: 1_700_000_000_000 + w.now.Milliseconds()}, ev) {
 		switch e := e.(type) {
 		case Reply:
