--- a/internal/coordination/cloud.go
+++ b/internal/coordination/cloud.go
@@ -11,15 +11,18 @@
 
 // cloudState is what the leader knows of its dealings with the cloud.
 type cloudState struct {
-	listAt   time.Duration
-	listing  bool
-	listed   bool // one whole list has been read
-	hires    int
-	renting  map[string]*rental
-	short    map[sched.Pool]shortage
-	removed  map[string]time.Duration
-	deleting bool
-	deleteAt time.Duration
+	listAt  time.Duration
+	listing bool
+	listed  bool // one whole list has been read
+	hires   int
+	renting map[string]*rental
+	short   map[sched.Pool]shortage
+	// Conditions that are logged when they begin and end.
+	shortPools map[sched.Pool]*condition
+	lateBoots  condition
+	removed    map[string]time.Duration
+	deleting   bool
+	deleteAt   time.Duration
 }
 
 type rental struct {
@@ -33,7 +36,7 @@
 }
 
 func newCloudState() cloudState {
-	return cloudState{renting: map[string]*rental{}, short: map[sched.Pool]shortage{}, removed: map[string]time.Duration{}}
+	return cloudState{renting: map[string]*rental{}, short: map[sched.Pool]shortage{}, shortPools: map[sched.Pool]*condition{}, removed: map[string]time.Duration{}}
 }
 
 func (r *term) keepCloud() {
@@ -213,6 +216,7 @@
 				r.runShort(p)
 			} else {
 				delete(r.short, p)
+				r.poolShort(p, false)
 			}
 		case res.Status == 503 && q.refused(res.Body):
 			delete(r.renting, q.req.Request)
@@ -244,5 +248,6 @@
 	s.times = min(s.times+1, 4)
 	s.until = r.c.now + r.c.cfg.Lease()*time.Duration(s.times)/2
 	r.short[p] = s
+	r.poolShort(p, true)
 	r.planAt = r.c.now
 }
--- a/internal/coordination/review.go
+++ b/internal/coordination/review.go
@@ -43,7 +43,7 @@
 			// machine with its images is worth more than a new one.
 			m.IdleSince = c.now
 		case !m.Up:
-			if c.now > m.Rented+boot*5/2 {
+			if c.now > m.Rented+seconds(t.BootS*longestBoot) {
 				r.giveBack(m, "did not come up")
 			} else if needed[m.ID] {
 				m.IdleSince = c.now
--- a/internal/coordination/schedule.go
+++ b/internal/coordination/schedule.go
@@ -32,6 +32,7 @@
 	}
 	if c.now >= r.planAt {
 		r.findPartitions()
+		r.watchBoots()
 		r.planAt = c.now + c.cfg.LeaderTTL()*2/3
 		r.fillDirty = true // delays of failing jobs and set-aside machines end with time
 		r.plan()
--- a/internal/coordination/snapshot.go
+++ b/internal/coordination/snapshot.go
@@ -89,7 +89,7 @@
 			if running {
 				sm.Running = r.runningOn(m, jobs)
 			}
-		case booting && !m.Up && !m.Returning && !r.isPartitioned(m.Zone) && c.now < m.Rented+seconds(t.BootS*1.6):
+		case booting && !m.Up && !m.Returning && !r.isPartitioned(m.Zone) && c.now < m.Rented+seconds(t.BootS*usualBoots):
 			sm.Booting = true
 		default:
 			continue
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -38,6 +38,7 @@
 	asks    chan ask // users, other controllers, the load balancer
 	reports chan ask // workers
 	users   *connLimiter
+	away    turnedAway
 	clients map[coordination.Target]*http.Client
 	start   time.Time
 }
@@ -148,6 +149,9 @@
 				ev = ask(a)
 			}
 		}
+		if _, tick := ev.(coordination.Tick); tick {
+			n.away.look(n.now().Steady, n.cfg.Lease(), n.log)
+		}
 		for _, e := range n.core.Handle(n.now(), ev) {
 			switch e := e.(type) {
 			case coordination.Reply:
@@ -291,6 +295,7 @@
 		case queue <- a:
 		default:
 			// The queue is bounded: answered at once, with when to come back.
+			n.away.add()
 			w.Header().Set("Retry-After", "1")
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
