--- a/internal/coordination/snapshot.go
+++ b/internal/coordination/snapshot.go
@@ -107,6 +107,7 @@
 	c := r.c
 	sj := schedJob(j)
 	sj.AimS = r.aimOf(j.Spec.Class)
+	sj.Plain = sj.IsPlain(c.types)
 	sj.LeftS, sj.Late = r.timeLeft(j)
 	sj.Patient = float64(c.wall-j.Submitted)/1000 > 2*c.bootS()
 	if c.now >= j.NotBefore {
--- a/internal/sched/fill.go
+++ b/internal/sched/fill.go
@@ -248,7 +248,7 @@
 	list := s.roomy(j.Need.Accel > 0, j.Need.Cores > 0)
 	s.Looked += len(list)
 	for _, m := range list {
-		if (m.For != "" && m.For != j.ID) || m.Room <= 0 || !j.Need.Fits(m.Free) || !j.MayRunOn(m) || s.sparingCores && !j.Service && j.blocksAccelerators(m) {
+		if (m.For != "" && m.For != j.ID) || m.Room <= 0 || !j.Need.Fits(m.Free) || !j.MayRunOn(m) || s.sparingCores && j.Plain && j.blocksAccelerators(m) {
 			continue
 		}
 		if sc := s.score(j, m); sc < bestScore {
--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -41,6 +41,8 @@
 	// is what share of them a machine lacks, as far as asked.
 	Images  []ImageShare
 	missing map[*Machine]float64
+	// Plain: a batch for machines without accelerators, see IsPlain.
+	Plain bool
 	// Patient: it has waited so long that no rented machine will come.
 	Patient bool
 	// Starved: it has had no task anywhere for longer than a boot.
--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -79,19 +79,19 @@
 	return j.Need.Fits(t.Size) && (j.Types == nil || j.Types[t.Name])
 }
 
-// hasPlainType says whether the job may use a type without accelerators. Then none with
-// accelerators is rented for it.
-func (j *Job) hasPlainType(types []*Type) bool {
-	return slices.ContainsFunc(types, func(t *Type) bool { return t.Size.Accel == 0 && j.mayUse(t) })
+// IsPlain says whether the job is a batch without accelerators that may use a type without
+// them. Then none with accelerators is rented for it, and it spares what these need.
+func (j *Job) IsPlain(types []*Type) bool {
+	return !j.Service && j.Need.Accel == 0 &&
+		slices.ContainsFunc(types, func(t *Type) bool { return t.Size.Accel == 0 && j.mayUse(t) })
 }
 
 func (s *Snapshot) cheapestPool(j *Job, later []*Job, types []*Type, blocked func(Pool) bool) (Pool, *Type) {
 	var pick Pool
 	var typ *Type
 	best := math.Inf(1)
-	plain := !j.Service && j.Need.Accel == 0 && j.hasPlainType(types)
 	for _, t := range types {
-		if !j.mayUse(t) || plain && t.Size.Accel > 0 {
+		if !j.mayUse(t) || j.Plain && t.Size.Accel > 0 {
 			continue
 		}
 		fit := perMachine(j.Need, t.Size)
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -49,8 +49,8 @@
 	// batches must not take meanwhile.
 	Moving   bool
 	Capacity Need // of ready machines
-	// sparingCores: batches that use no accelerators leave the cores that free
-	// accelerators need, whatever else is full.
+	// sparingCores: plain batches leave the cores that free accelerators need, whatever
+	// else is full.
 	sparingCores bool
 	Looked       int // machines looked at so far: the work done, in place of a time
 	// gangLooked counts those that a round looked at for gangs.
