Machines are put in order once for a job's tasks, not looked at anew for each

Tasks of a job are alike, so only the machine that takes one changes its score: a heap gives the same places (test against the search before).

--- /dev/null
+++ b/internal/sched/candidates_test.go
@@ -0,0 +1,63 @@
+package sched
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+)
+
+// Machines put in order once give the same places as looking at all of them for each task.
+func TestCandidatesChooseAsLookingAtAll(t *testing.T) {
+	rng := rand.New(rand.NewPCG(5, 5))
+	for round := range 200 {
+		var fleet []*Machine
+		for i := range 1 + rng.IntN(30) {
+			typ := box
+			if rng.IntN(2) == 0 {
+				typ = gpu
+			}
+			m := &Machine{ID: fmt.Sprint(i), Type: typ, Zone: "a", Room: rng.IntN(12), Free: typ.Size.Times(float64(rng.IntN(5)) / 4),
+				Images: map[string]bool{"img": rng.IntN(3) == 0}, Booting: rng.IntN(4) == 0, Used: rng.IntN(2) == 0, Spot: rng.IntN(2) == 0}
+			if rng.IntN(10) == 0 {
+				m.For = "other"
+			}
+			fleet = append(fleet, m)
+		}
+		j := batch("work", 3+rng.IntN(60), func(j *Job) {
+			j.Image, j.Need, j.Spot, j.Plain = "img", Need{Cores: 1 + float64(rng.IntN(3)), Accel: float64(rng.IntN(2)), Mem: 1}, true, rng.IntN(2) == 0
+		})
+		s := snap(fleet, j)
+		s.sparingCores = rng.IntN(2) == 0
+		one, other := s.clone(""), s.clone("")
+		one.sparingCores, other.sparingCores = s.sparingCores, s.sparingCores
+		places := func(s *Snapshot, c choice, j Job) (out []string) {
+			for len(j.Waiting) > 0 {
+				m := c.best()
+				if m == nil {
+					return out
+				}
+				out = append(out, m.ID)
+				s.take(&j, m)
+				c.taken(m)
+			}
+			return out
+		}
+		a := places(one, one.candidatesFor(j), *j)
+		b := places(other, eachTime{other, j}, *j)
+		if fmt.Sprint(a) != fmt.Sprint(b) {
+			t.Fatalf("round %d:\n%v\n%v", round, a, b)
+		}
+	}
+}
+
+// A round of fills for an array of thousands looks at each machine about once, not once a task.
+func TestFillWorkOfALargeArray(t *testing.T) {
+	s := snap(machines(box, make([]string, 800)...), batch("work", 5000, func(j *Job) { j.Upper = false }))
+	s.Teams["red"].Limit = Need{}
+	if got := started(s.Fill())["work"]; got != 5000 {
+		t.Fatalf("%d tasks started", got)
+	}
+	if s.Looked > 20_000 {
+		t.Errorf("looked at %d machines", s.Looked)
+	}
+}
--- a/internal/sched/fill.go
+++ b/internal/sched/fill.go
@@ -159,13 +159,18 @@
 // the room allow.
 func (s *Snapshot) place(out []Placement, j *Job, may func(*Team) bool) []Placement {
 	team := s.Teams[j.Team]
+	if len(j.Waiting) == 0 || !team.Takes(j) || !may(team) {
+		return out
+	}
+	choice := s.choices(j)
 	for len(j.Waiting) > 0 && team.Takes(j) && may(team) {
-		m := s.best(j)
+		m := choice.best()
 		if m == nil {
 			break
 		}
 		out = append(out, Placement{j, j.Waiting[0], m})
 		s.take(j, m)
+		choice.taken(m)
 	}
 	return out
 }
@@ -188,14 +193,19 @@
 // reserve takes room for expected tasks on machines that are up, as far as
 // there is any.
 func (s *Snapshot) reserve(j *Job) {
+	if len(j.Waiting) == 0 {
+		return
+	}
+	choice := s.choices(j)
 	for len(j.Waiting) > 0 {
-		m := s.best(j)
+		m := choice.best()
 		if m == nil {
 			return
 		}
 		used := m.Used
 		s.take(j, m)
 		m.Used = used
+		choice.taken(m)
 	}
 }
 
@@ -242,13 +252,19 @@
 	return s.spare[k]
 }
 
+// takes says whether the machine may be given a task of the job now.
+func (s *Snapshot) takes(j *Job, m *Machine) bool {
+	return (m.For == "" || m.For == j.ID) && m.Room > 0 && j.Need.Fits(m.Free) && j.MayRunOn(m) &&
+		!(s.sparingCores && j.Plain && j.blocksAccelerators(m))
+}
+
 func (s *Snapshot) best(j *Job) *Machine {
 	var pick *Machine
 	bestScore := math.Inf(1)
 	list := s.roomy(j.Need.Accel > 0, j.Need.Cores > 0)
 	s.Looked += len(list)
 	for _, m := range list {
-		if (m.For != "" && m.For != j.ID) || m.Room <= 0 || !j.Need.Fits(m.Free) || !j.MayRunOn(m) || s.sparingCores && j.Plain && j.blocksAccelerators(m) {
+		if !s.takes(j, m) {
 			continue
 		}
 		if sc := s.score(j, m); sc < bestScore {
--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -42,11 +42,15 @@
 				}
 			}
 		}
+		if len(j.Waiting) == 0 {
+			continue
+		}
+		choice := s.choices(j)
 		for len(j.Waiting) > 0 {
 			if t := s.Teams[j.Team]; t != nil && !t.Takes(j) && !j.Phantom {
 				break
 			}
-			m := s.best(j)
+			m := choice.best()
 			if m == nil {
 				if created >= maxNew {
 					break
@@ -58,6 +62,7 @@
 				m = &Machine{Type: typ, Zone: p.Zone, Spot: p.Spot, Free: typ.Size, Room: 1 << 20, Booting: true}
 				s.Machines = append(s.Machines, m)
 				s.spare = [2][]*Machine{}
+				choice.add(m, len(s.Machines))
 				if want[p] == 0 {
 					order = append(order, p)
 				}
@@ -65,6 +70,7 @@
 				created++
 			}
 			s.take(j, m)
+			choice.taken(m)
 		}
 	}
 	var out []Rental
