--- a/internal/coordination/commands.go
+++ b/internal/coordination/commands.go
@@ -38,12 +38,21 @@
 
 // nothingToSay tells most machines of a fleet apart without any list being made:
 // each is looked at at every tick.
-func nothingToSay(m *ledger.Machine) bool {
-	if len(m.Exited) > 0 || len(m.UnknownTasks) > 0 {
+// What was said lately, and ends that are not durable yet, are nothing to say either: during
+// an array of thousands of short tasks most machines had some, and the lists made for them
+// at every tick took a fifth of a leader's time.
+func (r *term) nothingToSay(m *ledger.Machine) bool {
+	if len(m.UnknownTasks) > 0 {
 		return false
 	}
+	again := r.c.now - r.c.cfg.Report()
+	for _, exit := range m.Exited {
+		if exit.Ready && (exit.Sent == 0 || exit.Sent <= again) {
+			return false
+		}
+	}
 	for _, a := range m.Attempts {
-		if a.Halt || a.Durable && !a.Acked && !a.Loaded {
+		if a.Halt && (a.HaltSent == 0 || a.HaltSent <= again) || !a.Halt && a.Durable && !a.Acked && !a.Loaded {
 			return false
 		}
 	}
@@ -54,7 +63,7 @@
 // those in a report's answer fill in where the direct way fails.
 func (r *term) commands(m *ledger.Machine, inReply bool) []protocol.Command {
 	c := r.c
-	if inReply && m.Calling || nothingToSay(m) {
+	if inReply && m.Calling || r.nothingToSay(m) {
 		return nil
 	}
 	var out []protocol.Command
--- a/internal/coordination/counters.go
+++ b/internal/coordination/counters.go
@@ -26,8 +26,8 @@
 func (r *term) writeCounters() {
 	limit := r.c.cfg.ValueBytes() / (2 * ledger.EntryBytes)
 	var batch []map[string]ledger.CounterRow
-	for _, uid := range sortedKeys(r.Jobs) {
-		j := r.Jobs[uid]
+	for _, j := range r.SortedJobs() {
+		uid := j.Spec.UID
 		if j.Spec.Service || j.Cancelling || !j.Stored {
 			continue
 		}
--- a/internal/coordination/snapshot.go
+++ b/internal/coordination/snapshot.go
@@ -59,19 +59,20 @@
 			claims[cl.job] += cl.tasks
 		}
 	}
-	for _, uid := range sortedKeys(r.Jobs) {
-		j := r.Jobs[uid]
+	for _, j := range r.SortedJobs() {
 		if !j.Stored {
 			continue
 		}
-		sj := r.jobView(j, claims[uid])
-		if len(sj.Waiting) == 0 && !running {
+		waiting, resume := r.waitingTasks(j)
+		if len(waiting) == 0 && !running {
 			continue
 		}
+		sj := r.jobView(j, waiting, resume, claims[j.Spec.UID])
 		sj.InZone = j.InZone()
 		jobs[j] = sj
 		s.Jobs = append(s.Jobs, sj)
 	}
+	views := make([]sched.Machine, 0, len(r.Machines)) // one allocation for all
 	for _, m := range r.machines() {
 		t := c.typeOf(m.Type)
 		if t == nil {
@@ -82,7 +83,8 @@
 				s.Moving = s.Moving || a.Job.Spec.Service
 			}
 		}
-		sm := r.machineView(m, t)
+		views = append(views, r.machineView(m, t))
+		sm := &views[len(views)-1]
 		switch {
 		case r.usable(m):
 			showImages(sm, m)
@@ -102,41 +104,52 @@
 // mostWaiting bounds how many waiting tasks of a job are looked at in one go.
 const mostWaiting = 512
 
-// jobView is a job as the scheduler sees it, with what waits of it now.
-func (r *term) jobView(j *ledger.Job, claims int) *sched.Job {
+// waitingTasks lists what waits of a job now; the first of them, as many as it says, were
+// interrupted.
+func (r *term) waitingTasks(j *ledger.Job) (waiting []int, resume int) {
 	c := r.c
-	sj := schedJob(j)
-	sj.AimS = r.aimOf(j.Spec.Class)
-	sj.Plain = sj.IsPlain(c.types)
-	sj.LeftS, sj.Late = r.timeLeft(j)
-	sj.Patient = float64(c.wall-j.Submitted)/1000 > 2*c.bootS()
 	if c.now >= j.NotBefore {
-		sj.Waiting, sj.Resume = j.Waiting(mostWaiting)
+		waiting, resume = j.Waiting(mostWaiting)
 	}
-	sj.Avoid = j.Failures.Avoid(c.now, c.cfg.Cancel())
-	if j.Failures.Probing() && j.Gang == nil && len(sj.Waiting) > 1 {
-		sj.Waiting, sj.Resume = sj.Waiting[:1], min(sj.Resume, 1)
+	if j.Failures.Probing() && j.Gang == nil && len(waiting) > 1 {
+		waiting, resume = waiting[:1], min(resume, 1)
 	}
 	if j.HeldTotal > 0 || j.Cancelling || j.Finishing {
 		j.WaitingSince = 0
 	} else if j.WaitingSince == 0 {
 		j.WaitingSince = c.now
 	}
+	return waiting, resume
+}
+
+// jobView is a job as the scheduler sees it, with what waits of it now.
+func (r *term) jobView(j *ledger.Job, waiting []int, resume, claims int) *sched.Job {
+	c := r.c
+	sj := schedJob(j)
+	sj.Waiting, sj.Resume = waiting, resume
+	sj.AimS = r.aimOf(j.Spec.Class)
+	sj.Plain = sj.IsPlain(c.types)
+	sj.LeftS, sj.Late = r.timeLeft(j)
+	sj.Patient = float64(c.wall-j.Submitted)/1000 > 2*c.bootS()
+	sj.Avoid = j.Failures.Avoid(c.now, c.cfg.Cancel())
 	sj.Starved = j.WaitingSince > 0 && c.now > j.WaitingSince+seconds(c.bootS())
 	sj.Claims = min(claims, len(sj.Waiting))
 	return sj
 }
 
 // machineView is a machine as the scheduler sees it, without what is on it.
-func (r *term) machineView(m *ledger.Machine, t *sched.Type) *sched.Machine {
+func (r *term) machineView(m *ledger.Machine, t *sched.Type) sched.Machine {
 	entries := r.c.cfg.ValueBytes() / ledger.EntryBytes
-	return &sched.Machine{ID: m.ID, Type: t, Zone: m.Zone, Spot: m.Spot, Free: m.Size.Minus(m.Used),
+	return sched.Machine{ID: m.ID, Type: t, Zone: m.Zone, Spot: m.Spot, Free: m.Size.Minus(m.Used),
 		Room: entries - len(m.Attempts), Used: len(m.Attempts) > 0, For: r.claims[m.ID].job}
 }
 
 // showImages tells which images a machine has, and which it is fetching.
 func showImages(sm *sched.Machine, m *ledger.Machine) {
 	sm.Images = m.Images
+	if !m.Starting() {
+		return
+	}
 	for _, a := range m.Attempts {
 		image := a.Job.Spec.Image
 		if a.State != "" && a.State != protocol.Pulling || m.Images[image] {
--- a/internal/coordination/store.go
+++ b/internal/coordination/store.go
@@ -338,7 +338,7 @@
 		}
 	}
 	delete(r.proposals, uid)
-	delete(r.Jobs, uid)
+	r.RemoveJob(uid)
 }
 
 // onReadback tells what became of a transaction whose answer was lost: a key of
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -276,7 +276,7 @@
 		}
 		if r.unmark(ledger.JobPrefix + uid) {
 			delete(r.proposals, uid)
-			delete(r.Jobs, uid)
+			r.RemoveJob(uid)
 		}
 	}
 }
@@ -388,7 +388,7 @@
 		r.Terminal[uid] = ledger.TerminalState{Cancelled: true}
 		r.dropChunks(j)
 		r.answerCancels(uid)
-		delete(r.Jobs, uid)
+		r.RemoveJob(uid)
 	})
 }
 
@@ -415,7 +415,7 @@
 		r.Terminal[uid] = ledger.TerminalState{Tasks: j.Spec.Tasks}
 		r.dropChunks(j)
 		r.answerCancels(uid)
-		delete(r.Jobs, uid)
+		r.RemoveJob(uid)
 	})
 }
 
--- a/internal/ledger/attempt.go
+++ b/internal/ledger/attempt.go
@@ -49,6 +49,9 @@
 // Key names the attempt on its machine.
 func (a *Attempt) Key() Key { return Key{Task(a.Job.Spec.UID, a.Index), a.Try} }
 
+// starting says whether it may still need its image.
+func (a *Attempt) starting() bool { return a.State == "" || a.State == protocol.Pulling }
+
 // SetState notes the worker's word for the attempt's state.
 func (a *Attempt) SetState(s protocol.TaskState) {
 	if a.State == protocol.Running {
@@ -57,7 +60,13 @@
 	if s == protocol.Running {
 		a.Job.Running++
 	}
+	if a.starting() {
+		a.Machine.starting--
+	}
 	a.State = s
+	if a.starting() {
+		a.Machine.starting++
+	}
 	if a.Job.Gang != nil {
 		a.Job.Gang.has(a, s == protocol.Running || s == protocol.Saving)
 	}
--- a/internal/ledger/job.go
+++ b/internal/ledger/job.go
@@ -2,7 +2,9 @@
 
 import (
 	"maps"
+	"math/bits"
 	"slices"
+	"strings"
 	"time"
 
 	"claybarrow/internal/protocol"
@@ -30,10 +32,10 @@
 	oversized map[int]bool
 	Done      int
 	held      map[int]int // attempts in the ledger, by task
+	heldBits  []uint64    // tasks that have any, like done
 	inZone    map[string]int
 	HeldTotal int
 	Running   int
-	firstOpen int
 	resume    map[int]bool // interrupted tasks, which go on first
 	// Gang is a gang's current attempt; nil: the job is no gang.
 	Gang *Gang
@@ -56,7 +58,7 @@
 func (b *Ledger) AddJob(spec *protocol.Spec, submitted int64) *Job {
 	j := &Job{Spec: spec, Submitted: submitted, Scale: sched.NewScale(),
 		Need: sched.Need{Cores: spec.Cores, Accel: spec.Accelerators, Mem: spec.MemoryGB},
-		done: make([]uint64, (spec.Tasks+63)/64), held: map[int]int{}, inZone: map[string]int{}}
+		done: make([]uint64, (spec.Tasks+63)/64), heldBits: make([]uint64, (spec.Tasks+63)/64), held: map[int]int{}, inZone: map[string]int{}}
 	if spec.Gang {
 		j.Gang = &Gang{tasks: spec.Tasks}
 	}
@@ -67,9 +69,26 @@
 		}
 	}
 	b.Jobs[spec.UID] = j
+	b.sortedJobs = nil
 	return j
 }
 
+// RemoveJob takes a job out of the ledger.
+func (b *Ledger) RemoveJob(uid string) {
+	delete(b.Jobs, uid)
+	b.sortedJobs = nil
+}
+
+// SortedJobs lists the jobs by name. Like SortedMachines, the list is kept until a job comes
+// or goes, and is never changed.
+func (b *Ledger) SortedJobs() []*Job {
+	if b.sortedJobs == nil {
+		b.sortedJobs = slices.Collect(maps.Values(b.Jobs))
+		slices.SortFunc(b.sortedJobs, func(x, y *Job) int { return strings.Compare(x.Spec.UID, y.Spec.UID) })
+	}
+	return b.sortedJobs
+}
+
 // IsDone says whether the task has completed.
 func (j *Job) IsDone(i int) bool { return j.done[i/64]&(1<<(i%64)) != 0 }
 
@@ -112,12 +131,16 @@
 		}
 	}
 	resume = len(out)
-	for j.firstOpen < j.Spec.Tasks && j.IsDone(j.firstOpen) {
-		j.firstOpen++
-	}
-	for i := j.firstOpen; i < j.Spec.Tasks && len(out) < limit; i++ {
-		if !j.IsDone(i) && j.held[i] == 0 && !j.resume[i] {
-			out = append(out, i)
+	// 64 tasks at a time: of an array of thousands most are done or held.
+	for w := range j.done {
+		for open := ^(j.done[w] | j.heldBits[w]); open != 0; open &= open - 1 {
+			i := w*64 + bits.TrailingZeros64(open)
+			if i >= j.Spec.Tasks || len(out) >= limit {
+				return out, resume
+			}
+			if !j.resume[i] {
+				out = append(out, i)
+			}
 		}
 	}
 	return out, resume
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -16,7 +16,9 @@
 	Machines map[string]*Machine
 	Teams    map[string]*sched.Team
 	layout   layout
-	sorted   []*Machine
+	// Kept until something comes or goes, see SortedMachines.
+	sorted     []*Machine
+	sortedJobs []*Job
 }
 
 // New makes an empty ledger. layoutBytes is the store's limit for one value that the layout
@@ -32,6 +34,8 @@
 	m.Attempts[a.Key()] = a
 	m.Used = m.Used.Plus(j.Need)
 	j.held[index]++
+	j.heldBits[index/64] |= 1 << (index % 64)
+	m.starting++
 	delete(j.resume, index)
 	j.inZone[m.Zone]++
 	j.HeldTotal++
@@ -54,10 +58,12 @@
 	m.Used = m.Used.Minus(j.Need)
 	if j.held[a.Index]--; j.held[a.Index] <= 0 {
 		delete(j.held, a.Index)
+		j.heldBits[a.Index/64] &^= 1 << (a.Index % 64)
 	}
 	j.inZone[m.Zone]--
 	j.HeldTotal--
 	a.SetState("")
+	m.starting--
 	if j.Gang != nil {
 		j.Gang.remove(a)
 	}
--- a/internal/ledger/machine.go
+++ b/internal/ledger/machine.go
@@ -17,6 +17,8 @@
 	Attempts             map[Key]*Attempt
 	Exited               map[Key]*ExitedTask
 	Used                 sched.Need
+	// starting counts the attempts that may still need their image.
+	starting int
 	// UnknownTasks are tasks of jobs that the ledger does not have, with the time of the
 	// last halt.
 	UnknownTasks map[Key]time.Duration
@@ -83,6 +85,9 @@
 	return m
 }
 
+// Starting says whether any task on the machine may still need its image.
+func (m *Machine) Starting() bool { return m.starting > 0 }
+
 // RemoveMachine takes a machine out of the ledger.
 func (b *Ledger) RemoveMachine(m *Machine) {
 	delete(b.Machines, m.ID)
