--- a/internal/coordination/schedule.go
+++ b/internal/coordination/schedule.go
@@ -83,7 +83,11 @@
 	a := r.Put(m, j, index, try, c.now)
 	r.retried(j)
 	c.log.Debug("start", "task", a.Key().Task, "try", a.Try, "machine", m.ID)
-	r.record(m, writeStart, func() {
+	kind := writeStart
+	if j.Spec.Service {
+		kind = writeReplica
+	}
+	r.record(m, kind, func() {
 		if m.Attempts[a.Key()] != a {
 			return
 		}
--- a/internal/coordination/store.go
+++ b/internal/coordination/store.go
@@ -13,10 +13,12 @@
 	"claybarrow/internal/protocol"
 )
 
-// Priorities of writes: what users wait for, what starts wait for,
-// completions, and what only helps a successor.
+// Priorities of writes: what users wait for, what starts of replicas and then of batches wait
+// for, completions, and what only helps a successor. Starts of an array of thousands take
+// the store's writes of many seconds: replicas that waited behind them missed aims of a second.
 const (
 	writeUser = iota
+	writeReplica
 	writeStart
 	writeDone
 	writeLazy
