--- /dev/null
+++ b/internal/coordination/odd_input_test.go
@@ -0,0 +1,71 @@
+package coordination
+
+import (
+	"testing"
+
+	"claybarrow/internal/ledger"
+	"claybarrow/internal/protocol"
+)
+
+// A cloud list with machines of an unknown standing, out of order, named twice or without a
+// name, and reports of tasks that nobody knows, end nothing and put nothing where it may
+// not be.
+func TestOddListsAndReports(t *testing.T) {
+	w := newWorld(t, 97)
+	w.submit("j-1", map[string]any{"shape": "service", "shards": 2})
+	w.until(60*second, "replicas run", func() bool { return w.running("j-1") == 2 })
+	r := w.term()
+	known := r.machines()[0]
+	before := len(known.Attempts)
+	for _, l := range []protocol.ListedMachine{
+		{ID: "i-900009", Type: "m8", Zone: "a", State: "paused", AgeS: 5},
+		{ID: "i-900001", Type: "m8", Zone: "a", State: "booting", AgeS: -5},
+		{ID: "i-900009", Type: "m8", Zone: "b", State: "running", AgeS: 1e12},
+		{ID: "i-900002", Type: "unheard-of", Zone: "nowhere", State: "running"},
+		{ID: known.ID, Type: "other", Zone: "b", State: "paused"},
+		{},
+	} {
+		r.onListed(&l)
+	}
+	if known.Type != "m8" || len(known.Attempts) != before || known.Returning {
+		t.Errorf("a listed machine changed: %+v", known)
+	}
+	report := w.workers[known.ID].message()
+	report.Tasks = append(report.Tasks, []protocol.TaskReport{
+		{Task: "j-999999/0", Attempt: 7, State: protocol.Running}, {Task: "no task", Attempt: 1, State: protocol.Running},
+		{Task: "j-1/-1", State: protocol.Exited, Cause: "odd"}, {Task: "j-1/99", Attempt: 3, State: "dreaming"},
+		{Task: "", State: protocol.Exited, Cause: protocol.CauseError}}...)
+	body := protocol.Encode(report)
+	status := 0
+	w.ask(w.leader(), Request{Op: OpReport, Body: body}, func(reply Reply) { status = reply.Status })
+	if status != 200 {
+		t.Errorf("the report is answered %d", status)
+	}
+	for _, bad := range [][]byte{nil, {0xc1}, {0x81, 0xa4}, protocol.Encode(map[string]any{"host": 7}), protocol.Encode([]int{1}), protocol.Encode(map[string]any{})} {
+		w.ask(w.leader(), Request{Op: OpReport, Body: bad}, func(reply Reply) { status = reply.Status })
+		if status != 400 {
+			t.Errorf("the body %x is answered %d", bad, status)
+		}
+	}
+	w.run(30 * second)
+	if w.term() != r {
+		t.Error("the leader has ended")
+	}
+	for key := range known.UnknownTasks {
+		t.Errorf("the unknown task %v is still there", key)
+	}
+	if _, odd := r.Jobs["j-999999"]; odd || r.Machines[""] != nil && len(r.Machines[""].Attempts) > 0 {
+		t.Error("odd input made jobs or tasks")
+	}
+	var ghosts []*ledger.Machine
+	for _, m := range r.machines() {
+		if m.Type == "unheard-of" && r.usable(m) {
+			ghosts = append(ghosts, m)
+		}
+	}
+	if len(ghosts) > 0 {
+		t.Errorf("machines of unknown types are used: %v", ghosts)
+	}
+	w.awaitTold(30*second, "j-1", protocol.Active)
+	w.keptRules()
+}
