Benchmarks of the leader's costs by size of the fleet

Cause: the plan for 22,000 workers rests on slopes, and only one benchmark of one size was there. Code untouched.

--- /dev/null
+++ b/internal/coordination/slopes_test.go
@@ -0,0 +1,509 @@
+package coordination
+
+import (
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"runtime"
+	"strings"
+	"testing"
+	"time"
+
+	"claybarrow/internal/config"
+	"claybarrow/internal/ledger"
+	"claybarrow/internal/protocol"
+	"claybarrow/internal/sched"
+)
+
+// The benchmarks of this file measure what the leader's work costs as its fleet grows. They
+// are the source of the slopes in docs/CAPACITY.md:
+//
+//	go test -run '^$' -bench 'Slope' -benchtime 20x -cpu 1 ./internal/coordination
+
+// slopeSizes are numbers of workers over a decade and more.
+var slopeSizes = []int{800, 1_600, 3_200, 5_500, 11_000, 22_000}
+
+// Ratios of the planned size: 230,000 tasks on 22,000 workers, 8,250 jobs that wait, and
+// 1,000 teams.
+const (
+	slopeTasksPerWorker   = 230_000.0 / 22_000
+	slopeWaitingPerWorker = 8_250.0 / 22_000
+	slopeTeamsPerWorker   = 1_000.0 / 22_000
+	slopeTasksPerJob      = 12
+)
+
+// slopeFleet is a leader with a busy fleet, made without any messages.
+type slopeFleet struct {
+	core    *Core
+	term    *term
+	tasks   []*ledger.Attempt
+	waiting []*ledger.Job
+	random  *rand.Rand
+}
+
+func slopeConfig(b *testing.B, workers int) *config.Config {
+	b.Helper()
+	var teams []string
+	for i := range max(6, int(float64(workers)*slopeTeamsPerWorker)) {
+		teams = append(teams, fmt.Sprintf(`{"name":"team-%d","cpus":%d,"cpus_max":1e6,"gpus":16,"gpus_max":1e6}`, i, 64))
+	}
+	cfg, err := config.Parse([]byte(fmt.Sprintf(`{"label":"n0","zone":"a","client_listen":"10.0.0.1:2","peer_listen":"10.0.0.1:1",
+	"siblings":[{"label":"n1","zone":"b","peer_addr":"10.0.0.2:1"},{"label":"n2","zone":"c","peer_addr":"10.0.0.3:1"}],
+	"services":{"cloud":"10.9.0.1:1","state":"10.9.0.2:1"},
+	"cluster":{"teams":[%s],"objectives":[{"kind":"wait","class":"web","within_s":5,"share":0.9}],
+	"workers":{"report_s":6,"lease_s":31,"cancel_s":61,"gang_wait_s":30,"gang_peer_s":5},
+	"state":{"rps":3500,"write_rps":1200,"value_kb":8,"txn_ops":24},
+	"cloud":{"rps":12,"list_lag_s":5},"resources":{"cores":1,"mem_mb":2200,"fd_limit":65536}}}`, strings.Join(teams, ","))), nil)
+	if err != nil {
+		b.Fatal(err)
+	}
+	return cfg
+}
+
+// newSlopeLeader is a leader with machine types and no machines.
+func newSlopeLeader(b *testing.B, workers int) *slopeFleet {
+	b.Helper()
+	log := slog.New(slog.NewTextHandler(io.Discard, &slog.HandlerOptions{Level: slog.LevelError}))
+	c := New(slopeConfig(b, workers), rand.New(rand.NewPCG(1, 1)), log)
+	c.now, c.wall = time.Hour, 1_700_000_000_000
+	for _, t := range []protocol.MachineType{
+		{Name: "m16", Cores: 16, MemoryGB: 64, CacheGB: 400, FetchGBPerS: 2, Price: 1, SpotPrice: 0.4, BootS: 35, Zones: []string{"a", "b", "c"}},
+		{Name: "g64", Cores: 64, Accelerators: 8, MemoryGB: 384, CacheGB: 400, FetchGBPerS: 2, Price: 20, SpotPrice: 8, BootS: 45, Zones: []string{"a", "b", "c"}},
+	} {
+		c.typeInfo[t.Name] = t
+		c.types = append(c.types, &sched.Type{Name: t.Name, Size: sched.Need{Cores: t.Cores, Accel: t.Accelerators, Mem: t.MemoryGB},
+			Price: t.Price, SpotPrice: t.SpotPrice, Zones: t.Zones, BootS: t.BootS, FetchGBPerS: t.FetchGBPerS})
+	}
+	r := newTerm(c, 1, 1, 1, c.now)
+	r.ready, r.listed = true, true
+	c.term = r
+	return &slopeFleet{core: c, term: r, random: rand.New(rand.NewPCG(2, 2))}
+}
+
+// newSlopeFleet is a leader whose fleet is busy: each machine has about ten tasks, every
+// third has room for a few more, and jobs of twelve tasks wait.
+func newSlopeFleet(b *testing.B, workers int) *slopeFleet {
+	b.Helper()
+	f := newSlopeLeader(b, workers)
+	teams := len(f.core.cfg.Cluster.Teams)
+	for i := range workers {
+		f.addMachine(i)
+	}
+	tasks := int(float64(workers) * slopeTasksPerWorker)
+	var job *ledger.Job
+	for i := range tasks {
+		if i%slopeTasksPerJob == 0 {
+			job = f.addJob(fmt.Sprintf("j-%08d", i/slopeTasksPerJob), i/slopeTasksPerJob%teams, i%36 == 0, sched.Need{Cores: 1, Mem: 2})
+		}
+		f.run(job, i%slopeTasksPerJob, f.term.machines()[i%workers])
+	}
+	f.fillUp()
+	for i := range int(float64(workers) * slopeWaitingPerWorker) {
+		need := sched.Need{Cores: 2, Mem: 2.8}
+		if i%2 == 0 {
+			need = sched.Need{Cores: 11, Accel: 2, Mem: 50}
+		}
+		f.waiting = append(f.waiting, f.addJob(fmt.Sprintf("j-w%07d", i), i%teams, i%3 == 0, need))
+	}
+	return f
+}
+
+func (f *slopeFleet) addMachine(i int) {
+	m := f.term.AddMachine(fmt.Sprintf("i-%06d", i))
+	m.Type = []string{"m16", "g64"}[i%2]
+	m.Zone, m.Addr = string(rune('a'+i%3)), "10.1.0.1:1"
+	m.Size = f.term.sizeOf(m.Type)
+	m.Known, m.Fresh, m.Up, m.Listed, m.Recorded, m.Session, m.Token = true, true, true, true, true, 1, 1
+	m.Heard, m.Answered, m.FreshAt, m.Probed = f.core.now, f.core.now, f.core.now, true
+	m.UseImage(fmt.Sprintf("img-%02d", i%12), 5, 400)
+}
+
+func (f *slopeFleet) addJob(uid string, team int, service bool, need sched.Need) *ledger.Job {
+	i := len(f.term.Jobs)
+	spec := &protocol.Spec{UID: uid, Class: []string{"web", "scoring"}[i%2], Team: fmt.Sprintf("team-%d", team), Service: service, Priority: protocol.Normal,
+		Tasks: slopeTasksPerJob, Cores: need.Cores, Accelerators: need.Accel, MemoryGB: need.Mem, Image: fmt.Sprintf("img-%02d", i%12), ImageGB: 5,
+		Spread: service && need.Accel == 0, CheckpointS: 15, SaveS: 3, EstimateS: 90}
+	job := f.term.AddJob(spec, f.core.wall-int64(i%3600)*1000)
+	job.Stored = true
+	return job
+}
+
+// run puts a task on a machine, as one that has run for a while.
+func (f *slopeFleet) run(job *ledger.Job, index int, m *ledger.Machine) {
+	a := f.term.Put(m, job, index, f.term.nextTry(), f.core.now-time.Minute)
+	a.Durable, a.Sent, a.Acked, a.Session = true, true, true, 1
+	a.SetState(protocol.Running)
+	f.tasks = append(f.tasks, a)
+}
+
+// fillUp leaves room on every third machine alone: one task's worth of cores, and two
+// accelerators.
+func (f *slopeFleet) fillUp() {
+	big := f.addJob("j-big", 0, false, sched.Need{})
+	for i, m := range f.term.machines() {
+		left := sched.Need{}
+		if i%3 == 0 {
+			left = sched.Need{Cores: 14, Accel: 2, Mem: 60}
+		}
+		free := m.Size.Minus(m.Used)
+		m.Used = m.Used.Plus(sched.Need{Cores: max(0, free.Cores-left.Cores), Accel: max(0, free.Accel-left.Accel)})
+	}
+	f.term.RemoveJob(big.Spec.UID)
+}
+
+// end takes one running task out of the ledger and has another one of it wait.
+func (f *slopeFleet) end() {
+	i := f.random.IntN(len(f.tasks))
+	f.term.Drop(f.tasks[i])
+	f.tasks[i] = f.tasks[len(f.tasks)-1]
+	f.tasks = f.tasks[:len(f.tasks)-1]
+}
+
+// settleStarts takes what the last fill started for running, so that the next one finds
+// the fleet as it would be.
+func (f *slopeFleet) settleStarts() {
+	for _, w := range f.term.pending {
+		for _, then := range w.then {
+			then()
+		}
+	}
+	clear(f.term.pending)
+	for kind := range f.term.queues {
+		f.term.queues[kind] = nil
+	}
+	f.core.out = f.core.out[:0]
+	clear(f.core.calls)
+}
+
+func eachSlopeSize(b *testing.B, run func(b *testing.B, workers int)) {
+	for _, workers := range slopeSizes {
+		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) {
+			b.ReportAllocs()
+			run(b, workers)
+		})
+	}
+}
+
+// BenchmarkSlopeFill is a fill after a dozen tasks have ended, with all jobs waiting.
+func BenchmarkSlopeFill(b *testing.B) {
+	eachSlopeSize(b, func(b *testing.B, workers int) {
+		f := newSlopeFleet(b, workers)
+		f.term.fill()
+		f.settleStarts()
+		var worst time.Duration
+		b.ResetTimer()
+		for b.Loop() {
+			b.StopTimer()
+			for range 12 {
+				f.end()
+			}
+			f.settleStarts()
+			b.StartTimer()
+			started := time.Now()
+			f.term.fill()
+			worst = max(worst, time.Since(started))
+		}
+		b.ReportMetric(float64(worst.Microseconds())/1000, "worst-ms")
+	})
+}
+
+// BenchmarkSlopeFillBurst is a fill that finds all free room at once.
+func BenchmarkSlopeFillBurst(b *testing.B) {
+	eachSlopeSize(b, func(b *testing.B, workers int) {
+		placed := 0
+		for b.Loop() {
+			b.StopTimer()
+			f := newSlopeFleet(b, workers)
+			runtime.GC()
+			before := f.term.lastTry
+			b.StartTimer()
+			f.term.fill()
+			placed = int(f.term.lastTry - before)
+		}
+		b.ReportMetric(float64(placed), "placed")
+	})
+}
+
+func BenchmarkSlopeSnapshot(b *testing.B) {
+	eachSlopeSize(b, func(b *testing.B, workers int) {
+		f := newSlopeFleet(b, workers)
+		b.ResetTimer()
+		for b.Loop() {
+			f.term.snapshot(false, false)
+		}
+	})
+}
+
+func BenchmarkSlopeRound(b *testing.B) {
+	eachSlopeSize(b, func(b *testing.B, workers int) {
+		f := newSlopeFleet(b, workers)
+		f.term.fill()
+		f.settleStarts()
+		b.ResetTimer()
+		for b.Loop() {
+			f.term.round()
+		}
+	})
+}
+
+func BenchmarkSlopePlan(b *testing.B) {
+	eachSlopeSize(b, func(b *testing.B, workers int) {
+		f := newSlopeFleet(b, workers)
+		f.term.fill()
+		f.settleStarts()
+		b.ResetTimer()
+		for b.Loop() {
+			f.term.plan()
+			f.core.out = f.core.out[:0]
+			clear(f.term.renting)
+		}
+	})
+}
+
+func BenchmarkSlopeTick(b *testing.B) {
+	eachSlopeSize(b, func(b *testing.B, workers int) {
+		f := newSlopeFleet(b, workers)
+		r := f.term
+		r.fillAt, r.roundAt, r.planAt, r.countersAt, r.overviewAt, r.renewAt = 1<<60, 1<<60, 1<<60, 1<<60, 1<<60, 1<<60
+		b.ResetTimer()
+		for b.Loop() {
+			r.tick()
+		}
+	})
+}
+
+// report is what a machine of the fleet says, all being as the ledger has it.
+func (f *slopeFleet) report(m *ledger.Machine) *protocol.Report {
+	msg := &protocol.Report{Machine: m.ID, Addr: m.Addr, Type: m.Type, Zone: m.Zone, Session: 1, Seq: m.Seq + 1, Token: 1}
+	for _, a := range m.Sorted() {
+		msg.Tasks = append(msg.Tasks, protocol.TaskReport{Task: a.Key().Task, Attempt: a.Try, State: protocol.Running})
+	}
+	return msg
+}
+
+// handleReports measures reports of the fleet's machines in turn, changed as asked.
+func handleReports(b *testing.B, change func(f *slopeFleet, m *ledger.Machine, msg *protocol.Report), forwarded bool) {
+	eachSlopeSize(b, func(b *testing.B, workers int) {
+		f := newSlopeFleet(b, workers)
+		r := f.term
+		r.fillAt, r.roundAt, r.planAt = 1<<60, 1<<60, 1<<60
+		r.current = &txn{flying: true} // no fill: that is measured by itself
+		list := r.machines()
+		at := Clock{Steady: f.core.now, Wall: f.core.wall}
+		n, bytes := 0, 0
+		b.ResetTimer()
+		for b.Loop() {
+			b.StopTimer()
+			m := list[n%len(list)]
+			n++
+			msg := f.report(m)
+			if change != nil {
+				change(f, m, msg)
+			}
+			body := protocol.Encode(msg)
+			bytes += len(body)
+			request := Request{ID: uint64(n), Op: OpReport, Body: body}
+			if forwarded {
+				request = Request{ID: uint64(n), Op: OpForward, Body: protocol.EncodePeer(protocol.Relay{Op: string(OpReport), Body: body, From: "n1"})}
+			}
+			b.StartTimer()
+			f.core.Handle(at, request)
+		}
+		b.ReportMetric(float64(bytes)/float64(n), "body-bytes")
+	})
+}
+
+func BenchmarkSlopeReportUnchanged(b *testing.B) { handleReports(b, nil, false) }
+
+func BenchmarkSlopeReportForwarded(b *testing.B) { handleReports(b, nil, true) }
+
+func BenchmarkSlopeReportExit(b *testing.B) {
+	handleReports(b, func(_ *slopeFleet, _ *ledger.Machine, msg *protocol.Report) {
+		if len(msg.Tasks) > 0 {
+			msg.Tasks[0].State, msg.Tasks[0].Cause = protocol.Exited, protocol.CauseDone
+		}
+	}, false)
+}
+
+func BenchmarkSlopeReportStart(b *testing.B) {
+	handleReports(b, func(_ *slopeFleet, m *ledger.Machine, msg *protocol.Report) {
+		if len(msg.Tasks) > 0 {
+			first := msg.Tasks[0]
+			m.Attempts[ledger.Key{Task: first.Task, Try: first.Attempt}].SetState(protocol.Pulling)
+		}
+	}, false)
+}
+
+func slopeSubmission(i int) []byte {
+	return protocol.Encode(map[string]any{"uid": fmt.Sprintf("j-s%07d", i), "tier": "web", "owner": "team-0", "shape": "batch", "rank": "normal", "shards": 1,
+		"cores": 4.0, "accelerators": 0.0, "ramGb": 4.0, "bundle": "img", "sizeGb": 1.0, "flavours": nil, "yard": nil,
+		"together": false, "apart": false, "borrowed": false, "expectS": 30.0, "saveEveryS": 0.0, "saveTakesS": 0.0, "dueS": nil})
+}
+
+func BenchmarkSlopeSubmit(b *testing.B) {
+	eachSlopeSize(b, func(b *testing.B, workers int) {
+		f := newSlopeFleet(b, workers)
+		f.term.current = &txn{flying: true}
+		at := Clock{Steady: f.core.now, Wall: f.core.wall}
+		n := 0
+		b.ResetTimer()
+		for b.Loop() {
+			n++
+			clear(f.core.pendingRequests)
+			f.core.Handle(at, Request{ID: uint64(n), Op: OpSubmit, Body: slopeSubmission(n)})
+		}
+	})
+}
+
+func BenchmarkSlopePoll(b *testing.B) {
+	eachSlopeSize(b, func(b *testing.B, workers int) {
+		f := newSlopeFleet(b, workers)
+		f.term.current = &txn{flying: true}
+		at := Clock{Steady: f.core.now, Wall: f.core.wall}
+		b.ResetTimer()
+		for b.Loop() {
+			f.core.Handle(at, Request{ID: 1, Op: OpPoll, UID: "j-00000001"})
+		}
+	})
+}
+
+// BenchmarkSlopeCancel is a user's cancellation of a job that runs.
+func BenchmarkSlopeCancel(b *testing.B) {
+	eachSlopeSize(b, func(b *testing.B, workers int) {
+		f := newSlopeFleet(b, workers)
+		f.term.current = &txn{flying: true}
+		at := Clock{Steady: f.core.now, Wall: f.core.wall}
+		n := 0
+		b.ResetTimer()
+		for b.Loop() {
+			f.core.Handle(at, Request{ID: uint64(n + 1), Op: OpCancel, UID: fmt.Sprintf("j-%08d", n)})
+			n++
+			clear(f.core.pendingRequests)
+		}
+	})
+}
+
+// BenchmarkSlopeTransaction composes and encodes one transaction of starts, as many as the
+// state service takes in one.
+func BenchmarkSlopeTransaction(b *testing.B) {
+	eachSlopeSize(b, func(b *testing.B, workers int) {
+		f := newSlopeFleet(b, workers)
+		r := f.term
+		list := r.machines()
+		n, changes, bytes := 0, 0, 0
+		b.ResetTimer()
+		for b.Loop() {
+			b.StopTimer()
+			f.settleStarts()
+			f.core.changes.level = f.core.changes.burst
+			for range f.core.cfg.Cluster.State.TxnOps {
+				r.record(list[n%len(list)], writeStart, nil)
+				n++
+			}
+			b.StartTimer()
+			t := r.compose()
+			body := protocol.Encode(t.body)
+			changes += len(t.writes)
+			bytes += len(body)
+		}
+		b.ReportMetric(float64(changes)/float64(b.N), "changes")
+		b.ReportMetric(float64(bytes)/float64(b.N), "body-bytes")
+	})
+}
+
+// BenchmarkSlopeTakeOver reads the records of the whole fleet, as a new leader does, with
+// ten jobs that are over for each worker.
+func BenchmarkSlopeTakeOver(b *testing.B) {
+	eachSlopeSize(b, func(b *testing.B, workers int) {
+		f := newSlopeFleet(b, workers)
+		var items []protocol.Item
+		add := func(key string, value any) {
+			items = append(items, protocol.Item{Key: key, Value: protocol.Encode(value), Version: 1})
+		}
+		for _, j := range f.term.SortedJobs() {
+			add(ledger.JobPrefix+j.Spec.UID, j.Record())
+		}
+		for i := range 10 * workers {
+			add(fmt.Sprintf("%sj-o%07d", ledger.JobPrefix, i), ledger.JobRecord{State: protocol.Done, Tasks: 12})
+		}
+		for _, m := range f.term.machines() {
+			add(ledger.MachinePrefix+m.ID, m.Record())
+		}
+		bytes := 0
+		for _, it := range items {
+			bytes += len(it.Key) + len(it.Value) + 16
+		}
+		b.ResetTimer()
+		for b.Loop() {
+			r := newTerm(f.core, 2, 1, 1, f.core.now)
+			for _, it := range items {
+				r.versions[it.Key] = it.Version
+				if err := r.loadItem(it); err != nil {
+					b.Fatal(err)
+				}
+			}
+			f.core.term = r
+			r.begin()
+			f.core.out = f.core.out[:0]
+		}
+		b.ReportMetric(float64(len(items)), "records")
+		b.ReportMetric(float64(bytes), "record-bytes")
+	})
+}
+
+// heapOf measures the memory that stays after build, which returns what holds it.
+func heapOf(build func() any) float64 {
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	kept := build()
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	runtime.KeepAlive(kept)
+	return float64(after.HeapAlloc) - float64(before.HeapAlloc)
+}
+
+// BenchmarkSlopeMemory tells what one of each costs the leader in bytes that stay.
+func BenchmarkSlopeMemory(b *testing.B) {
+	eachSlopeSize(b, func(b *testing.B, workers int) {
+		for b.Loop() {
+		}
+		var f *slopeFleet
+		perWorker := heapOf(func() any {
+			f = newSlopeLeader(b, workers)
+			for i := range workers {
+				f.addMachine(i)
+			}
+			return f
+		}) / float64(workers)
+		list := f.term.machines()
+		var jobs []*ledger.Job
+		perWaiting := heapOf(func() any {
+			for i := range workers {
+				jobs = append(jobs, f.addJob(fmt.Sprintf("j-%08d", i), 0, i%3 == 0, sched.Need{Cores: 1, Mem: 1}))
+			}
+			return f
+		}) / float64(workers)
+		perTask := heapOf(func() any {
+			for i, job := range jobs {
+				for index := range slopeTasksPerJob {
+					f.run(job, index, list[(i+index)%workers])
+				}
+			}
+			return f
+		}) / float64(workers*slopeTasksPerJob)
+		perOver := heapOf(func() any {
+			for i := range 10 * workers {
+				uid := fmt.Sprintf("j-o%07d", i)
+				f.term.Terminal[uid] = ledger.TerminalState{Tasks: 12}
+				f.term.versions[ledger.JobPrefix+uid] = 1
+			}
+			return f
+		}) / float64(10*workers)
+		b.ReportMetric(perWorker, "B/worker")
+		b.ReportMetric(perWaiting, "B/job-alive")
+		b.ReportMetric(perTask, "B/running-task")
+		b.ReportMetric(perOver, "B/job-over")
+	})
+}
--- a/internal/sched/sched_test.go
+++ b/internal/sched/sched_test.go
@@ -453,11 +453,16 @@
 }
 
 func BenchmarkFillAtFullSize(b *testing.B) {
-	for b.Loop() {
-		b.StopTimer()
-		s := grownFleet(800, 300)
-		b.StartTimer()
-		s.Fill()
+	for _, size := range []struct{ machines, jobs int }{{800, 300}, {1_600, 600}, {3_200, 1_200}, {5_500, 2_060}, {11_000, 4_120}, {22_000, 8_250}} {
+		b.Run(fmt.Sprintf("machines=%d/jobs=%d", size.machines, size.jobs), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				b.StopTimer()
+				s := grownFleet(size.machines, size.jobs)
+				b.StartTimer()
+				s.Fill()
+			}
+		})
 	}
 }
 
