--- a/internal/coordination/checker_test.go
+++ b/internal/coordination/checker_test.go
@@ -18,12 +18,8 @@
 	answered        map[string]time.Duration // when a question was last answered
 	waitingSince    map[string]time.Duration // since when it waits though there is room
 	turn            int
-	wholes          map[string]int // how often a gang has begun to run, whole
 	halts           map[string][]halted
 	starts          map[string]int // how often a task has begun to be on a machine
-	saves           map[string]int // orderly stops of a gang that saved its progress
-	// savedTasks counts the tasks of an attempt that have ended with it saved.
-	savedTasks map[gangTry]int
 	// calm is since when all troubles are over; 0: they are not.
 	calm time.Duration
 	// lateCopy tells how much later a copy of a report arrives; 0: none does.
@@ -48,8 +44,8 @@
 
 func newChecker() checker {
 	return checker{cancelRequested: map[string]bool{}, invalid: map[string]bool{}, accepted: map[string]time.Duration{},
-		answered: map[string]time.Duration{}, waitingSince: map[string]time.Duration{}, wholes: map[string]int{}, halts: map[string][]halted{},
-		starts: map[string]int{}, saves: map[string]int{}, savedTasks: map[gangTry]int{}}
+		answered: map[string]time.Duration{}, waitingSince: map[string]time.Duration{}, halts: map[string][]halted{},
+		starts: map[string]int{}}
 }
 
 // watch looks at the rules every second, and polls for every accepted job every
@@ -65,7 +61,7 @@
 	w.at(time.Second, look)
 	var step func()
 	step = func() {
-		w.stepGangs()
+		w.machines.StepGangs()
 		w.at(tick, step)
 	}
 	w.at(tick, step)
@@ -77,11 +73,11 @@
 
 // noteAnswer begins the polling of a job when its user is first told of it.
 func (w *world) noteAnswer(uid string) {
-	w.answered[uid] = w.now
+	w.answered[uid] = w.Now()
 	if _, known := w.accepted[uid]; known {
 		return
 	}
-	w.accepted[uid] = w.now
+	w.accepted[uid] = w.Now()
 	var poll func()
 	poll = func() {
 		if w.over(uid) {
@@ -110,9 +106,9 @@
 		return
 	}
 	for _, uid := range slices.Sorted(maps.Keys(w.accepted)) {
-		if since := max(w.answered[uid], w.calm); !w.over(uid) && w.now > since+forgottenAfter {
+		if since := max(w.answered[uid], w.calm); !w.over(uid) && w.Now() > since+forgottenAfter {
 			w.breaks("forgotten: no question about %s was answered since %v", uid, since)
-			w.answered[uid] = w.now
+			w.answered[uid] = w.Now()
 		}
 	}
 }
@@ -126,10 +122,10 @@
 	}
 	used, held := map[string]float64{}, map[string]int{}
 	for _, k := range w.fleet() {
-		for _, t := range k.tasks {
-			if t.state != protocol.Exited && !k.gone {
-				used[w.specs[t.uid]["owner"].(string)] += w.specs[t.uid]["cores"].(float64)
-				held[t.uid]++
+		for _, t := range k.Tasks {
+			if t.State != protocol.Exited && !k.Gone {
+				used[w.specs[t.UID]["owner"].(string)] += w.specs[t.UID]["cores"].(float64)
+				held[t.UID]++
 			}
 		}
 	}
@@ -145,11 +141,11 @@
 			continue
 		}
 		if _, known := w.waitingSince[uid]; !known {
-			w.waitingSince[uid] = w.now
+			w.waitingSince[uid] = w.Now()
 		}
-		if w.now > w.waitingSince[uid]+waitsAtMost {
+		if w.Now() > w.waitingSince[uid]+waitsAtMost {
 			w.breaks("waiting: %s has waited since %v though there is room", uid, w.waitingSince[uid])
-			w.waitingSince[uid] = w.now
+			w.waitingSince[uid] = w.Now()
 		}
 	}
 }
@@ -158,20 +154,20 @@
 func (w *world) hasRoom(spec map[string]any) bool {
 	most, all, zones := 0, 0, map[string]int{}
 	for _, k := range w.fleet() {
-		if !k.up || k.gone || k.cut || k.hung || k.answersLost || k.reportsLost || k.spot && !spec["borrowed"].(bool) ||
-			spec["yard"] != nil && spec["yard"] != k.zone {
+		if !k.Up || k.Gone || k.Cut || k.Hung || k.AnswersLost || k.ReportsLost || k.Spot && !spec["borrowed"].(bool) ||
+			spec["yard"] != nil && spec["yard"] != k.Zone {
 			continue
 		}
 		free := machineCores
-		for _, t := range k.tasks {
-			if t.state != protocol.Exited {
-				free -= w.specs[t.uid]["cores"].(float64)
+		for _, t := range k.Tasks {
+			if t.State != protocol.Exited {
+				free -= w.specs[t.UID]["cores"].(float64)
 			}
 		}
 		n := int(free / spec["cores"].(float64))
-		zones[k.zone] += n
+		zones[k.Zone] += n
 		all += n
-		most = max(most, zones[k.zone])
+		most = max(most, zones[k.Zone])
 	}
 	switch {
 	case spec["shape"] != "group":
@@ -187,16 +183,16 @@
 func (w *world) settle() {
 	w.t.Helper()
 	w.script, w.reports, w.lateCopy, w.ended = nil, nil, nil, nil
-	w.state.down, w.state.refuse, w.cloud.down = false, map[int]bool{}, false
+	w.state.Down, w.state.Refuse, w.cloud.Down = false, map[int]bool{}, false
 	for _, k := range w.fleet() {
-		k.cut, k.answersLost, k.reportsLost = false, false, false
+		k.Cut, k.AnswersLost, k.ReportsLost = false, false, false
 	}
 	for i, n := range w.nodes {
 		if !n.alive {
 			w.boot(i)
 		}
 	}
-	w.calm = w.now
+	w.calm = w.Now()
 	w.run(waitsAtMost + 30*time.Second)
 	for _, uid := range slices.Sorted(maps.Keys(w.accepted)) {
 		if w.specs[uid]["shape"] == "service" && !w.over(uid) {
--- a/internal/coordination/failures_test.go
+++ b/internal/coordination/failures_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"claybarrow/internal/emulator"
 	"claybarrow/internal/ledger"
 	"claybarrow/internal/protocol"
 )
@@ -12,8 +13,8 @@
 // failing has tasks of the named jobs fail as soon as they begin, on the given machines or
 // on all.
 func (w *world) failing(jobs map[string]bool, machines map[string]bool) {
-	w.fails = func(k *simWorker, uid string) bool {
-		return (jobs == nil || jobs[uid]) && (machines == nil || machines[k.id])
+	w.fails = func(k *emulator.Worker, uid string) bool {
+		return (jobs == nil || jobs[uid]) && (machines == nil || machines[k.ID])
 	}
 }
 
@@ -50,7 +51,7 @@
 	w.runs = func(string) time.Duration { return 10 * second }
 	w.submit("j-0", map[string]any{"shape": "service", "cores": 2.0, "shards": 2, "apart": true})
 	w.until(60*second, "replicas run", func() bool { return w.running("j-0") == 2 })
-	bad := w.fleet()[0].id
+	bad := w.fleet()[0].ID
 	w.failing(nil, map[string]bool{bad: true})
 	for i := range 2 {
 		w.submit(fmt.Sprintf("j-%d", i+1), map[string]any{"shards": 4, "cores": 1.0})
--- a/internal/coordination/fleet_test.go
+++ b/internal/coordination/fleet_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"claybarrow/internal/emulator"
 	"claybarrow/internal/ledger"
 	"claybarrow/internal/protocol"
 )
@@ -23,15 +24,15 @@
 		lead := w.leader()
 		unhearing := map[string]bool{}
 		for _, k := range w.fleet() {
-			if len(unhearing) < leastMissed && len(k.tasks) > 0 {
-				unhearing[k.addr()] = true
+			if len(unhearing) < leastMissed && len(k.Tasks) > 0 {
+				unhearing[k.Addr] = true
 			}
 		}
 		w.script = func(node int, c Call) fate {
 			return fate{lost: node == lead && c.Target == ToWorker && (!answersLost || unhearing[c.Addr])}
 		}
 		if !answersLost {
-			w.reports = func(_ *simWorker, node int) fate { return fate{lost: node == lead} }
+			w.reports = func(_ *emulator.Worker, node int) fate { return fate{lost: node == lead} }
 		}
 		// Something to say to the machines, so that the loss can show.
 		w.submit("j-3", map[string]any{"shards": 4})
@@ -110,8 +111,8 @@
 	if r := w.nodes[lead].core.term; !r.isPartitioned("b") {
 		t.Fatal("the zone is not dark: the test shows nothing")
 	}
-	for _, id := range w.cloud.deleted {
-		if k := w.workers[id]; k.zone == "b" && k.seq > 0 {
+	for _, id := range w.cloud.Deleted {
+		if k := w.machines.Workers[id]; k.Zone == "b" && k.Seq > 0 {
 			t.Errorf("machine %s of the zone was returned", id)
 		}
 	}
@@ -214,28 +215,28 @@
 		if w.leader() == 2 {
 			t.Fatal("the leader is in the zone to be cut")
 		}
-		w.cloud.full = what == "no room"
+		w.cloud.Full = what == "no room"
 		w.off = map[string]bool{}
-		var victim *simWorker
+		var victim *emulator.Worker
 		for _, k := range w.fleet() {
-			if what == "cut zone" && k.zone == "b" {
-				w.off[k.addr()] = true
-			} else if what != "cut zone" && k.zone == "a" && len(k.tasks) > 0 && victim == nil {
+			if what == "cut zone" && k.Zone == "b" {
+				w.off[k.Addr] = true
+			} else if what != "cut zone" && k.Zone == "a" && len(k.Tasks) > 0 && victim == nil {
 				victim = k
-				k.cut = true
-				w.off[k.addr()] = what != "hanging"
+				k.Cut = true
+				w.off[k.Addr] = what != "hanging"
 			}
 		}
 		if what == "cut zone" {
 			w.cutZone()
 		}
-		w.cloud.deleted = nil
+		w.cloud.Deleted = nil
 		w.run(28 * second)
-		if want := what == "dead"; (len(w.cloud.deleted) > 0) != want {
-			t.Errorf("%s: deleted %v", what, w.cloud.deleted)
+		if want := what == "dead"; (len(w.cloud.Deleted) > 0) != want {
+			t.Errorf("%s: deleted %v", what, w.cloud.Deleted)
 		}
-		if what == "dead" && (w.cloud.deleted[0] != victim.id || w.running("j-1")+w.running("j-2") != 12) {
-			t.Errorf("28 s later %d of 12 replicas run, deleted %v", w.running("j-1")+w.running("j-2"), w.cloud.deleted)
+		if what == "dead" && (w.cloud.Deleted[0] != victim.ID || w.running("j-1")+w.running("j-2") != 12) {
+			t.Errorf("28 s later %d of 12 replicas run, deleted %v", w.running("j-1")+w.running("j-2"), w.cloud.Deleted)
 		}
 		w.keptRules()
 	}
--- a/internal/coordination/gang_room_test.go
+++ b/internal/coordination/gang_room_test.go
@@ -22,7 +22,7 @@
 	w.submit("j-0", map[string]any{"rank": "idle", "shards": tasks, "cores": 2.0, "saveEveryS": 10.0, "saveTakesS": 1.0, "owner": "red"})
 	w.until(90*second, "the fleet is full", func() bool { return w.running("j-0") == tasks })
 	w.run(5 * second)
-	w.cloud.down = true
+	w.cloud.Down = true
 }
 
 // In a fleet that is full of work of lower priority, a gang gets its whole room at a
@@ -32,7 +32,7 @@
 		w := newWorld(t, 111)
 		w.fullFleet(4)
 		w.submit("j-1", group(3, 3, map[string]any{"rank": "high", "owner": "blue", "together": together}))
-		w.until(10*second, "it runs", func() bool { return w.wholes["j-1"] == 1 })
+		w.until(10*second, "it runs", func() bool { return w.machines.Wholes["j-1"] == 1 })
 		if left := w.running("j-0"); left < 16-6 {
 			t.Errorf("together %v: %d of 16 tasks are left, 6 had to go", together, left)
 		}
@@ -70,7 +70,7 @@
 		w.run(4 * second)
 	}
 	for _, uid := range []string{"j-1", "j-2", "j-3", "j-4"} {
-		w.until(40*second, uid+" has begun", func() bool { return w.wholes[uid] > 0 })
+		w.until(40*second, uid+" has begun", func() bool { return w.machines.Wholes[uid] > 0 })
 	}
 	w.cancel("j-0")
 	w.settle()
@@ -90,7 +90,7 @@
 	}
 	w.run(6 * second)
 	w.submit("j-1", group(2, 1, map[string]any{"rank": "high", "owner": "blue"}))
-	w.until(7500*time.Millisecond, "it runs", func() bool { return w.wholes["j-1"] == 1 })
+	w.until(7500*time.Millisecond, "it runs", func() bool { return w.machines.Wholes["j-1"] == 1 })
 	w.awaitTold(30*second, "j-1", protocol.Done)
 	w.cancel("j-0")
 	w.settle()
--- a/internal/coordination/gang_states_test.go
+++ b/internal/coordination/gang_states_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"claybarrow/internal/emulator"
 	"claybarrow/internal/protocol"
 )
 
@@ -15,10 +16,10 @@
 }
 
 // holding lists the machines with tasks of a job.
-func (w *world) holding(uid string) (out []*simWorker) {
+func (w *world) holding(uid string) (out []*emulator.Worker) {
 	for _, k := range w.fleet() {
-		for _, t := range k.tasks {
-			if t.uid == uid && t.state != protocol.Exited && !k.gone {
+		for _, t := range k.Tasks {
+			if t.UID == uid && t.State != protocol.Exited && !k.Gone {
 				out = append(out, k)
 				break
 			}
@@ -40,11 +41,11 @@
 	}
 	w.submit("j-1", group(2, 2, map[string]any{"owner": "blue"}))
 	w.until(40*second, "the one without an image is told to stop", func() bool { return len(w.halts["j-1"]) > 0 })
-	if w.wholes["j-1"] != 0 {
+	if w.machines.Wholes["j-1"] != 0 {
 		t.Error("it began")
 	}
 	w.pulls = nil
-	w.until(30*second, "it runs", func() bool { return w.wholes["j-1"] == 1 })
+	w.until(30*second, "it runs", func() bool { return w.machines.Wholes["j-1"] == 1 })
 	w.awaitTold(60*second, "j-1", protocol.Done)
 	w.settle()
 }
@@ -55,10 +56,10 @@
 	for _, hang := range []time.Duration{7 * second, 60 * second} {
 		w := newWorld(t, 102)
 		w.submit("j-1", group(4, 4, map[string]any{"apart": true}))
-		w.until(60*second, "it runs", func() bool { return w.wholes["j-1"] == 1 })
+		w.until(60*second, "it runs", func() bool { return w.machines.Wholes["j-1"] == 1 })
 		w.run(2 * second)
-		w.holding("j-1")[0].hang(hang)
-		w.until(60*second, "it has begun again", func() bool { return w.wholes["j-1"] == 2 })
+		w.holding("j-1")[0].Hang(hang)
+		w.until(60*second, "it has begun again", func() bool { return w.machines.Wholes["j-1"] == 2 })
 		w.awaitTold(60*second, "j-1", protocol.Done)
 		w.settle()
 	}
@@ -73,9 +74,9 @@
 		w := newWorld(t, 103)
 		w.runs = func(string) time.Duration { return 40 * second }
 		w.replicasOnMachines(4, 3)
-		w.cloud.down = true
+		w.cloud.Down = true
 		w.submit("j-1", group(4, 3, map[string]any{"rank": "idle", "owner": "blue"}))
-		w.until(60*second, "it runs", func() bool { return w.wholes["j-1"] == 1 })
+		w.until(60*second, "it runs", func() bool { return w.machines.Wholes["j-1"] == 1 })
 		w.run(3 * second)
 		w.submit("j-2", map[string]any{"shape": "service", "rank": "production", "cores": 3.0})
 		w.until(20*second, "it is told to stop", func() bool { return len(w.halts["j-1"]) > 0 })
@@ -84,11 +85,11 @@
 			w.restart(w.awaitLeader(), 2*second)
 		}
 		w.until(30*second, "the replica runs", func() bool { return w.running("j-2") == 1 })
-		if after < 0 && w.saves["j-1"] != 1 {
-			t.Errorf("its progress was saved %d times", w.saves["j-1"])
+		if after < 0 && w.machines.Saves["j-1"] != 1 {
+			t.Errorf("its progress was saved %d times", w.machines.Saves["j-1"])
 		}
 		w.cancel("j-2")
-		w.until(60*second, "it has begun again", func() bool { return w.wholes["j-1"] == 2 })
+		w.until(60*second, "it has begun again", func() bool { return w.machines.Wholes["j-1"] == 2 })
 		w.awaitTold(90*second, "j-1", protocol.Done)
 		w.settle()
 	}
@@ -105,18 +106,18 @@
 		w := newWorld(t, 104)
 		w.runs = func(string) time.Duration { return 40 * second }
 		w.submit("j-1", group(4, 4, map[string]any{"borrowed": true, "apart": true}))
-		w.until(60*second, "it runs", func() bool { return w.wholes["j-1"] == 1 })
+		w.until(60*second, "it runs", func() bool { return w.machines.Wholes["j-1"] == 1 })
 		w.run(2 * second)
 		k := w.holding("j-1")[0]
-		if !k.spot {
+		if !k.Spot {
 			t.Fatal("it is on an ordinary machine")
 		}
-		end := w.now + time.Duration(tc.notice*float64(second))
-		k.taken = end
-		w.at(end-w.now, k.die)
-		w.until(90*second, "it has begun again", func() bool { return w.wholes["j-1"] == 2 })
-		if w.saves["j-1"] != tc.saves {
-			t.Errorf("notice of %v s: its progress was saved %d times, want %d", tc.notice, w.saves["j-1"], tc.saves)
+		end := w.Now() + time.Duration(tc.notice*float64(second))
+		k.Taken = end
+		w.at(end-w.Now(), k.Die)
+		w.until(90*second, "it has begun again", func() bool { return w.machines.Wholes["j-1"] == 2 })
+		if w.machines.Saves["j-1"] != tc.saves {
+			t.Errorf("notice of %v s: its progress was saved %d times, want %d", tc.notice, w.machines.Saves["j-1"], tc.saves)
 		}
 		w.awaitTold(90*second, "j-1", protocol.Done)
 		w.settle()
@@ -129,17 +130,17 @@
 	w := newWorld(t, 105)
 	w.runs = func(string) time.Duration { return 20 * second }
 	w.submit("j-1", group(4, 4, nil))
-	w.until(60*second, "it runs", func() bool { return w.wholes["j-1"] == 1 })
+	w.until(60*second, "it runs", func() bool { return w.machines.Wholes["j-1"] == 1 })
 	w.run(19 * second)
 	for _, k := range w.holding("j-1")[1:] {
 		k := k
-		k.cut = true
-		w.at(30*second, func() { k.cut = false })
+		k.Cut = true
+		w.at(30*second, func() { k.Cut = false })
 	}
 	w.awaitTold(10*second, "j-1", protocol.Done)
 	w.run(40 * second)
-	if w.wholes["j-1"] != 1 {
-		t.Errorf("it began %d times", w.wholes["j-1"])
+	if w.machines.Wholes["j-1"] != 1 {
+		t.Errorf("it began %d times", w.machines.Wholes["j-1"])
 	}
 	w.settle()
 }
@@ -148,11 +149,11 @@
 // tasks, and nothing of it starts afterwards (the checker sees to that).
 func TestGangIsCancelledInEachState(t *testing.T) {
 	pulling := func(w *world) bool { return len(w.holding("j-1")) > 0 }
-	running := func(w *world) bool { return w.wholes["j-1"] == 1 }
+	running := func(w *world) bool { return w.machines.Wholes["j-1"] == 1 }
 	told := func(w *world) bool { return len(w.halts["j-1"]) > 0 }
 	for name, prepare := range map[string]func(*world){
 		"waiting": func(w *world) {
-			w.cloud.down = true
+			w.cloud.Down = true
 			w.submit("j-1", group(5, 3, map[string]any{"owner": "blue"}))
 			w.run(3 * second)
 		},
@@ -168,7 +169,7 @@
 			w.run(second)
 		},
 		"stopping": func(w *world) {
-			w.cloud.down = true
+			w.cloud.Down = true
 			w.submit("j-1", group(4, 3, map[string]any{"rank": "idle", "owner": "blue"}))
 			w.until(30*second, "it runs", func() bool { return running(w) })
 			w.submit("j-2", map[string]any{"shape": "service", "rank": "production", "cores": 3.0})
@@ -178,7 +179,7 @@
 		"broken": func(w *world) {
 			w.submit("j-1", group(4, 3, map[string]any{"owner": "blue"}))
 			w.until(30*second, "it runs", func() bool { return running(w) })
-			w.holding("j-1")[0].die()
+			w.holding("j-1")[0].Die()
 			w.run(5 * second)
 		},
 	} {
--- a/internal/coordination/gang_test.go
+++ b/internal/coordination/gang_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"claybarrow/internal/emulator"
 	"claybarrow/internal/ledger"
 	"claybarrow/internal/protocol"
 )
@@ -24,7 +25,7 @@
 	w := newWorld(t, 90)
 	w.submit("j-1", map[string]any{"shape": "service", "cores": 4.0})
 	w.until(60*second, "the replica runs", func() bool { return w.running("j-1") == 1 })
-	w.cloud.down = true // nothing else can be rented
+	w.cloud.Down = true // nothing else can be rented
 	w.submit("j-2", group(3, 2, nil))
 	for range 40 {
 		w.run(second)
@@ -34,8 +35,8 @@
 	}
 	w.cancel("j-1")
 	w.awaitTold(90*second, "j-2", protocol.Done)
-	if w.wholes["j-2"] != 1 {
-		t.Errorf("the gang began %d times", w.wholes["j-2"])
+	if w.machines.Wholes["j-2"] != 1 {
+		t.Errorf("the gang began %d times", w.machines.Wholes["j-2"])
 	}
 	w.settle()
 }
@@ -45,15 +46,15 @@
 func TestGangBeginsAgainAfterALoss(t *testing.T) {
 	w := newWorld(t, 91)
 	w.submit("j-1", group(4, 4, nil)) // two machines
-	w.until(60*second, "it runs", func() bool { return w.wholes["j-1"] == 1 })
+	w.until(60*second, "it runs", func() bool { return w.machines.Wholes["j-1"] == 1 })
 	w.run(3 * second)
 	for _, k := range w.fleet() {
-		if len(k.tasks) > 0 {
-			k.die()
+		if len(k.Tasks) > 0 {
+			k.Die()
 			break
 		}
 	}
-	w.until(60*second, "it has begun again", func() bool { return w.wholes["j-1"] == 2 })
+	w.until(60*second, "it has begun again", func() bool { return w.machines.Wholes["j-1"] == 2 })
 	w.awaitTold(60*second, "j-1", protocol.Done)
 	w.settle()
 }
@@ -65,11 +66,11 @@
 	w := newWorld(t, 92)
 	w.runs = func(string) time.Duration { return 60 * second }
 	w.submit("j-1", group(4, 4, nil))
-	w.until(60*second, "it runs", func() bool { return w.wholes["j-1"] == 1 })
+	w.until(60*second, "it runs", func() bool { return w.machines.Wholes["j-1"] == 1 })
 	w.run(2 * second)
 	for _, k := range w.fleet() {
-		if len(k.tasks) > 0 {
-			k.reportsLost = true
+		if len(k.Tasks) > 0 {
+			k.ReportsLost = true
 			break
 		}
 	}
@@ -84,7 +85,7 @@
 			t.Errorf("told %v after the first, with %v s", h.at-told[0].at, h.grace)
 		}
 	}
-	w.until(60*second, "it has begun again", func() bool { return w.wholes["j-1"] == 2 })
+	w.until(60*second, "it has begun again", func() bool { return w.machines.Wholes["j-1"] == 2 })
 	w.awaitTold(90*second, "j-1", protocol.Done)
 	w.settle()
 }
@@ -113,7 +114,7 @@
 	w.runs = func(string) time.Duration { return 8 * second }
 	w.submit("j-1", map[string]any{"shape": "service", "cores": 1.0, "owner": "blue"})
 	w.until(60*second, "a machine is up", func() bool { return w.running("j-1") == 1 })
-	w.cloud.down = true
+	w.cloud.Down = true
 	w.submit("j-2", group(5, 1, nil))
 	w.submit("j-3", group(5, 1, map[string]any{"owner": "blue"}))
 	for i := range 8 {
@@ -166,19 +167,19 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	w.state.items[ledger.JobPrefix+"j-2"] = &simItem{version: 1, value: protocol.Encode(ledger.JobRecord{Submitted: 1, Spec: spec})}
+	w.state.Place(ledger.JobPrefix+"j-2", &emulator.Item{Version: 1, Value: protocol.Encode(ledger.JobRecord{Submitted: 1, Spec: spec})})
 	w.noteAnswer("j-2")
 	try := uint64(1 << 20)
 	for i, k := range w.fleet() {
-		it := w.state.items[ledger.MachinePrefix+k.id]
+		it := w.state.Item(ledger.MachinePrefix + k.ID)
 		var rec ledger.MachineRecord
-		if it == nil || i > 1 || protocol.Decode(it.value, &rec) != nil {
+		if it == nil || i > 1 || protocol.Decode(it.Value, &rec) != nil {
 			continue
 		}
 		try++
 		rec.Attempts = append(rec.Attempts, ledger.AttemptEntry{Job: "j-2", Index: i, Try: try})
-		it.value = protocol.Encode(rec)
-		k.tasks[fmt.Sprintf("j-2/%d@%d", i, try)] = &simTask{uid: "j-2", try: try, state: protocol.Gathering}
+		it.Value = protocol.Encode(rec)
+		k.Hold(ledger.Task("j-2", i), &emulator.Task{UID: "j-2", Try: try, State: protocol.Gathering})
 	}
 	w.restart(w.awaitLeader(), second)
 	w.awaitTold(120*second, "j-2", protocol.Done)
@@ -195,9 +196,9 @@
 	w.submit("j-1", group(2, 2, nil))
 	try := func() (out uint64) {
 		for _, k := range w.fleet() {
-			for _, task := range k.tasks {
-				if task.uid == "j-1" && !k.gone {
-					out = max(out, task.try)
+			for _, task := range k.Tasks {
+				if task.UID == "j-1" && !k.Gone {
+					out = max(out, task.Try)
 				}
 			}
 		}
@@ -207,12 +208,12 @@
 	w.run(second)
 	first := try()
 	for _, k := range w.fleet() {
-		if _, here := k.tasks[fmt.Sprintf("j-1/0@%d", first)]; here {
-			k.die()
+		if _, here := k.Tasks[fmt.Sprintf("j-1/0@%d", first)]; here {
+			k.Die()
 		}
 	}
 	w.pulls = nil
-	w.until(60*second, "it runs", func() bool { return w.wholes["j-1"] == 1 })
+	w.until(60*second, "it runs", func() bool { return w.machines.Wholes["j-1"] == 1 })
 	if try() != first {
 		t.Errorf("attempt %d, first %d", try(), first)
 	}
@@ -240,7 +241,7 @@
 			for _, ch := range txn.Then {
 				if rec, ok := ch.Value.(map[string]any); ok && rec["t"] != nil && ch.Put[:2] == ledger.MachinePrefix {
 					written = true
-					w.at(2*latency, func() { w.state.outage(20 * second) })
+					w.at(2*latency, func() { w.state.Outage(20 * second) })
 				}
 			}
 		}
@@ -267,9 +268,9 @@
 	w.until(60*second, "machines are up", func() bool { return w.running("j-0") == 3 })
 	w.pulls = func(task string) time.Duration { return 6 * second }
 	w.submit("j-1", group(2, 2, nil))
-	at := func(k *simWorker) bool {
-		for _, task := range k.tasks {
-			if task.uid == "j-1" {
+	at := func(k *emulator.Worker) bool {
+		for _, task := range k.Tasks {
+			if task.UID == "j-1" {
 				return true
 			}
 		}
@@ -286,13 +287,13 @@
 	})
 	for _, k := range w.fleet() {
 		if at(k) {
-			k.die()
+			k.Die()
 			break
 		}
 	}
 	w.crash(w.awaitLeader())
 	w.pulls = nil
-	w.until(32*second, "it runs", func() bool { return w.wholes["j-1"] == 1 })
+	w.until(32*second, "it runs", func() bool { return w.machines.Wholes["j-1"] == 1 })
 	w.awaitTold(60*second, "j-1", protocol.Done)
 	w.settle()
 }
--- a/internal/coordination/guards_test.go
+++ b/internal/coordination/guards_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"claybarrow/internal/emulator"
 	"claybarrow/internal/ledger"
 	"claybarrow/internal/protocol"
 )
@@ -18,7 +19,7 @@
 	w.until(60*second, "replicas run", func() bool { return w.running("j-1") == 2 })
 	lead := w.awaitLeader()
 	for _, k := range w.fleet() {
-		k.cut = true
+		k.Cut = true
 	}
 	asked := 0
 	w.user(lead, OpCancel, "j-1", func(status int, _ protocol.Standing) {
@@ -32,7 +33,7 @@
 	}
 	w.crash(lead)
 	for _, k := range w.fleet() {
-		k.cut = false
+		k.Cut = false
 	}
 	w.until(40*second, "the successor has called it off", func() bool { return w.told["j-1"] == protocol.Cancelled })
 	if w.running("j-1") != 0 {
@@ -48,8 +49,8 @@
 	w.submit("j-1", map[string]any{"shards": 2, "cores": 4.0})
 	w.until(60*second, "it runs", func() bool { return w.running("j-1") == 2 })
 	for _, k := range w.fleet() {
-		k.cut = true
-		w.at(8*second, func() { k.cut = false })
+		k.Cut = true
+		w.at(8*second, func() { k.Cut = false })
 	}
 	w.cancel("j-1")
 	w.awaitTold(30*second, "j-1", protocol.Done)
@@ -83,7 +84,7 @@
 	w.cancel("j-1")
 	absent := func() bool {
 		for _, k := range held {
-			if w.state.items[k] != nil {
+			if w.state.Item(k) != nil {
 				return false
 			}
 		}
@@ -108,7 +109,7 @@
 		// Some tries have no answer: those may have applied before the 400.
 		return fate{answerLost: c.Path == "/multi" && n%7 == 0}
 	}
-	w.at(15*second, func() { w.state.malformed = func(txn protocol.Txn) bool { return len(txn.Then) > 3 } })
+	w.at(15*second, func() { w.state.Malformed = func(txn protocol.Txn) bool { return len(txn.Then) > 3 } })
 	for i := range 10 {
 		uid := fmt.Sprintf("j-%d", i)
 		w.at(time.Duration(i/5)*14*second, func() { w.submit(uid, map[string]any{"shards": 3, "cores": 1.0}) })
@@ -126,7 +127,7 @@
 	w := newWorld(t, 74)
 	w.awaitLeader()
 	w.run(2 * second)
-	w.state.malformed = func(txn protocol.Txn) bool {
+	w.state.Malformed = func(txn protocol.Txn) bool {
 		for _, ch := range txn.Then {
 			if ch.Put == ledger.JobPrefix+"j-1" {
 				return true
@@ -140,7 +141,7 @@
 	if w.told["j-1"] != "" {
 		t.Errorf("j-1 is %q", w.told["j-1"])
 	}
-	w.state.malformed = nil
+	w.state.Malformed = nil
 	w.submit("j-1", nil)
 	w.awaitTold(100*second, "j-1", protocol.Done)
 	w.settle()
@@ -152,13 +153,13 @@
 	w := newWorld(t, 75)
 	w.submit("j-1", map[string]any{"shape": "service", "cores": 2.0})
 	w.until(60*second, "the replica runs", func() bool { return w.running("j-1") == 1 })
-	w.cloud.down = true // nothing else can be rented
+	w.cloud.Down = true // nothing else can be rented
 	w.spec("j-9", nil)
 	for _, k := range w.fleet() {
-		k.tasks["j-9/0@7"] = &simTask{uid: "j-9", try: 7, state: protocol.Running}
+		k.Hold("j-9/0", &emulator.Task{UID: "j-9", Try: 7, State: protocol.Running})
 	}
 	w.run(5 * second)
-	w.calm = w.now
+	w.calm = w.Now()
 	w.submit("j-2", map[string]any{"cores": 2.0})
 	w.awaitTold(60*second, "j-2", protocol.Done)
 	w.settle()
@@ -172,10 +173,10 @@
 	w.until(60*second, "replicas run", func() bool { return w.running("j-1") == 2 })
 	w.run(5 * second)
 	k := w.fleet()[0]
-	k.reportsLost = true
+	k.ReportsLost = true
 	w.run(8500 * time.Millisecond) // of a lease of 10 s
-	for name, task := range k.tasks {
-		if task.state == protocol.Running {
+	for name, task := range k.Tasks {
+		if task.State == protocol.Running {
 			t.Errorf("%s is still on a machine that is about to end its session", name)
 		}
 	}
@@ -293,7 +294,7 @@
 	w := newWorld(t, 81)
 	w.awaitLeader()
 	w.run(2 * second)
-	token := string(w.state.items[keyCounter].value)
+	token := string(w.state.Item(keyCounter).Value)
 	lost := false
 	w.script = func(_ int, c Call) fate {
 		var txn protocol.Txn
@@ -301,17 +302,17 @@
 			return fate{}
 		}
 		lost = true
-		w.state.malformed = func(txn protocol.Txn) bool {
-			return w.state.items[ledger.JobPrefix+"j-1"] != nil && len(txn.Then) > 0 && txn.Then[0].Put == ledger.JobPrefix+"j-1"
+		w.state.Malformed = func(txn protocol.Txn) bool {
+			return w.state.Item(ledger.JobPrefix+"j-1") != nil && len(txn.Then) > 0 && txn.Then[0].Put == ledger.JobPrefix+"j-1"
 		}
-		w.at(3*second, func() { w.state.malformed = nil })
+		w.at(3*second, func() { w.state.Malformed = nil })
 		return fate{answerLost: true}
 	}
 	w.submit("j-1", nil)
 	w.submit("j-2", nil)
 	w.awaitTold(60*second, "j-1", protocol.Done)
 	w.awaitTold(60*second, "j-2", protocol.Done)
-	if !lost || string(w.state.items[keyCounter].value) != token {
+	if !lost || string(w.state.Item(keyCounter).Value) != token {
 		t.Errorf("lost %v, or another election was held", lost)
 	}
 	w.settle()
--- a/internal/coordination/limits_test.go
+++ b/internal/coordination/limits_test.go
@@ -7,12 +7,13 @@
 	"time"
 
 	"claybarrow/internal/config"
+	"claybarrow/internal/emulator"
 	"claybarrow/internal/ledger"
 	"claybarrow/internal/protocol"
 )
 
 // lowerLimits are those that the settings announce in these tests.
-var lowerLimits = stateLimits{valueBytes: 2 << 10, changes: 10}
+var lowerLimits = emulator.StateLimits{ValueBytes: 2 << 10, Changes: 10}
 
 // announceLimits has the settings of all controllers name the limits to come.
 func (w *world) announceLimits() {
@@ -36,14 +37,14 @@
 			w.submit(fmt.Sprintf("j-%d", 100+i), map[string]any{"cores": 0.5, "shards": 2})
 		}
 		w.submit("j-1", group(8, 0.5, nil))
-		w.at(2*second, func() { w.state.limits = lowerLimits })
+		w.at(2*second, func() { w.state.Limits = lowerLimits })
 		w.at(2*second+crash, func() { w.restart(w.aLeader(), second) })
 		w.awaitTold(200*second, "j-1", protocol.Done)
 		for i := range 40 {
 			w.awaitTold(200*second, fmt.Sprintf("j-%d", 100+i), protocol.Done)
 		}
-		if w.state.over > 0 {
-			t.Errorf("leader ends %v after: %d transactions were over the limits", crash, w.state.over)
+		if w.state.Over > 0 {
+			t.Errorf("leader ends %v after: %d transactions were over the limits", crash, w.state.Over)
 		}
 		w.settle()
 	}
@@ -63,7 +64,7 @@
 		}
 		return 5 * second
 	}
-	w.cloud.finished = map[string]bool{}
+	w.finished = map[string]bool{}
 	w.specs["j-1"] = w.spec("j-1", map[string]any{"shards": tasks, "cores": 1.0})
 	_, spec, err := protocol.ParseSubmission(protocol.Encode(w.specs["j-1"]))
 	if err != nil {
@@ -74,16 +75,16 @@
 	for i := range tasks {
 		if i != open[0] && i != open[1] && i < open[2] {
 			j.MarkDone(i)
-			w.cloud.finished[ledger.Task("j-1", i)] = true
+			w.finished[ledger.Task("j-1", i)] = true
 		}
 	}
-	w.state.change(ledger.JobPrefix+"j-1", &simItem{value: protocol.Encode(ledger.JobRecord{Submitted: 1, Spec: spec})})
-	w.state.change(books.DoneKey(j, 0), &simItem{value: protocol.Encode(books.DoneChunk(j, 0))})
+	w.state.Change(ledger.JobPrefix+"j-1", &emulator.Item{Value: protocol.Encode(ledger.JobRecord{Submitted: 1, Spec: spec})})
+	w.state.Change(books.DoneKey(j, 0), &emulator.Item{Value: protocol.Encode(books.DoneChunk(j, 0))})
 	w.noteAnswer("j-1")
-	w.state.limits = lowerLimits
+	w.state.Limits = lowerLimits
 	w.announceLimits()
 	w.until(60*second, "three of the last tasks are done", func() bool {
-		return w.cloud.finished["j-1/5"] && w.cloud.finished["j-1/20000"] && w.cloud.finished["j-1/39998"]
+		return w.finished["j-1/5"] && w.finished["j-1/20000"] && w.finished["j-1/39998"]
 	})
 	w.run(2 * second)
 	w.restart(w.awaitLeader(), second)
@@ -95,11 +96,11 @@
 			t.Errorf("%s started %d times", task, times)
 		}
 	}
-	if started != len(open) || w.state.over > 0 {
-		t.Errorf("%d tasks were started, %d transactions over the limits", started, w.state.over)
+	if started != len(open) || w.state.Over > 0 {
+		t.Errorf("%d tasks were started, %d transactions over the limits", started, w.state.Over)
 	}
 	w.run(5 * second)
-	for key := range w.state.items {
+	for _, key := range w.state.Keys() {
 		if strings.HasPrefix(key, ledger.DonePrefix) || strings.HasPrefix(key, ledger.PartPrefix) {
 			t.Errorf("%s is left", key)
 		}
@@ -115,13 +116,13 @@
 	w.submit("j-1", map[string]any{"shards": 70, "cores": 0.1, "ramGb": 0.1})
 	w.until(90*second, "all run", func() bool { return w.running("j-1") == 70 })
 	k := w.holding("j-1")[0]
-	w.state.limits = lowerLimits
-	if len(k.tasks) < 60 {
-		t.Fatalf("%d tasks on the machine", len(k.tasks))
+	w.state.Limits = lowerLimits
+	if len(k.Tasks) < 60 {
+		t.Fatalf("%d tasks on the machine", len(k.Tasks))
 	}
-	k.cut = true
+	k.Cut = true
 	w.announceLimits()
-	w.until(100*second, "it is deleted", func() bool { return k.gone })
+	w.until(100*second, "it is deleted", func() bool { return k.Gone })
 	w.runs = func(string) time.Duration { return second }
 	w.awaitTold(300*second, "j-1", protocol.Done)
 	w.settle()
@@ -132,12 +133,12 @@
 	w := newWorld(t, 134)
 	lead := w.awaitLeader()
 	for _, key := range []string{"d/j-7/0", "p/j-7/3"} {
-		w.state.change(key, &simItem{value: protocol.Encode(ledger.DoneRecord{Bits: "AQ=="})})
+		w.state.Change(key, &emulator.Item{Value: protocol.Encode(ledger.DoneRecord{Bits: "AQ=="})})
 	}
 	w.restart(lead, second)
 	w.run(10 * second)
 	for _, key := range []string{"d/j-7/0", "p/j-7/3"} {
-		if w.state.items[key] != nil {
+		if w.state.Item(key) != nil {
 			t.Errorf("%s is left", key)
 		}
 	}
--- /dev/null
+++ b/internal/coordination/machines_test.go
@@ -0,0 +1,193 @@
+package coordination
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"claybarrow/internal/emulator"
+	"claybarrow/internal/protocol"
+)
+
+// newCloud makes a cloud with one machine type in two zones.
+func (w *world) newCloud() {
+	w.cloud = emulator.NewCloud(w.agenda)
+	w.cloud.Types = []protocol.MachineType{{Name: "m8", Cores: 8, MemoryGB: 32, CacheGB: 50,
+		FetchGBPerS: 1, Price: 1, SpotPrice: 0.4, BootS: 10, Zones: []string{"a", "b"}}}
+	w.cloud.Name = func(n int) string { return fmt.Sprintf("i-%06d", n) }
+	w.cloud.Addr = func(id string) string { return "10.1." + strings.TrimLeft(id[2:], "0") + ":9000" }
+	w.cloud.Lag = 5 * time.Second
+	w.cloud.BootTime = func(string) time.Duration { return 10 * time.Second }
+	w.cloud.Wrong = func(what string) { w.breaks("%s", what) }
+	w.cloud.Launch = func(m *emulator.Machine) {
+		k := w.machines.Add(m.ID, m.Addr, m.Type, m.Zone, m.Spot)
+		k.Reported = func(body []byte) { w.noteReport(k, body) }
+		w.at(10*time.Second, k.Boot)
+	}
+	w.cloud.Remove = func(m *emulator.Machine) { w.machines.Workers[m.ID].Die() }
+}
+
+// newMachines makes a fleet whose workers report to the world's controllers.
+func (w *world) newMachines() {
+	f := emulator.NewFleet(w.agenda, emulator.Timing{Report: time.Second, Lease: 10 * time.Second, NextController: time.Second,
+		SentAway: 100 * time.Millisecond, GangWait: 30 * time.Second, GangPeer: gangPeer, Look: tick})
+	f.Controllers = 3
+	f.Label = func(name string) int {
+		n, err := strconv.Atoi(strings.TrimPrefix(name, "n"))
+		if err != nil {
+			return -1
+		}
+		return n
+	}
+	f.Carrier = w.carryReport
+	f.Jobs = w.jobOf
+	f.RunTime = func(task string) time.Duration { return w.runs(task) }
+	f.FetchTime = func(_ *emulator.Worker, task string, _ *emulator.Job) time.Duration {
+		if w.pulls != nil {
+			return w.pulls(task)
+		}
+		return 200 * time.Millisecond
+	}
+	f.Fails = func(k *emulator.Worker, t *emulator.Task) bool {
+		if w.fails == nil || !w.fails(k, t.UID) {
+			return false
+		}
+		w.failures++
+		return true
+	}
+	f.Begins = w.checkStart
+	f.Done = func(task string, t *emulator.Task) {
+		w.finished[task] = true
+		if w.ended != nil {
+			w.ended(t.UID)
+		}
+	}
+	f.Died = func(k *emulator.Worker) { w.cloud.Machine(k.ID).Gone = true }
+	f.Halted = func(t *emulator.Task, graceS float64) {
+		w.halts[t.UID] = append(w.halts[t.UID], halted{w.Now(), graceS})
+	}
+	f.Wrong = func(what string) { w.breaks("%s", what) }
+	w.machines = f
+}
+
+// jobOf is what a worker knows of a job.
+func (w *world) jobOf(uid string) *emulator.Job {
+	spec := w.specs[uid]
+	if spec == nil {
+		return nil
+	}
+	return &emulator.Job{Tasks: spec["shards"].(int), Gang: spec["shape"] == "group", Service: spec["shape"] == "service",
+		SaveS: spec["saveTakesS"].(float64), Cores: spec["cores"].(float64)}
+}
+
+// fleet lists the workers in a fixed order, so runs repeat.
+func (w *world) fleet() []*emulator.Worker { return w.machines.Sorted() }
+
+func (w *world) byAddr(addr string) *emulator.Worker {
+	for _, k := range w.machines.Workers {
+		if k.Addr == addr {
+			return k
+		}
+	}
+	return nil
+}
+
+// noteReport keeps a report's body, and has a copy of it arrive late if the test wants so.
+func (w *world) noteReport(k *emulator.Worker, body []byte) {
+	w.copies[k.ID] = append(w.copies[k.ID], body)
+	if w.lateCopy == nil {
+		return
+	}
+	if late := w.lateCopy(); late > 0 {
+		// A copy goes to whichever controller; its answer reaches nobody.
+		to := w.rng.IntN(3)
+		w.at(late, func() { w.ask(to, Request{Op: OpReport, Body: body}, func(Reply) {}) })
+	}
+}
+
+// carryReport takes a worker's report to a controller, as far as the test lets it.
+func (w *world) carryReport(k *emulator.Worker, node int, body []byte, answer emulator.Reply) {
+	var f fate
+	if w.reports != nil {
+		f = w.reports(k, node)
+	}
+	none := func() { w.at(w.reportWait, func() { answer(0, nil) }) }
+	if f.lost || k.ReportsLost {
+		none()
+		return
+	}
+	w.at(latency, func() {
+		w.ask(node, Request{Op: OpReport, Body: body}, func(r Reply) {
+			if f.answerLost || k.Hung || k.AnswersLost {
+				none()
+				return
+			}
+			answer(r.Status, r.Body)
+		})
+	})
+}
+
+// checkStart checks the rules of the moment a task begins to be on its machine.
+func (w *world) checkStart(k *emulator.Worker, task string, t *emulator.Task) {
+	spec := w.specs[t.UID]
+	w.starts[task]++
+	// Stricter than the protocol's page, which allows cancel_s: "from then on no
+	// task of the job may be started".
+	if _, told := w.stopped[t.UID]; told {
+		w.breaks("ran_cancelled: %s starts", task)
+	}
+	zones, total, used := map[string]int{}, 0, map[string]float64{}
+	for _, o := range w.machines.Workers {
+		for name, x := range o.Tasks {
+			if !x.Here() || o.Gone {
+				continue
+			}
+			other, _, _ := strings.Cut(name, "@")
+			if other == task && (o != k || x != t) {
+				w.breaks("ran_twice: %s on %s and %s", task, o.ID, k.ID)
+			}
+			if x.UID == t.UID {
+				zones[o.Zone]++
+				total++
+			}
+			used[w.specs[x.UID]["owner"].(string)] += w.specs[x.UID]["cores"].(float64)
+		}
+	}
+	if n := spec["shards"].(int); spec["apart"].(bool) && zones[k.Zone] > (n+1)/2 {
+		w.breaks("wrong_place: %d of %d tasks of %s in one zone", zones[k.Zone], n, t.UID)
+	}
+	if spec["together"].(bool) && total != zones[k.Zone] {
+		w.breaks("wrong_place: %s in two zones", t.UID)
+	}
+	for team, most := range map[string]float64{"red": 32, "blue": 16} {
+		if used[team] > most {
+			w.breaks("quota: %s uses %v", team, used[team])
+		}
+	}
+}
+
+// running counts a job's tasks on machines.
+func (w *world) running(uid string) int {
+	n := 0
+	for _, k := range w.fleet() {
+		for _, t := range k.Tasks {
+			if t.UID == uid && t.Here() && !k.Gone {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// lateCancelled checks ran_cancelled for tasks that stay.
+func (w *world) lateCancelled() {
+	for uid, told := range w.stopped {
+		if w.Now() > told+35*time.Second && w.running(uid) > 0 {
+			w.breaks("ran_cancelled: %s is still there", uid)
+		}
+	}
+}
+
+// gangPeer is gang_peer_s of testConfig.
+const gangPeer = 5 * time.Second
--- a/internal/coordination/meetings_test.go
+++ b/internal/coordination/meetings_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"claybarrow/internal/emulator"
 	"claybarrow/internal/protocol"
 )
 
@@ -96,10 +97,10 @@
 }
 
 // some picks a share of the machines that are up.
-func (w *world) some(share float64) []*simWorker {
-	var out []*simWorker
+func (w *world) some(share float64) []*emulator.Worker {
+	var out []*emulator.Worker
 	for _, k := range w.fleet() {
-		if k.up && !k.gone && w.rng.Float64() < share {
+		if k.Up && !k.Gone && w.rng.Float64() < share {
 			out = append(out, k)
 		}
 	}
@@ -152,17 +153,17 @@
 		for _, k := range w.some(0.3) {
 			switch w.rng.IntN(3) {
 			case 0:
-				k.hang(w.ms(2000, 30_000))
+				k.Hang(w.ms(2000, 30_000))
 			case 1:
-				k.answersLost = true
+				k.AnswersLost = true
 			}
 		}
-		w.state.refuse[old] = true
+		w.state.Refuse[old] = true
 		w.at(w.ms(0, 2500), func() { w.cancelSome("j-s1", "j-b1", "j-s2") })
 		w.run(w.ms(1500, 12_000))
-		w.state.outage(time.Duration(40+w.rng.IntN(40)) * second)
+		w.state.Outage(time.Duration(40+w.rng.IntN(40)) * second)
 		w.run(w.ms(0, 12_000))
-		w.state.refuse[old] = false
+		w.state.Refuse[old] = false
 		w.run(90 * second)
 	})
 }
@@ -173,10 +174,10 @@
 	meeting(t, 8, func(w *world, m *mess) {
 		old := w.awaitLeader()
 		w.cancelSome("j-s1", "j-s3")
-		w.state.refuse[old] = true
+		w.state.Refuse[old] = true
 		w.cancelSome("j-b1", "j-s2")
 		w.run(w.ms(500, 1500))
-		w.state.outage(45 * second)
+		w.state.Outage(45 * second)
 		w.run(60 * second)
 	})
 }
@@ -209,11 +210,11 @@
 	meeting(t, 8, func(w *world, m *mess) {
 		for n, k := range w.some(0.6) {
 			if n%2 == 0 {
-				k.cut = true
-				w.at(w.ms(3000, 40_000), func() { k.cut = false })
+				k.Cut = true
+				w.at(w.ms(3000, 40_000), func() { k.Cut = false })
 			} else {
-				k.answersLost = true
-				w.at(w.ms(3000, 60_000), func() { k.answersLost = false })
+				k.AnswersLost = true
+				w.at(w.ms(3000, 60_000), func() { k.AnswersLost = false })
 			}
 		}
 		w.restart(w.aLeader(), w.ms(500, 8000))
@@ -228,8 +229,8 @@
 func TestMeetingAnswersLostSinceTakeOver(t *testing.T) {
 	meeting(t, 4, func(w *world, m *mess) {
 		for _, k := range w.fleet() {
-			if k.up && len(k.tasks) > 0 {
-				k.answersLost = true
+			if k.Up && len(k.Tasks) > 0 {
+				k.AnswersLost = true
 			}
 		}
 		w.restart(w.aLeader(), 2*second)
@@ -238,8 +239,8 @@
 		w.until(60*second, "j-s2 is called off", func() bool { return w.told["j-s2"] == protocol.Cancelled })
 		w.until(60*second, "j-s3 runs elsewhere", func() bool {
 			for _, k := range w.fleet() {
-				for _, task := range k.tasks {
-					if task.uid == "j-s3" && task.state == protocol.Running && !k.answersLost && !k.gone {
+				for _, task := range k.Tasks {
+					if task.UID == "j-s3" && task.State == protocol.Running && !k.AnswersLost && !k.Gone {
 						return true
 					}
 				}
@@ -257,10 +258,10 @@
 		w.cancelSome("j-s1")
 		w.run(10 * second)
 		old := w.aLeader()
-		w.state.refuse[old] = true
+		w.state.Refuse[old] = true
 		w.cancelSome("j-b1")
 		w.run(w.ms(1000, 6000))
-		w.state.outage(40 * second)
+		w.state.Outage(40 * second)
 		w.cancelSome("j-s2")
 		w.submit("j-n1", map[string]any{"shards": 2, "cores": 1.0})
 		w.run(50 * second)
@@ -332,16 +333,16 @@
 func TestMeetingHeldReport(t *testing.T) {
 	meeting(t, 6, func(w *world, m *mess) {
 		type copied struct {
-			k    *simWorker
+			k    *emulator.Worker
 			body []byte
 		}
 		var held []copied
 		for _, k := range w.fleet() {
-			if k.up && !k.gone {
-				held = append(held, copied{k, protocol.Encode(k.message())})
+			if k.Up && !k.Gone {
+				held = append(held, copied{k, protocol.Encode(k.Message())})
 				if w.rng.IntN(2) == 0 {
-					k.cut = true
-					w.at(w.ms(2000, 25_000), func() { k.cut = false })
+					k.Cut = true
+					w.at(w.ms(2000, 25_000), func() { k.Cut = false })
 				}
 			}
 		}
@@ -409,13 +410,13 @@
 				return strings.HasPrefix(addr, "10.0.0.2:")
 			}
 			k := w.byAddr(addr)
-			return k != nil && k.zone == "b"
+			return k != nil && k.Zone == "b"
 		}
 		w.script = func(node int, c Call) fate {
 			there := c.Target == ToPeer || c.Target == ToWorker
 			return fate{lost: node == 2 && !there || there && inB(c.Addr) != (node == 2)}
 		}
-		w.reports = func(k *simWorker, node int) fate { return fate{lost: (k.zone == "b") != (node == 2)} }
+		w.reports = func(k *emulator.Worker, node int) fate { return fate{lost: (k.Zone == "b") != (node == 2)} }
 		w.cancelSome("j-s1", "j-s3")
 		if w.rng.IntN(2) == 0 {
 			w.restart(w.rng.IntN(3), w.ms(200, 4000))
@@ -430,9 +431,9 @@
 // reach them: they must not be filled again and again.
 func TestMeetingReportsLost(t *testing.T) {
 	meeting(t, 6, func(w *world, m *mess) {
-		var reportsLost []*simWorker
+		var reportsLost []*emulator.Worker
 		for _, k := range w.some(0.6) {
-			k.reportsLost = true
+			k.ReportsLost = true
 			reportsLost = append(reportsLost, k)
 		}
 		w.cancelSome("j-b1")
@@ -441,22 +442,22 @@
 			w.restart(w.aLeader(), w.ms(200, 4000))
 		}
 		w.run(25 * second)
-		began := map[*simWorker]int{}
+		began := map[*emulator.Worker]int{}
 		for _, k := range reportsLost {
-			began[k] = k.lives
+			began[k] = k.Lives
 		}
 		w.run(60 * second)
 		for _, k := range reportsLost {
-			if k.lives > began[k]+2 {
-				w.breaks("a machine whose reports are lost was given %d tasks, all of which die with its lease", k.lives-began[k])
+			if k.Lives > began[k]+2 {
+				w.breaks("a machine whose reports are lost was given %d tasks, all of which die with its lease", k.Lives-began[k])
 			}
 		}
 		// Their work runs elsewhere.
 		for _, uid := range []string{"j-s1", "j-s2", "j-s3"} {
 			n := 0
 			for _, k := range w.fleet() {
-				for _, task := range k.tasks {
-					if task.uid == uid && task.state == protocol.Running && !k.reportsLost && !k.gone {
+				for _, task := range k.Tasks {
+					if task.UID == uid && task.State == protocol.Running && !k.ReportsLost && !k.Gone {
 						n++
 					}
 				}
@@ -478,8 +479,8 @@
 			return 0
 		}
 		for _, k := range w.some(0.4) {
-			k.cut = true // a new session, while copies of the earlier one are on their way
-			w.at(w.ms(9000, 16_000), func() { k.cut = false })
+			k.Cut = true // a new session, while copies of the earlier one are on their way
+			w.at(w.ms(9000, 16_000), func() { k.Cut = false })
 		}
 		w.run(w.ms(4000, 14_000))
 		w.cancelSome("j-s1")
@@ -499,8 +500,8 @@
 		}
 		w.run(40 * second)
 		for _, k := range w.some(0.5) {
-			k.cut = true
-			w.at(w.ms(5000, 30_000), func() { k.cut = false })
+			k.Cut = true
+			w.at(w.ms(5000, 30_000), func() { k.Cut = false })
 		}
 		w.restart(w.aLeader(), w.ms(500, 5000))
 		w.run(w.ms(500, 5000))
@@ -518,7 +519,7 @@
 			w.submit(fmt.Sprintf("j-h%d", i), map[string]any{"shards": 2, "cores": 1.0})
 			w.run(w.ms(500, 3000))
 			for _, k := range w.some(0.3) {
-				k.hang(w.ms(1000, 14_000))
+				k.Hang(w.ms(1000, 14_000))
 			}
 			if i == 1 {
 				w.cancelSome("j-s1", "j-h0")
@@ -537,7 +538,7 @@
 	meeting(t, 6, func(w *world, m *mess) {
 		for i := range 10 {
 			if i == 4 {
-				w.state.outage(w.ms(5000, 30_000))
+				w.state.Outage(w.ms(5000, 30_000))
 			}
 			w.restart(w.aLeader(), w.ms(100, 9000))
 			if i%3 == 0 {
@@ -555,15 +556,15 @@
 		w.submit("j-z2", map[string]any{"shards": 3, "cores": 2.0, "together": true})
 		w.run(w.ms(5000, 20_000))
 		for _, k := range w.fleet() {
-			if !k.gone && k.up && (k.zone == "b" || w.rng.IntN(3) == 0) {
+			if !k.Gone && k.Up && (k.Zone == "b" || w.rng.IntN(3) == 0) {
 				switch w.rng.IntN(3) {
 				case 0:
-					k.die()
+					k.Die()
 				case 1:
-					k.cut = true
-					w.at(w.ms(5000, 30_000), func() { k.cut = false })
+					k.Cut = true
+					w.at(w.ms(5000, 30_000), func() { k.Cut = false })
 				case 2:
-					k.hang(w.ms(3000, 20_000))
+					k.Hang(w.ms(3000, 20_000))
 				}
 			}
 		}
@@ -620,10 +621,10 @@
 	}
 	switch w.rng.IntN(13) {
 	case 0:
-		w.state.outage(lasts)
+		w.state.Outage(lasts)
 	case 1:
-		w.state.refuse[node] = true
-		w.at(lasts, func() { w.state.refuse[node] = false })
+		w.state.Refuse[node] = true
+		w.at(lasts, func() { w.state.Refuse[node] = false })
 	case 2:
 		m.apart[node] = true
 		w.at(lasts, func() { m.apart[node] = false })
@@ -635,22 +636,22 @@
 		}
 	case 5:
 		for _, k := range w.some(0.4) {
-			k.answersLost = true
-			w.at(lasts, func() { k.answersLost = false })
+			k.AnswersLost = true
+			w.at(lasts, func() { k.AnswersLost = false })
 		}
 	case 6:
 		for _, k := range w.some(0.4) {
-			k.reportsLost = true
-			w.at(lasts, func() { k.reportsLost = false })
+			k.ReportsLost = true
+			w.at(lasts, func() { k.ReportsLost = false })
 		}
 	case 7:
 		for _, k := range w.some(0.4) {
-			k.cut = true
-			w.at(lasts, func() { k.cut = false })
+			k.Cut = true
+			w.at(lasts, func() { k.Cut = false })
 		}
 	case 8:
 		for _, k := range w.some(0.4) {
-			k.hang(min(lasts, w.ms(1000, 15_000)))
+			k.Hang(min(lasts, w.ms(1000, 15_000)))
 		}
 	case 9:
 		m.lateWrites = 0.3
--- a/internal/coordination/odd_input_test.go
+++ b/internal/coordination/odd_input_test.go
@@ -30,7 +30,7 @@
 	if known.Type != "m8" || len(known.Attempts) != before || known.Returning {
 		t.Errorf("a listed machine changed: %+v", known)
 	}
-	report := w.workers[known.ID].message()
+	report := w.machines.Workers[known.ID].Message()
 	report.Tasks = append(report.Tasks, []protocol.TaskReport{
 		{Task: "j-999999/0", Attempt: 7, State: protocol.Running}, {Task: "no task", Attempt: 1, State: protocol.Running},
 		{Task: "j-1/-1", State: protocol.Exited, Cause: "odd"}, {Task: "j-1/99", Attempt: 3, State: "dreaming"},
--- a/internal/coordination/routes_test.go
+++ b/internal/coordination/routes_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"claybarrow/internal/emulator"
 	"claybarrow/internal/ledger"
 	"claybarrow/internal/protocol"
 )
@@ -20,9 +21,9 @@
 	}
 	w.submit("j-1", map[string]any{"shape": "service", "shards": 8, "apart": true, "cores": 4.0})
 	w.until(90*second, "replicas run", func() bool { return w.running("j-1") == 8 })
-	var far []*simWorker
+	var far []*emulator.Worker
 	for _, k := range w.fleet() {
-		if k.zone == "b" && len(k.tasks) > 0 {
+		if k.Zone == "b" && len(k.Tasks) > 0 {
 			far = append(far, k)
 		}
 	}
@@ -31,7 +32,7 @@
 	}
 	there := func() bool {
 		for _, k := range far {
-			if k.node != 2 {
+			if k.Controller != 2 {
 				return false
 			}
 		}
@@ -39,15 +40,15 @@
 	}
 	w.until(30*second, "they report to their zone's controller", there)
 	w.run(40 * second)
-	w.reports = func(_ *simWorker, node int) fate { return fate{lost: node == 2} }
+	w.reports = func(_ *emulator.Worker, node int) fate { return fate{lost: node == 2} }
 	started := map[string]int{}
 	for task, n := range w.starts {
 		started[task] = n
 	}
 	w.run(60 * second)
 	for _, k := range far {
-		if k.session > 1 {
-			t.Errorf("the lease of %s ran out", k.id)
+		if k.Session > 1 {
+			t.Errorf("the lease of %s ran out", k.ID)
 		}
 	}
 	for task, n := range w.starts {
@@ -111,7 +112,7 @@
 	w.until(90*second, "replicas run", func() bool { return w.running("j-1") == 4 && w.running("j-2") == 2 })
 	w.until(30*second, "workers report to their zone's controller", func() bool {
 		for _, k := range w.fleet() {
-			if k.zone == "b" && len(k.tasks) > 0 && k.node != 2 {
+			if k.Zone == "b" && len(k.Tasks) > 0 && k.Controller != 2 {
 				return false
 			}
 		}
@@ -122,11 +123,11 @@
 	w.script = func(node int, c Call) fate {
 		return fate{lost: node == lead || c.Target == ToPeer && c.Addr != w.cfgs[2].PeerListen}
 	}
-	w.reports = func(_ *simWorker, node int) fate { return fate{lost: node != 2} }
+	w.reports = func(_ *emulator.Worker, node int) fate { return fate{lost: node != 2} }
 	w.run(25 * second)
 	for _, k := range w.fleet() {
-		if k.zone == "b" && k.session > 1 {
-			t.Errorf("the lease of %s ran out", k.id)
+		if k.Zone == "b" && k.Session > 1 {
+			t.Errorf("the lease of %s ran out", k.ID)
 		}
 	}
 	if w.leader() != 2 {
@@ -143,9 +144,9 @@
 	w.run(5 * second)
 	k := w.fleet()[0]
 	w.reportWait = 2 * second
-	k.reportsLost = true
+	k.ReportsLost = true
 	w.run(6 * second)
-	k.reportsLost = false
+	k.ReportsLost = false
 	w.run(10 * second)
 	for task, n := range w.starts {
 		if n > 1 {
--- a/internal/coordination/rules_test.go
+++ b/internal/coordination/rules_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"claybarrow/internal/emulator"
 	"claybarrow/internal/protocol"
 )
 
@@ -24,7 +25,7 @@
 	w.run(120 * second)
 	up := 0
 	for _, k := range w.fleet() {
-		if !k.gone {
+		if !k.Gone {
 			up++
 		}
 	}
@@ -152,13 +153,13 @@
 	old := w.awaitLeader()
 	// The workers are cut off with the leader's end, their tasks run on.
 	for _, k := range w.fleet() {
-		k.cut = true
+		k.Cut = true
 	}
 	w.crash(old)
 	l := w.awaitLeader()
 	for range 8 {
 		for _, k := range w.fleet() {
-			for _, body := range k.copies {
+			for _, body := range w.copies[k.ID] {
 				w.ask(l, Request{Op: OpReport, Body: body}, func(r Reply) {})
 			}
 		}
@@ -168,7 +169,7 @@
 		t.Errorf("%d replicas of 4 run", w.running("j-1"))
 	}
 	for _, k := range w.fleet() {
-		k.cut = false
+		k.Cut = false
 	}
 	w.run(60 * second)
 	if n := w.running("j-1"); n != 4 {
@@ -183,9 +184,9 @@
 	w.submit("j-1", map[string]any{"shape": "service", "shards": 2})
 	w.until(60*second, "replicas run", func() bool { return w.running("j-1") == 2 })
 	for _, k := range w.fleet() {
-		k.cut = true
+		k.Cut = true
 	}
-	w.cloud.down = true // no deletion proves anything faster
+	w.cloud.Down = true // no deletion proves anything faster
 	w.cancel("j-1")
 	for range 60 {
 		w.run(second)
@@ -205,9 +206,9 @@
 	w.submit("j-2", map[string]any{"shards": 2})
 	n := 0
 	for _, k := range w.fleet() {
-		if len(k.tasks) > 0 && n < 2 {
+		if len(k.Tasks) > 0 && n < 2 {
 			n++
-			k.cut = true
+			k.Cut = true
 		}
 	}
 	w.run(90 * second)
@@ -224,7 +225,7 @@
 	w.submit("j-1", map[string]any{"shape": "service", "shards": 2})
 	w.until(60*second, "replicas run", func() bool { return w.running("j-1") == 2 })
 	w.run(3 * second)
-	w.state.outage(18 * second)
+	w.state.Outage(18 * second)
 	w.run(12 * second)
 	status := -1
 	w.spec("j-2", nil)
@@ -260,16 +261,16 @@
 	w := newWorld(t, 10)
 	w.submit("j-1", map[string]any{"shape": "service", "shards": 2, "cores": 8.0})
 	w.until(60*second, "replicas run", func() bool { return w.running("j-1") == 2 })
-	var answersLost *simWorker
+	var answersLost *emulator.Worker
 	for _, k := range w.fleet() {
-		if len(k.tasks) > 0 && (answersLost == nil || k.id < answersLost.id) {
+		if len(k.Tasks) > 0 && (answersLost == nil || k.ID < answersLost.ID) {
 			answersLost = k
 		}
 	}
-	w.reports = func(k *simWorker, _ int) fate { return fate{answerLost: k == answersLost} }
-	w.script = func(_ int, c Call) fate { return fate{lost: c.Target == ToWorker && c.Addr == answersLost.addr()} }
+	w.reports = func(k *emulator.Worker, _ int) fate { return fate{answerLost: k == answersLost} }
+	w.script = func(_ int, c Call) fate { return fate{lost: c.Target == ToWorker && c.Addr == answersLost.Addr} }
 	w.until(60*second, "the replica is back elsewhere", func() bool {
-		return w.running("j-1") == 2 && len(answersLost.tasks) == 0
+		return w.running("j-1") == 2 && len(answersLost.Tasks) == 0
 	})
 	w.keptRules()
 }
@@ -281,7 +282,7 @@
 	w.submit("j-1", map[string]any{"shards": 4})
 	w.until(60*second, "tasks run", func() bool { return w.running("j-1") > 0 })
 	old := w.awaitLeader()
-	w.state.refuse[old] = true
+	w.state.Refuse[old] = true
 	w.until(10*second, "another leader", func() bool { l := w.leader(); return l >= 0 && l != old })
 	w.user(old, OpPoll, "j-1", func(s int, _ protocol.Standing) {
 		if s != 503 && s != 200 {
@@ -294,7 +295,7 @@
 		}
 	})
 	w.run(20 * second)
-	w.state.refuse[old] = false
+	w.state.Refuse[old] = false
 	w.awaitTold(120*second, "j-1", protocol.Done)
 	w.keptRules()
 }
@@ -340,9 +341,9 @@
 		w.crash(l)
 		w.run(time.Duration(w.rng.IntN(300)) * time.Millisecond)
 		w.boot(l)
-		began := w.now
+		began := w.Now()
 		w.awaitLeader()
-		if d := w.now - began; d > 4*second {
+		if d := w.Now() - began; d > 4*second {
 			t.Errorf("no leader for %v after a quick restart", d)
 		}
 		w.run(time.Duration(w.rng.IntN(400)) * time.Millisecond)
@@ -385,7 +386,7 @@
 		}
 		return f
 	}
-	w.reports = func(*simWorker, int) fate {
+	w.reports = func(*emulator.Worker, int) fate {
 		return fate{lost: lossy && w.rng.IntN(8) == 0, answerLost: lossy && w.rng.IntN(8) == 0}
 	}
 	w.runs = func(task string) time.Duration { return time.Duration(5+len(task)*7%40) * second }
@@ -413,31 +414,31 @@
 				}
 			})
 		case 6:
-			w.state.outage(time.Duration(1+w.rng.IntN(20)) * second)
+			w.state.Outage(time.Duration(1+w.rng.IntN(20)) * second)
 		case 7:
 			for _, k := range w.fleet() {
-				if k.up && w.rng.IntN(3) == 0 {
-					k.cut = true
-					w.at(time.Duration(w.rng.IntN(30))*second, func() { k.cut = false })
+				if k.Up && w.rng.IntN(3) == 0 {
+					k.Cut = true
+					w.at(time.Duration(w.rng.IntN(30))*second, func() { k.Cut = false })
 				}
 			}
 		case 8:
 			lossy = !lossy
 		case 9:
 			for _, k := range w.fleet() {
-				if len(k.copies) > 0 {
-					body := k.copies[w.rng.IntN(len(k.copies))]
+				if len(w.copies[k.ID]) > 0 {
+					body := w.copies[k.ID][w.rng.IntN(len(w.copies[k.ID]))]
 					w.ask(w.rng.IntN(3), Request{Op: OpReport, Body: body}, func(Reply) {})
 				}
 			}
 		case 10:
 			i := w.rng.IntN(3)
-			w.state.refuse[i] = true
-			w.at(time.Duration(w.rng.IntN(25))*second, func() { w.state.refuse[i] = false })
+			w.state.Refuse[i] = true
+			w.at(time.Duration(w.rng.IntN(25))*second, func() { w.state.Refuse[i] = false })
 		case 11:
 			for _, k := range w.fleet() {
-				if k.up && w.rng.IntN(4) == 0 {
-					k.die()
+				if k.Up && w.rng.IntN(4) == 0 {
+					k.Die()
 				}
 			}
 		}
@@ -447,7 +448,7 @@
 		}
 	}
 	lossy = false
-	w.state.refuse = map[int]bool{}
+	w.state.Refuse = map[int]bool{}
 	for i := range 3 {
 		if !w.nodes[i].alive {
 			w.boot(i)
@@ -483,21 +484,21 @@
 	w.cancel("j-2")
 	w.submit("j-3", map[string]any{"shape": "service", "cores": 6.5})
 	w.until(20*second, "room for one on the first machine", func() bool { return w.running("j-3") == 1 })
-	var machine *simWorker
+	var machine *emulator.Worker
 	for _, k := range w.fleet() {
-		for _, task := range k.tasks {
-			if task.uid == "j-1" {
+		for _, task := range k.Tasks {
+			if task.UID == "j-1" {
 				machine = k
 			}
 		}
 	}
-	machine.cut = true
+	machine.Cut = true
 	w.cancel("j-3")
 	w.submit("j-4", map[string]any{"shape": "service", "cores": 5.0})
 	w.crash(w.awaitLeader())
 	l := w.awaitLeader()
 	for range 5 {
-		for _, body := range machine.copies {
+		for _, body := range w.copies[machine.ID] {
 			w.ask(l, Request{Op: OpReport, Body: body}, func(Reply) {})
 		}
 		w.run(second)
@@ -548,14 +549,14 @@
 	w.until(60*second, "a replica runs", func() bool { return w.running("j-1") == 1 })
 	w.run(5 * second)
 	for _, k := range w.fleet() {
-		k.cut = true
+		k.Cut = true
 	}
 	w.run(20 * second)
 	for _, k := range w.fleet() {
-		if k.gone && k.lives > 0 {
-			t.Errorf("%s was returned while it could not be reached", k.id)
+		if k.Gone && k.Lives > 0 {
+			t.Errorf("%s was returned while it could not be reached", k.ID)
 		}
-		k.cut = false
+		k.Cut = false
 	}
 	w.until(30*second, "the replica is back", func() bool { return w.running("j-1") == 1 })
 	w.keptRules()
@@ -565,7 +566,7 @@
 func (w *world) cutZone() {
 	outside := func(addr string) bool {
 		k := w.byAddr(addr)
-		return k == nil || k.zone != "b"
+		return k == nil || k.Zone != "b"
 	}
 	w.script = func(node int, c Call) fate {
 		switch {
@@ -576,7 +577,7 @@
 		}
 		return fate{lost: node == 2}
 	}
-	w.reports = func(k *simWorker, node int) fate { return fate{lost: (node == 2) != (k.zone == "b")} }
+	w.reports = func(k *emulator.Worker, node int) fate { return fate{lost: (node == 2) != (k.Zone == "b")} }
 }
 
 // A zone is cut off for much longer than a lease, once without and once with
@@ -634,11 +635,11 @@
 		t.Fatal("the leader is in the zone")
 	}
 	w.cutZone()
-	w.cloud.down = true
+	w.cloud.Down = true
 	w.run(30 * second)
 	w.crash(2)
 	w.run(200 * second)
-	w.cloud.down = false
+	w.cloud.Down = false
 	w.script, w.reports = nil, nil
 	w.boot(2)
 	w.until(60*second, "all replicas run", func() bool { return w.running("j-1") == 4 })
@@ -690,8 +691,8 @@
 	w.crash(2)
 	w.boot(2)
 	for _, k := range w.fleet() {
-		if k.zone == "b" && k.up {
-			w.ask(2, Request{Op: OpReport, Body: protocol.Encode(k.message())}, func(r Reply) {
+		if k.Zone == "b" && k.Up {
+			w.ask(2, Request{Op: OpReport, Body: protocol.Encode(k.Message())}, func(r Reply) {
 				if r.Status != 200 {
 					t.Errorf("a worker of the zone got %d", r.Status)
 				}
@@ -772,13 +773,13 @@
 	first := r.peers["n2"].served
 	w.run(30 * second)
 	touch("one", 12_000)
-	if got := r.peers["n2"].served; got != w.now-12*second || got <= first {
-		t.Fatalf("served at %v, told 12 s ago at %v", got, w.now)
+	if got := r.peers["n2"].served; got != w.Now()-12*second || got <= first {
+		t.Fatalf("served at %v, told 12 s ago at %v", got, w.Now())
 	}
 	w.run(5 * second)
 	touch("two", -1)
-	if got := r.peers["n2"].served; got != w.now {
-		t.Fatalf("a new incarnation counts as having served until %v, not %v", got, w.now)
+	if got := r.peers["n2"].served; got != w.Now() {
+		t.Fatalf("a new incarnation counts as having served until %v, not %v", got, w.Now())
 	}
 }
 
@@ -789,34 +790,34 @@
 	lead := w.awaitLeader()
 	w.submit("j-1", map[string]any{"shape": "service", "shards": 4, "apart": true})
 	w.until(90*second, "replicas run", func() bool { return w.running("j-1") == 4 })
-	var far *simWorker
+	var far *emulator.Worker
 	for _, k := range w.fleet() {
-		if k.zone == "b" {
+		if k.Zone == "b" {
 			far = k
 		}
 	}
 	if far == nil || lead == 2 {
 		t.Fatal("no worker of the other zone, or the leader is there")
 	}
-	w.until(20*second, "it reports to its zone's controller", func() bool { return far.node == 2 })
+	w.until(20*second, "it reports to its zone's controller", func() bool { return far.Controller == 2 })
 	r := w.nodes[lead].core.term
 	w.crash(2)
 	w.run(4 * second)
 	w.boot(2)
-	w.until(30*second, "it reports there again", func() bool { return far.node == 2 })
-	if n := r.Machines[far.id].Bounces; n > 1 {
+	w.until(30*second, "it reports there again", func() bool { return far.Controller == 2 })
+	if n := r.Machines[far.ID].Bounces; n > 1 {
 		t.Errorf("the end of a controller was taken for one that can't be reached %d times", n)
 	}
-	w.reports = func(k *simWorker, node int) fate { return fate{lost: k == far && node == 2} }
+	w.reports = func(k *emulator.Worker, node int) fate { return fate{lost: k == far && node == 2} }
 	w.run(90 * second)
 	away := 0
 	for range 40 {
 		w.run(second)
-		if far.node == 2 {
+		if far.Controller == 2 {
 			away++
 		}
 	}
-	if n := r.Machines[far.id].Bounces; n < 3 || away > 6 {
+	if n := r.Machines[far.ID].Bounces; n < 3 || away > 6 {
 		t.Errorf("it came back %d times and still spends %d of 40 s at a controller that it can't reach", n, away)
 	}
 	w.keptRules()
@@ -850,8 +851,8 @@
 		}
 		w.run(25 * second)
 		returned := 0
-		for _, id := range w.cloud.deleted {
-			if w.workers[id].zone == "b" {
+		for _, id := range w.cloud.Deleted {
+			if w.machines.Workers[id].Zone == "b" {
 				returned++
 			}
 		}
--- a/internal/coordination/standstill_test.go
+++ b/internal/coordination/standstill_test.go
@@ -69,7 +69,7 @@
 	lead := w.awaitLeader()
 	w.submit("j-1", map[string]any{"shards": 4})
 	w.until(90*second, "tasks run", func() bool { return w.running("j-1") == 4 })
-	w.state.outage(8 * second)
+	w.state.Outage(8 * second)
 	w.run(second)
 	w.standStill(lead, 4*second)
 	w.run(15 * second)
--- a/internal/coordination/upgrade_test.go
+++ b/internal/coordination/upgrade_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"claybarrow/internal/emulator"
 	"claybarrow/internal/ledger"
 	"claybarrow/internal/protocol"
 )
@@ -28,14 +29,14 @@
 	for i := range w.nodes {
 		w.crash(i)
 	}
-	w.until(10*second, "nobody leads", func() bool { return w.state.items[keyLeader] == nil })
+	w.until(10*second, "nobody leads", func() bool { return w.state.Item(keyLeader) == nil })
 	var counter counterRecord
-	if err := protocol.Decode(w.state.items[keyCounter].value, &counter); err != nil {
+	if err := protocol.Decode(w.state.Item(keyCounter).Value, &counter); err != nil {
 		w.t.Fatal(err)
 	}
 	o := &olderLeader{w: w, node: 2, token: counter.Token + 1}
-	w.state.change(keyCounter, &simItem{value: protocol.Encode(counterRecord{Token: o.token})})
-	w.state.change(keyLeader, &simItem{value: protocol.Encode(leaderRecord{Label: "n2", Incarnation: "older", Token: o.token, Lease: 1 << 30})})
+	w.state.Change(keyCounter, &emulator.Item{Value: protocol.Encode(counterRecord{Token: o.token})})
+	w.state.Change(keyLeader, &emulator.Item{Value: protocol.Encode(leaderRecord{Label: "n2", Incarnation: "older", Token: o.token, Lease: 1 << 30})})
 	w.nodes[o.node].scripted = func(req Request) Reply {
 		if req.Op == OpReport {
 			return Reply{Status: 200, Body: protocol.Encode(protocol.ReportReply{Token: o.token})}
@@ -51,20 +52,21 @@
 // ends gives the lead up, and its process comes back as the newer version.
 func (o *olderLeader) ends() {
 	o.w.t.Helper()
-	o.w.state.change(keyLeader, nil)
+	o.w.state.Change(keyLeader, nil)
 	o.w.boot(o.node)
 	o.w.awaitLeader()
 }
 
 // command sends orders to a machine; false: they were refused.
-func (o *olderLeader) command(k *simWorker, orders ...protocol.Command) bool {
-	body := protocol.Commands{Token: o.token, Session: k.session, Commands: orders}
-	status, _ := k.serve(Call{Body: protocol.Encode(body)})
-	return status == 200
+func (o *olderLeader) command(k *emulator.Worker, orders ...protocol.Command) bool {
+	body := protocol.Commands{Token: o.token, Session: k.Session, Commands: orders}
+	taken := false
+	k.Serve("/commands", protocol.Encode(body), func(status int, _ []byte) { taken = status == 200 })
+	return taken
 }
 
 // starts has a single task run, under a number of its own: durable first, as ever.
-func (o *olderLeader) starts(k *simWorker, uid string, index int) {
+func (o *olderLeader) starts(k *emulator.Worker, uid string, index int) {
 	o.w.t.Helper()
 	o.tries++
 	try := o.token<<24 | o.tries
@@ -77,28 +79,28 @@
 }
 
 // forgets takes all attempts of a job out of a machine's record.
-func (o *olderLeader) forgets(k *simWorker, uid string) {
+func (o *olderLeader) forgets(k *emulator.Worker, uid string) {
 	o.amend(k, func(rec *ledger.MachineRecord) {
 		rec.Attempts = slices.DeleteFunc(rec.Attempts, func(e ledger.AttemptEntry) bool { return e.Job == uid })
 	})
 }
 
-func (o *olderLeader) amend(k *simWorker, change func(*ledger.MachineRecord)) {
+func (o *olderLeader) amend(k *emulator.Worker, change func(*ledger.MachineRecord)) {
 	o.w.t.Helper()
-	key := ledger.MachinePrefix + k.id
+	key := ledger.MachinePrefix + k.ID
 	var rec ledger.MachineRecord
-	if it := o.w.state.items[key]; it == nil || protocol.Decode(it.value, &rec) != nil {
-		o.w.t.Fatalf("no record of %s", k.id)
+	if it := o.w.state.Item(key); it == nil || protocol.Decode(it.Value, &rec) != nil {
+		o.w.t.Fatalf("no record of %s", k.ID)
 	}
 	change(&rec)
-	o.w.state.change(key, &simItem{value: protocol.Encode(rec)})
+	o.w.state.Change(key, &emulator.Item{Value: protocol.Encode(rec)})
 }
 
 // tasksOf lists the tasks of a job on a machine, by name and number.
-func (k *simWorker) tasksOf(uid string) (out []ledger.Key) {
-	for name, t := range k.tasks {
-		if task, _, _ := strings.Cut(name, "@"); t.uid == uid {
-			out = append(out, ledger.Key{Task: task, Try: t.try})
+func tasksOf(k *emulator.Worker, uid string) (out []ledger.Key) {
+	for name, t := range k.Tasks {
+		if task, _, _ := strings.Cut(name, "@"); t.UID == uid {
+			out = append(out, ledger.Key{Task: task, Try: t.Try})
 		}
 	}
 	slices.SortFunc(out, compareKeys)
@@ -118,13 +120,13 @@
 func TestRunningGangUnderAnOlderLeader(t *testing.T) {
 	w := newWorld(t, 121)
 	w.gangOverTwo()
-	w.until(30*second, "it runs", func() bool { return w.wholes["j-1"] == 1 })
+	w.until(30*second, "it runs", func() bool { return w.machines.Wholes["j-1"] == 1 })
 	o := w.olderLeads()
 	w.run(8 * second)
 	o.ends()
 	w.awaitTold(60*second, "j-1", protocol.Done)
-	if w.wholes["j-1"] != 1 {
-		t.Errorf("it began %d times", w.wholes["j-1"])
+	if w.machines.Wholes["j-1"] != 1 {
+		t.Errorf("it began %d times", w.machines.Wholes["j-1"])
 	}
 	w.settle()
 }
@@ -139,8 +141,8 @@
 	w.submit("j-1", group(4, 1, map[string]any{"owner": "blue", "apart": true}))
 	w.until(10*second, "it is pulling", func() bool { return len(w.holding("j-1")) > 1 })
 	lost := w.holding("j-1")[0]
-	tasks := lost.tasksOf("j-1")
-	lost.die()
+	tasks := tasksOf(lost, "j-1")
+	lost.Die()
 	o := w.olderLeads()
 	w.pulls = nil
 	other := w.holding("j-1")[0]
@@ -149,11 +151,11 @@
 		o.starts(other, "j-1", index)
 	}
 	w.run(5 * second)
-	if w.wholes["j-1"] != 0 {
+	if w.machines.Wholes["j-1"] != 0 {
 		t.Fatal("two numbers make a whole")
 	}
 	o.ends()
-	w.until(40*second, "it runs", func() bool { return w.wholes["j-1"] == 1 })
+	w.until(40*second, "it runs", func() bool { return w.machines.Wholes["j-1"] == 1 })
 	w.awaitTold(60*second, "j-1", protocol.Done)
 	w.settle()
 }
@@ -164,15 +166,15 @@
 	w := newWorld(t, 123)
 	w.runs = func(string) time.Duration { return 40 * second }
 	w.gangOverTwo()
-	w.until(30*second, "it runs", func() bool { return w.wholes["j-1"] == 1 })
+	w.until(30*second, "it runs", func() bool { return w.machines.Wholes["j-1"] == 1 })
 	o := w.olderLeads()
 	k := w.holding("j-1")[0]
-	for _, key := range k.tasksOf("j-1") {
+	for _, key := range tasksOf(k, "j-1") {
 		o.command(k, protocol.Command{Verb: protocol.VerbHalt, Task: key.Task, Attempt: key.Try, GraceS: 2})
 	}
 	w.run(time.Second)
 	o.ends()
-	w.until(40*second, "it has begun again", func() bool { return w.wholes["j-1"] == 2 })
+	w.until(40*second, "it has begun again", func() bool { return w.machines.Wholes["j-1"] == 2 })
 	w.awaitTold(90*second, "j-1", protocol.Done)
 	w.settle()
 }
@@ -184,20 +186,20 @@
 	w := newWorld(t, 124)
 	w.runs = func(string) time.Duration { return 12 * second }
 	w.gangOverTwo()
-	w.until(30*second, "it runs", func() bool { return w.wholes["j-1"] == 1 })
+	w.until(30*second, "it runs", func() bool { return w.machines.Wholes["j-1"] == 1 })
 	w.run(8 * second)
 	o := w.olderLeads()
-	w.until(10*second, "it is done", func() bool { return w.cloud.finished["j-1/0"] })
+	w.until(10*second, "it is done", func() bool { return w.finished["j-1/0"] })
 	books := ledger.New(16<<10, 16<<10)
 	j := books.AddJob(&protocol.Spec{UID: "j-1", Tasks: 4}, 1)
 	stored := 0
 	for _, k := range w.fleet() {
-		keys := k.tasksOf("j-1")
-		if len(keys) == 0 || k.gone {
+		keys := tasksOf(k, "j-1")
+		if len(keys) == 0 || k.Gone {
 			continue
 		}
 		if stored > 0 {
-			k.die()
+			k.Die()
 			continue
 		}
 		for _, key := range keys {
@@ -206,7 +208,7 @@
 			stored++
 			o.command(k, protocol.Command{Verb: protocol.VerbClear, Task: key.Task, Attempt: key.Try})
 		}
-		w.state.change(books.DoneKey(j, 0), &simItem{value: protocol.Encode(books.DoneChunk(j, 0))})
+		w.state.Change(books.DoneKey(j, 0), &emulator.Item{Value: protocol.Encode(books.DoneChunk(j, 0))})
 		o.forgets(k, "j-1")
 	}
 	if stored == 0 || stored == 4 {
@@ -215,8 +217,8 @@
 	o.ends()
 	w.awaitTold(5*second, "j-1", protocol.Done)
 	w.run(40 * second)
-	if w.wholes["j-1"] != 1 {
-		t.Errorf("it began %d times", w.wholes["j-1"])
+	if w.machines.Wholes["j-1"] != 1 {
+		t.Errorf("it began %d times", w.machines.Wholes["j-1"])
 	}
 	w.settle()
 }
@@ -240,11 +242,11 @@
 		o := w.olderLeads()
 		key := ledger.JobPrefix + "j-1"
 		var rec ledger.JobRecord
-		if err := protocol.Decode(w.state.items[key].value, &rec); err != nil {
+		if err := protocol.Decode(w.state.Item(key).Value, &rec); err != nil {
 			t.Fatal(err)
 		}
 		rec.State, rec.Spec.Gang = ledger.Cancelling, false
-		w.state.change(key, &simItem{value: protocol.Encode(rec)})
+		w.state.Change(key, &emulator.Item{Value: protocol.Encode(rec)})
 		w.cancelRequested["j-1"] = true
 		o.ends()
 		w.cancel("j-1")
@@ -261,7 +263,7 @@
 		w := newWorld(t, 126)
 		w.submit("j-9", map[string]any{"shape": "service", "shards": 3, "cores": 5.0, "apart": true})
 		w.until(90*second, "machines are up", func() bool { return w.running("j-9") == 3 })
-		w.cloud.down = true
+		w.cloud.Down = true
 		w.submit("j-1", group(4, 3, map[string]any{"owner": "blue"})) // room for three
 		w.run(3 * second)
 		o := w.olderLeads()
@@ -275,8 +277,8 @@
 		if o.command(k, protocol.Command{Verb: protocol.VerbRun, Task: "j-1/3", Attempt: o.token<<24 | 99}) {
 			t.Error("a command of the old process was taken")
 		}
-		w.cloud.down = false
-		w.until(60*second, "it runs", func() bool { return w.wholes["j-1"] == 1 })
+		w.cloud.Down = false
+		w.until(60*second, "it runs", func() bool { return w.machines.Wholes["j-1"] == 1 })
 		w.awaitTold(60*second, "j-1", protocol.Done)
 		w.settle()
 	}
@@ -294,7 +296,7 @@
 		w.run(time.Duration(turn) * 1300 * time.Millisecond)
 		o := w.olderLeads()
 		if held := w.holding(fmt.Sprintf("j-%d0", turn)); len(held) > 0 && turn%2 == 1 {
-			held[0].die()
+			held[0].Die()
 		}
 		w.run(time.Duration(turn*2) * second)
 		o.ends()
--- a/internal/coordination/world_test.go
+++ b/internal/coordination/world_test.go
@@ -1,7 +1,6 @@
 package coordination
 
 import (
-	"container/heap"
 	"fmt"
 	"io"
 	"log/slog"
@@ -14,39 +13,19 @@
 	"time"
 
 	"claybarrow/internal/config"
+	"claybarrow/internal/emulator"
 	"claybarrow/internal/protocol"
 )
 
-// The stand-ins of this file play the state service, the cloud, the workers
-// and the network after the protocol's page, on a fake clock. A script breaks
-// what it likes; the world checks the rules as it goes.
+// A world is controllers with the emulator's state service, cloud and workers, and a network
+// between them, on a fake clock. A script breaks what it likes; the world checks the rules as
+// it goes.
 
 const (
 	tick    = 100 * time.Millisecond
 	latency = 2 * time.Millisecond
 )
 
-type happening struct {
-	at  time.Duration
-	seq int
-	do  func()
-}
-
-type agenda []happening
-
-func (a agenda) Len() int { return len(a) }
-func (a agenda) Less(i, j int) bool {
-	return a[i].at < a[j].at || a[i].at == a[j].at && a[i].seq < a[j].seq
-}
-func (a agenda) Swap(i, j int) { a[i], a[j] = a[j], a[i] }
-func (a *agenda) Push(x any)   { *a = append(*a, x.(happening)) }
-func (a *agenda) Pop() any {
-	last := len(*a) - 1
-	x := (*a)[last]
-	*a = (*a)[:last]
-	return x
-}
-
 // fate is what the script lets happen to one call: the request is held back
 // for a while or lost, and so is the response.
 type fate struct {
@@ -55,30 +34,30 @@
 }
 
 type world struct {
-	t       *testing.T
-	now     time.Duration
-	seq     int
-	agenda  agenda
-	rng     *rand.Rand
-	cfgs    []*config.Config
-	nodes   []*simNode
-	state   *simState
-	cloud   *simCloud
-	workers map[string]*simWorker
-	specs   map[string]map[string]any
-	told    map[string]protocol.JobState // what users were told last
-	stopped map[string]time.Duration     // when users were told of a cancellation
-	broken  []string
+	t        *testing.T
+	agenda   *emulator.Agenda
+	rng      *rand.Rand
+	cfgs     []*config.Config
+	nodes    []*simNode
+	state    *emulator.StateService
+	cloud    *emulator.Cloud
+	machines *emulator.Fleet
+	copies   map[string][][]byte // reports by machine, for late copies of them
+	finished map[string]bool     // tasks that have completed
+	specs    map[string]map[string]any
+	told     map[string]protocol.JobState // what users were told last
+	stopped  map[string]time.Duration     // when users were told of a cancellation
+	broken   []string
 	checker
 	// script decides the fate of a call from a node; nil: all goes well.
 	script func(node int, c Call) fate
 	// reports decides whether a worker's report and its answer get through.
-	reports func(w *simWorker, node int) fate
+	reports func(w *emulator.Worker, node int) fate
 	runs    func(task string) time.Duration
 	// pulls is how long a task waits for its image; nil: a moment.
 	pulls func(task string) time.Duration
 	// fails says whether a task fails as soon as it begins; failures counts those that did.
-	fails    func(k *simWorker, uid string) bool
+	fails    func(k *emulator.Worker, uid string) bool
 	failures int
 	// reportWait is how long a worker waits for the answer to a report.
 	reportWait time.Duration
@@ -101,12 +80,14 @@
 }
 
 func newWorld(t *testing.T, seed uint64) *world {
-	w := &world{t: t, rng: rand.New(rand.NewPCG(seed, 1)), workers: map[string]*simWorker{}, specs: map[string]map[string]any{},
+	w := &world{t: t, agenda: &emulator.Agenda{}, rng: rand.New(rand.NewPCG(seed, 1)), specs: map[string]map[string]any{},
+		copies: map[string][][]byte{}, finished: map[string]bool{},
 		told: map[string]protocol.JobState{}, stopped: map[string]time.Duration{}, checker: newChecker(), reportWait: 4 * time.Second,
 		runs: func(string) time.Duration { return 30 * time.Second }}
-	w.state = &simState{w: w, items: map[string]*simItem{}, leases: map[uint64]*simLease{}, refuse: map[int]bool{},
-		limits: stateLimits{valueBytes: 16 << 10, changes: 32}}
-	w.cloud = &simCloud{w: w, answers: map[string][]string{}}
+	w.state = emulator.NewStateService(w.agenda, emulator.StateLimits{ValueBytes: 16 << 10, Changes: 32})
+	w.state.MostChanges, w.state.Wrong = 32, func(what string) { w.breaks("%s", what) }
+	w.newCloud()
+	w.newMachines()
 	for i := range 3 {
 		w.cfgs = append(w.cfgs, testConfig(t, i))
 		w.nodes = append(w.nodes, &simNode{})
@@ -139,27 +120,19 @@
 	return cfg
 }
 
-func (w *world) at(d time.Duration, do func()) {
-	w.seq++
-	heap.Push(&w.agenda, happening{w.now + max(d, 0), w.seq, do})
-}
+// Now is the world's time.
+func (w *world) Now() time.Duration { return w.agenda.Now() }
 
-func (w *world) run(d time.Duration) {
-	end := w.now + d
-	for len(w.agenda) > 0 && w.agenda[0].at <= end {
-		h := heap.Pop(&w.agenda).(happening)
-		w.now = h.at
-		h.do()
-	}
-	w.now = end
-}
+func (w *world) at(d time.Duration, do func()) { w.agenda.After(d, do) }
+
+func (w *world) run(d time.Duration) { w.agenda.RunUntil(w.Now() + d) }
 
 // until runs until something holds.
 func (w *world) until(limit time.Duration, what string, holds func() bool) {
 	w.t.Helper()
-	end := w.now + limit
+	end := w.Now() + limit
 	for !holds() {
-		if w.now >= end {
+		if w.Now() >= end {
 			w.t.Fatalf("after %v: still not: %s", limit, what)
 		}
 		w.run(tick)
@@ -168,7 +141,7 @@
 
 func (w *world) breaks(format string, args ...any) {
 	if len(w.broken) < 20 {
-		w.broken = append(w.broken, fmt.Sprintf("%v: ", w.now)+fmt.Sprintf(format, args...))
+		w.broken = append(w.broken, fmt.Sprintf("%v: ", w.Now())+fmt.Sprintf(format, args...))
 	}
 }
 
@@ -183,7 +156,7 @@
 
 func (w *world) boot(i int) {
 	n := w.nodes[i]
-	n.alive, n.life, n.born, n.scripted = true, n.life+1, w.now, nil
+	n.alive, n.life, n.born, n.scripted = true, n.life+1, w.Now(), nil
 	n.still, n.held = false, nil
 	life := n.life
 	n.wants = map[uint64]func(Reply){}
@@ -218,7 +191,7 @@
 		})
 		return
 	}
-	for _, e := range n.core.Handle(Clock{Steady: w.now - n.born, Wall: 1_700_000_000_000 + w.now.Milliseconds()}, ev) {
+	for _, e := range n.core.Handle(Clock{Steady: w.Now() - n.born, Wall: 1_700_000_000_000 + w.Now().Milliseconds()}, ev) {
 		switch e := e.(type) {
 		case Reply:
 			if f := n.wants[e.ID]; f != nil {
@@ -284,16 +257,12 @@
 		}
 		switch c.Target {
 		case ToState:
-			w.state.serve(i, c, reply)
+			w.state.Serve(i, c.Method, c.Path, c.Body, reply)
 		case ToCloud:
-			reply(w.cloud.serve(c))
+			reply(w.cloud.Serve(c.Method, c.Path, c.Body))
 		case ToWorker:
-			if wk := w.byAddr(c.Addr); wk != nil && wk.reachable() {
-				if wk.hung {
-					wk.held = append(wk.held, func() { reply(wk.serve(c)) })
-					return
-				}
-				reply(wk.serve(c))
+			if k := w.byAddr(c.Addr); k != nil && k.Reachable() {
+				k.Serve(c.Path, c.Body, reply)
 			}
 		case ToPeer:
 			for k := range w.nodes {
@@ -378,13 +347,13 @@
 	if s.State == protocol.Done {
 		n := w.specs[uid]["shards"].(int)
 		for k := range n {
-			if !w.cloud.finished[uid+"/"+strconv.Itoa(k)] {
+			if !w.finished[uid+"/"+strconv.Itoa(k)] {
 				w.breaks("not_done: %s/%d", uid, k)
 			}
 		}
 	}
 	if s.State == protocol.Cancelled && before != s.State {
-		w.stopped[uid] = w.now
+		w.stopped[uid] = w.Now()
 		if !w.cancelRequested[uid] {
 			w.breaks("went_back: %s is called cancelled, and nobody asked for it", uid)
 		}
