A scale run: real controllers, hollow workers, stand-ins and users over loopback

Change: cmd/scalerun plays a plan against the deploy build, a process for each region; rules are checked while it runs; starts, accept times, reports, changes of leader, processor time, memory, bytes and the state service's changes are measured.

--- a/internal/emulator/worker.go
+++ b/internal/emulator/worker.go
@@ -146,7 +146,6 @@
 	changed    bool
 	lastReport time.Duration
 	generation int // of the timer of the next report
-	lapseTimer int
 	images     imageCache
 }
 
--- /dev/null
+++ b/internal/scalerun/measure.go
@@ -0,0 +1,203 @@
+package scalerun
+
+import (
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/shirou/gopsutil/v4/process"
+)
+
+// Quantiles sum up a distribution, in milliseconds.
+type Quantiles struct {
+	Count int64   `json:"count"`
+	P50   float64 `json:"p50_ms"`
+	P99   float64 `json:"p99_ms"`
+	Max   float64 `json:"max_ms"`
+}
+
+// distribution is of durations, in microseconds up to ten minutes.
+type distribution struct{ h *hdrhistogram.Histogram }
+
+const (
+	longestMicros      = 600_000_000
+	significantFigures = 3
+	microsPerMilli     = 1000.0
+)
+
+func newDistribution() distribution {
+	return distribution{hdrhistogram.New(1, longestMicros, significantFigures)}
+}
+
+func (d distribution) add(t time.Duration) {
+	_ = d.h.RecordValue(min(longestMicros, max(1, t.Microseconds()))) // clipped to its range
+}
+
+func (d distribution) quantiles() Quantiles {
+	return Quantiles{Count: d.h.TotalCount(), P50: float64(d.h.ValueAtQuantile(50)) / microsPerMilli,
+		P99: float64(d.h.ValueAtQuantile(99)) / microsPerMilli, Max: float64(d.h.Max()) / microsPerMilli}
+}
+
+// ProcessUse is what one process took.
+type ProcessUse struct {
+	CPUSeconds float64 `json:"cpu_s"` // in the measured part
+	CPUShare   float64 `json:"cpu_share"`
+	PeakMB     float64 `json:"peak_rss_mb"`
+	Restarts   int     `json:"restarts"`
+}
+
+// watchedProcess is followed by its id.
+type watchedProcess struct {
+	handle    *process.Process
+	starts    int
+	cpuBefore float64 // of earlier processes of the same label, in the measured part
+	cpuBase   float64
+	cpuLast   float64
+	peak      uint64
+}
+
+// measures are what a region counts. Only the loop writes to them, but for the processes.
+type measures struct {
+	measuring bool
+	began     time.Duration
+
+	starts        int64
+	exits         int64
+	running       int
+	peakRunning   int
+	peakSecond    int64
+	secondStarts  int64
+	timeToStart   map[string]distribution
+	accept        distribution
+	roundTrip     distribution
+	statuses      map[string]int64
+	reports       int64
+	reportRefused int64
+	workerBytes   int64
+	directCalls   int64
+	leaderChanges int
+	leaderGaps    distribution
+	givenUp       int64
+
+	mu        sync.Mutex
+	processes map[string]*watchedProcess
+}
+
+func newMeasures() *measures {
+	return &measures{timeToStart: map[string]distribution{}, accept: newDistribution(), roundTrip: newDistribution(), leaderGaps: newDistribution(),
+		statuses: map[string]int64{}, processes: map[string]*watchedProcess{}}
+}
+
+// begin starts the measured part.
+func (m *measures) begin(now time.Duration) {
+	m.measuring, m.began = true, now
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, p := range m.processes {
+		p.cpuBase, p.cpuBefore, p.peak = p.cpuLast, 0, 0
+	}
+}
+
+func (m *measures) report(status int, took time.Duration, bytes int64) {
+	if !m.measuring {
+		return
+	}
+	m.workerBytes += bytes
+	if status == 200 {
+		m.reports++
+		m.roundTrip.add(took)
+	} else {
+		m.reportRefused++
+	}
+}
+
+// directHeader is about what the lines before a direct request's or answer's body take.
+const directHeader = 150
+
+func (m *measures) direct(bytes int) {
+	if m.measuring {
+		m.directCalls++
+		m.workerBytes += int64(bytes + directHeader)
+	}
+}
+
+func (m *measures) accepted(took time.Duration) {
+	if m.measuring {
+		m.accept.add(took)
+	}
+}
+
+func (m *measures) answer(op string, status int, _ time.Duration) {
+	if m.measuring {
+		m.statuses[statusKey(op, status)]++
+	}
+}
+
+// started notes the first start of a task.
+func (m *measures) started(class string, wait time.Duration) {
+	m.secondStarts++
+	if !m.measuring {
+		return
+	}
+	m.starts++
+	if _, known := m.timeToStart[class]; !known {
+		m.timeToStart[class] = newDistribution()
+	}
+	m.timeToStart[class].add(wait)
+}
+
+// second closes a second of starts.
+func (m *measures) second() {
+	if m.measuring {
+		m.peakSecond = max(m.peakSecond, m.secondStarts)
+		m.peakRunning = max(m.peakRunning, m.running)
+	}
+	m.secondStarts = 0
+}
+
+// watchProcess follows a process under a label.
+func (m *measures) watchProcess(label string, pid int) {
+	handle, err := process.NewProcess(int32(pid))
+	if err != nil {
+		return // it has ended already, which its owner notices
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	p := m.processes[label]
+	if p == nil {
+		p = &watchedProcess{}
+		m.processes[label] = p
+	}
+	p.cpuBefore += p.cpuLast - p.cpuBase
+	p.handle, p.cpuBase, p.cpuLast = handle, 0, 0
+	p.starts++
+}
+
+// sample reads what the processes have taken, and returns the memory of all, in bytes.
+func (m *measures) sample() uint64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	total := uint64(0)
+	for _, p := range m.processes {
+		if times, err := p.handle.Times(); err == nil {
+			p.cpuLast = times.User + times.System
+		}
+		if memory, err := p.handle.MemoryInfo(); err == nil {
+			p.peak = max(p.peak, memory.RSS)
+			total += memory.RSS
+		}
+	}
+	return total
+}
+
+// uses sums up the processes over the measured part.
+func (m *measures) uses(measured time.Duration) map[string]ProcessUse {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	out := map[string]ProcessUse{}
+	for label, p := range m.processes {
+		cpu := p.cpuBefore + p.cpuLast - p.cpuBase
+		out[label] = ProcessUse{CPUSeconds: cpu, CPUShare: cpu / measured.Seconds(), PeakMB: float64(p.peak) / (1 << 20), Restarts: p.starts - 1}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/scalerun/region.go
@@ -0,0 +1,350 @@
+package scalerun
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/shirou/gopsutil/v4/mem"
+
+	"claybarrow/internal/emulator"
+	"claybarrow/internal/protocol"
+)
+
+// region plays one region: its state service, its cloud, its workers and its users, against
+// controllers of its own.
+type region struct {
+	plan     *Plan
+	number   int
+	dir      string // for settings and logs
+	operator string // the controllers' operator settings
+
+	loop        *loop
+	state       *emulator.StateService
+	cloud       *emulator.Cloud
+	fleet       *emulator.Fleet
+	byAddress   map[string]*emulator.Worker
+	carrier     *carrier
+	rules       *rules
+	users       *users
+	measure     *measures
+	controllers []*controller
+	turn        int
+	random      *rand.Rand
+	// closing: the run is over, and nobody asks for anything new.
+	closing bool
+
+	leaderToken uint64
+	leaderLost  time.Duration // since when there is no leader; 0: there is one
+	stateBase   emulator.StateStats
+	failures    chan error
+}
+
+// RunRegion plays a region until its time is over, and says what it measured. The result is
+// there also if a rule was broken.
+func RunRegion(ctx context.Context, plan *Plan, number int) (*RegionResult, error) {
+	dir, err := os.MkdirTemp("", fmt.Sprintf("scalerun-%d-", number))
+	if err != nil {
+		return nil, err
+	}
+	defer func() {
+		if !plan.Run.KeepLogs {
+			os.RemoveAll(dir)
+		}
+	}()
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	r := newRegion(plan, number, dir)
+	go r.loop.run(ctx)
+	if err := r.serveAll(ctx); err != nil {
+		return nil, err
+	}
+	if err := r.prepareControllers(); err != nil {
+		return nil, err
+	}
+	defer r.stopControllers()
+	r.measure.watchProcess("hollow workers, stand-ins and users", os.Getpid())
+	for _, c := range r.controllers {
+		if err := r.startController(c); err != nil {
+			return nil, err
+		}
+		go r.probe(ctx, c)
+	}
+	r.loop.ask(func() { r.begin() })
+	if err := r.wait(ctx, seconds(plan.Run.WarmupS), nil); err != nil {
+		return nil, err
+	}
+	r.measure.sample()
+	r.loop.ask(func() { r.beginMeasuring(ctx) })
+	started := time.Now()
+	err = r.wait(ctx, seconds(plan.Run.DurationS), r.rules.broken)
+	var result *RegionResult
+	r.measure.sample()
+	r.loop.ask(func() {
+		r.closing = true
+		result = r.result(time.Since(started))
+	})
+	return result, err
+}
+
+func newRegion(plan *Plan, number int, dir string) *region {
+	l := newLoop()
+	agenda := l.agenda
+	r := &region{plan: plan, number: number, dir: dir, loop: l, byAddress: map[string]*emulator.Worker{}, measure: newMeasures(),
+		rules: newRules(agenda, number, plan), random: rand.New(rand.NewPCG(plan.Run.Seed, uint64(number))), failures: make(chan error, 1)}
+	r.state = emulator.NewStateService(agenda, emulator.StateLimits{ValueBytes: int(plan.State.ValueKB * 1024), Changes: plan.State.TxnOps,
+		RequestRate: plan.State.RPS, ChangeRate: plan.State.WriteRPS})
+	r.state.MostChanges = plan.State.TxnOps
+	wrong := func(what string) { r.fail(fmt.Errorf("a controller's message is wrong: %s", what)) }
+	r.state.Wrong = wrong
+	r.users = newUsers(r)
+	r.newCloud(wrong)
+	r.newFleet(wrong)
+	return r
+}
+
+func (r *region) newCloud(wrong func(string)) {
+	p := r.plan
+	cloud := emulator.NewCloud(r.loop.agenda)
+	cloud.Wrong, cloud.Rate, cloud.Lag = wrong, p.Cloud.RPS, seconds(p.Cloud.ListLagS)
+	cloud.Left = map[emulator.Pool]int{} // what the fleet has lost can be rented again, no more
+	cloud.Name = func(n int) string { return fmt.Sprintf("i-%d%06d", r.number, n) }
+	cloud.Addr = func(id string) string {
+		n, _ := strconv.Atoi(id[3:]) // of our own making
+		return p.workerAddress(r.number, n)
+	}
+	for _, t := range p.Fleet.Types {
+		cloud.Types = append(cloud.Types, protocol.MachineType{Name: t.Name, Cores: t.Cores, Accelerators: t.Accelerators, MemoryGB: t.MemoryGB,
+			CacheGB: t.CacheGB, FetchGBPerS: t.FetchGBPerS, Price: t.Price, SpotPrice: t.Price / 2, BootS: t.BootS, Zones: p.Fleet.Zones})
+	}
+	cloud.BootTime = func(typ string) time.Duration { return seconds(r.typeOf(typ).BootS) }
+	cloud.Launch = func(m *emulator.Machine) {
+		k := r.addWorker(m)
+		r.loop.agenda.After(cloud.BootTime(m.Type), k.Boot)
+	}
+	cloud.Remove = func(m *emulator.Machine) {
+		if k := r.fleet.Workers[m.ID]; k != nil {
+			k.Die()
+		}
+	}
+	r.cloud = cloud
+}
+
+func (r *region) typeOf(name string) protocol.MachineType {
+	i := slices.IndexFunc(r.cloud.Types, func(t protocol.MachineType) bool { return t.Name == name })
+	return r.cloud.Types[i]
+}
+
+func (r *region) newFleet(wrong func(string)) {
+	w := r.plan.Workers
+	f := emulator.NewFleet(r.loop.agenda, emulator.Timing{Report: seconds(w.ReportS), Jitter: 0.25, LeastPause: 500 * time.Millisecond,
+		NextController: time.Second, SentAway: 250 * time.Millisecond, Lease: seconds(w.LeaseS),
+		GangWait: seconds(w.GangWaitS), GangPeer: seconds(w.GangPeerS), Look: 100 * time.Millisecond})
+	f.Random, f.RefuseUnfit, f.FetchTime = r.random.Float64, true, emulator.FetchImage
+	var addresses []string
+	for i := range r.plan.Control.Controllers {
+		addresses = append(addresses, r.userAddress(i))
+	}
+	r.carrier = newCarrier(r.loop, addresses, r.measure)
+	f.Carrier, f.Controllers = r.carrier.carry, len(addresses)
+	f.Label = func(name string) int {
+		for i := range addresses {
+			if controllerLabel(i) == name {
+				return i
+			}
+		}
+		return -1
+	}
+	f.Jobs = func(uid string) *emulator.Job {
+		if j := r.rules.jobs[uid]; j != nil {
+			return &j.Job
+		}
+		return nil
+	}
+	f.RunTime = func(task string) time.Duration {
+		uid, _, _ := strings.Cut(task, "/")
+		if j := r.rules.jobs[uid]; j != nil {
+			return time.Duration(j.load.RunS * (0.8 + 0.4*r.random.Float64()) * float64(time.Second))
+		}
+		return 0
+	}
+	f.Begins, f.Leaves = r.taskBegins, r.taskLeaves
+	f.Done = func(task string, t *emulator.Task) {
+		if j := r.rules.jobs[t.UID]; j != nil {
+			j.done[task] = true
+			r.measure.exits++
+		}
+	}
+	f.Died = func(k *emulator.Worker) {
+		r.cloud.Fail(k.ID)
+		r.carrier.drop(k.ID)
+		delete(r.byAddress, k.Addr)
+		delete(r.fleet.Workers, k.ID)
+	}
+	f.Wrong = wrong
+	r.fleet = f
+}
+
+func (r *region) addWorker(m *emulator.Machine) *emulator.Worker {
+	k := r.fleet.Add(m.ID, m.Addr, m.Type, m.Zone, m.Spot)
+	k.Size = r.typeOf(m.Type)
+	k.Controller = r.random.IntN(r.plan.Control.Controllers)
+	r.byAddress[m.Addr] = k
+	return k
+}
+
+func (r *region) taskBegins(k *emulator.Worker, task string, t *emulator.Task) {
+	r.rules.begins(k, task, t)
+	r.measure.running++
+	j := r.rules.jobs[t.UID]
+	if j != nil && !j.startedOnce[task] {
+		j.startedOnce[task] = true
+		r.measure.started(j.class, r.loop.agenda.Now()-j.submitted)
+	}
+}
+
+func (r *region) taskLeaves(k *emulator.Worker, task string, t *emulator.Task) {
+	r.rules.leaves(k, task, t)
+	r.measure.running--
+}
+
+// begin brings the fleet up, over the time of a report, and has users arrive.
+func (r *region) begin() {
+	agenda := r.loop.agenda
+	n := r.plan.regionWorkers(r.number)
+	for i, typ := range r.plan.typesOf(n) {
+		m := r.cloud.Create(emulator.Pool{Type: typ, Zone: r.plan.Fleet.Zones[i%len(r.plan.Fleet.Zones)]})
+		m.Up = true
+		r.cloud.Left[m.Pool]++ // it was there before
+		k := r.addWorker(m)
+		agenda.After(seconds(r.plan.Workers.ReportS*r.random.Float64()), k.Boot)
+	}
+	r.users.begin()
+	r.every(100*time.Millisecond, func() {
+		r.fleet.StepGangs()
+		r.watchLeader()
+	})
+	r.every(time.Second, func() {
+		r.measure.second()
+		r.rules.lookForForgotten()
+	})
+}
+
+// typesOf lists the types of n machines, by their shares and mixed.
+func (p *Plan) typesOf(n int) []string {
+	var out []string
+	given := make([]float64, len(p.Fleet.Types))
+	for range n {
+		next := 0
+		for i, t := range p.Fleet.Types {
+			if given[i]/t.Share < given[next]/p.Fleet.Types[next].Share {
+				next = i
+			}
+		}
+		given[next]++
+		out = append(out, p.Fleet.Types[next].Name)
+	}
+	return out
+}
+
+func (r *region) every(d time.Duration, do func()) {
+	r.loop.agenda.After(d, func() {
+		do()
+		r.every(d, do)
+	})
+}
+
+// leaderKey and leaderValue are what the program keeps of its leader.
+const leaderKey = "c/leader"
+
+type leaderValue struct {
+	Label string `msgpack:"l"`
+	Token uint64 `msgpack:"n"`
+}
+
+// leader is who holds the leader key, or nobody.
+func (r *region) leader() (leaderValue, bool) {
+	var v leaderValue
+	it := r.state.Item(leaderKey)
+	if it == nil || protocol.Decode(it.Value, &v) != nil {
+		return v, false
+	}
+	return v, true
+}
+
+// watchLeader counts changes of the leader and how long there was none.
+func (r *region) watchLeader() {
+	now := r.loop.agenda.Now()
+	v, some := r.leader()
+	if !some {
+		if r.leaderLost == 0 && r.leaderToken > 0 {
+			r.leaderLost = now
+		}
+		return
+	}
+	if r.leaderToken > 0 && v.Token != r.leaderToken && r.measure.measuring {
+		r.measure.leaderChanges++
+		if r.leaderLost > 0 {
+			r.measure.leaderGaps.add(now - r.leaderLost)
+		}
+	}
+	r.leaderLost, r.leaderToken = 0, v.Token
+}
+
+func (r *region) beginMeasuring(ctx context.Context) {
+	r.measure.begin(r.loop.agenda.Now())
+	r.stateBase = r.state.Stats
+	r.measure.peakRunning = r.measure.running
+	for _, f := range r.plan.Faults {
+		r.loop.agenda.After(seconds(f.AtS), func() { r.cause(ctx, f) })
+	}
+}
+
+// fail ends the run.
+func (r *region) fail(err error) {
+	select {
+	case r.failures <- err:
+	default:
+	}
+}
+
+// errMemoryPassed ends a run that takes more than its plan may.
+var errMemoryPassed = errors.New("the run takes more memory than it may")
+
+// wait lets time pass, and ends early if something is wrong.
+func (r *region) wait(ctx context.Context, d time.Duration, broken <-chan *BrokenRule) error {
+	if broken == nil {
+		broken = r.rules.broken
+	}
+	over := time.NewTimer(d)
+	defer over.Stop()
+	second := time.NewTicker(time.Second)
+	defer second.Stop()
+	memory, err := mem.VirtualMemory()
+	if err != nil {
+		return err
+	}
+	most := uint64(float64(memory.Total) * r.plan.Limits.MemoryShare / float64(r.plan.Fleet.Regions))
+	for {
+		select {
+		case <-ctx.Done():
+			return context.Cause(ctx)
+		case err := <-r.failures:
+			return err
+		case b := <-broken:
+			return b
+		case <-second.C:
+			if total := r.measure.sample(); total > most {
+				return fmt.Errorf("%w: %d MB of %d in region %d", errMemoryPassed, total>>20, most>>20, r.number)
+			}
+		case <-over.C:
+			return nil
+		}
+	}
+}
--- /dev/null
+++ b/internal/scalerun/reports.go
@@ -0,0 +1,159 @@
+package scalerun
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"claybarrow/internal/emulator"
+)
+
+// carrier takes reports to the controllers, over one connection for each worker that stays
+// open, as a worker's does.
+type carrier struct {
+	loop      *loop
+	addresses []string // of the controllers
+	measure   *measures
+	mu        sync.Mutex
+	links     map[string]*link
+	readers   sync.Pool
+}
+
+// link is a worker's connection. Only its one report in flight uses it.
+type link struct {
+	conn       net.Conn
+	controller int
+}
+
+// reportWait is how long a worker waits for the answer to a report.
+const reportWait = 4 * time.Second
+
+const mostAnswer = 1 << 20
+
+func newCarrier(l *loop, addresses []string, m *measures) *carrier {
+	return &carrier{loop: l, addresses: addresses, measure: m, links: map[string]*link{},
+		readers: sync.Pool{New: func() any { return bufio.NewReaderSize(nil, 4096) }}}
+}
+
+// carry is the fleet's Carrier: it is called by the loop, and answers by it.
+func (c *carrier) carry(k *emulator.Worker, controller int, body []byte, answer emulator.Reply) {
+	if k.ReportsLost {
+		c.loop.agenda.After(reportWait, func() { answer(0, nil) })
+		return
+	}
+	id, sent := k.ID, time.Now()
+	go func() {
+		status, reply, traffic := c.exchange(id, controller, body)
+		c.loop.post(func() {
+			c.measure.report(status, time.Since(sent), traffic)
+			if k.Hung || k.AnswersLost {
+				c.loop.agenda.After(reportWait, func() { answer(0, nil) })
+				return
+			}
+			answer(status, reply)
+		})
+	}()
+}
+
+// take is the worker's link, if it has one to that controller.
+func (c *carrier) take(id string, controller int) net.Conn {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	l := c.links[id]
+	if l == nil {
+		return nil
+	}
+	delete(c.links, id)
+	if l.controller != controller {
+		l.conn.Close()
+		return nil
+	}
+	return l.conn
+}
+
+func (c *carrier) keep(id string, controller int, conn net.Conn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.links[id] = &link{conn, controller}
+}
+
+// drop closes the connection of a worker that is gone.
+func (c *carrier) drop(id string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if l := c.links[id]; l != nil {
+		l.conn.Close()
+		delete(c.links, id)
+	}
+}
+
+// exchange sends one report and reads its answer; status 0: there was none. An old connection
+// may have been closed by the other side, so then a new one is tried.
+func (c *carrier) exchange(id string, controller int, body []byte) (status int, reply []byte, traffic int64) {
+	deadline := time.Now().Add(reportWait)
+	if conn := c.take(id, controller); conn != nil {
+		status, reply, traffic = c.roundTrip(id, controller, conn, body, deadline)
+		if status != 0 || time.Now().After(deadline) {
+			return status, reply, traffic
+		}
+	}
+	conn, err := net.DialTimeout("tcp4", c.addresses[controller], time.Until(deadline))
+	if err != nil {
+		return 0, nil, traffic
+	}
+	var more int64
+	status, reply, more = c.roundTrip(id, controller, conn, body, deadline)
+	return status, reply, traffic + more
+}
+
+func (c *carrier) roundTrip(id string, controller int, conn net.Conn, body []byte, deadline time.Time) (int, []byte, int64) {
+	_ = conn.SetDeadline(deadline) // a connection that takes no deadline fails below
+	var request bytes.Buffer
+	fmt.Fprintf(&request, "POST /hello HTTP/1.1\r\nHost: %s\r\nContent-Type: application/msgpack\r\nContent-Length: %d\r\n\r\n", c.addresses[controller], len(body))
+	request.Write(body)
+	if _, err := conn.Write(request.Bytes()); err != nil {
+		conn.Close()
+		return 0, nil, 0
+	}
+	traffic := int64(request.Len())
+	reader := c.readers.Get().(*bufio.Reader)
+	counted := &countingReader{Reader: conn}
+	reader.Reset(counted)
+	defer c.readers.Put(reader)
+	response, err := http.ReadResponse(reader, nil)
+	if err != nil {
+		conn.Close()
+		return 0, nil, traffic + counted.bytes
+	}
+	reply, err := io.ReadAll(io.LimitReader(response.Body, mostAnswer))
+	response.Body.Close()
+	traffic += counted.bytes
+	if err != nil {
+		conn.Close()
+		return 0, nil, traffic
+	}
+	if response.Close || response.StatusCode == http.StatusMisdirectedRequest {
+		conn.Close()
+	} else {
+		c.keep(id, controller, conn)
+	}
+	return response.StatusCode, reply, traffic
+}
+
+// countingReader counts what is read.
+type countingReader struct {
+	io.Reader
+	bytes int64
+}
+
+// Read is part of io.Reader.
+func (r *countingReader) Read(p []byte) (int, error) {
+	n, err := r.Reader.Read(p)
+	r.bytes += int64(n)
+	return n, err
+}
--- /dev/null
+++ b/internal/scalerun/result.go
@@ -0,0 +1,120 @@
+package scalerun
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// RegionResult is what one region measured.
+type RegionResult struct {
+	Region          int                   `json:"region"`
+	MeasuredS       float64               `json:"measured_s"`
+	Workers         int                   `json:"workers"`
+	Starts          int64                 `json:"starts"`
+	StartsPerS      float64               `json:"starts_per_s"`
+	PeakStartsPerS  int64                 `json:"peak_starts_per_s"`
+	TasksDone       int64                 `json:"tasks_done"`
+	PeakRunning     int                   `json:"peak_tasks_running"`
+	TimeToStart     map[string]Quantiles  `json:"time_to_start"`
+	Accept          Quantiles             `json:"accept"`
+	Statuses        map[string]int64      `json:"answers"`
+	GivenUp         int64                 `json:"requests_given_up"`
+	ReportRoundTrip Quantiles             `json:"report_round_trip"`
+	ReportsPerS     float64               `json:"reports_per_s"`
+	ReportsRefused  int64                 `json:"reports_refused"`
+	DirectPerS      float64               `json:"direct_messages_per_s"`
+	WorkerBytesPerS float64               `json:"bytes_per_s_by_worker"`
+	LeaderChanges   int                   `json:"leader_changes"`
+	LeaderGaps      Quantiles             `json:"leader_gaps"`
+	StateRequests   float64               `json:"state_requests_per_s"`
+	StateChanges    float64               `json:"state_changes_per_s"`
+	StateBytes      float64               `json:"state_bytes_per_s"`
+	StateTooMany    int64                 `json:"state_429s"`
+	StateConflicts  int64                 `json:"state_409s"`
+	StateKeys       int                   `json:"state_keys"`
+	Processes       map[string]ProcessUse `json:"processes"`
+	LoopLateS       float64               `json:"stand_in_latest_s"`
+}
+
+// result sums up, by the loop.
+func (r *region) result(measured time.Duration) *RegionResult {
+	m, s, base := r.measure, r.state.Stats, r.stateBase
+	per := func(n float64) float64 { return n / measured.Seconds() }
+	out := &RegionResult{Region: r.number, MeasuredS: measured.Seconds(), Workers: len(r.fleet.Workers),
+		Starts: m.starts, StartsPerS: per(float64(m.starts)), PeakStartsPerS: m.peakSecond, TasksDone: m.exits, PeakRunning: m.peakRunning,
+		TimeToStart: map[string]Quantiles{}, Accept: m.accept.quantiles(), Statuses: m.statuses, GivenUp: m.givenUp,
+		ReportRoundTrip: m.roundTrip.quantiles(), ReportsPerS: per(float64(m.reports)), ReportsRefused: m.reportRefused,
+		DirectPerS: per(float64(m.directCalls)), WorkerBytesPerS: per(float64(m.workerBytes)) / float64(max(1, len(r.fleet.Workers))),
+		LeaderChanges: m.leaderChanges, LeaderGaps: m.leaderGaps.quantiles(),
+		StateRequests: per(float64(s.Requests - base.Requests)), StateChanges: per(float64(s.Changes - base.Changes)),
+		StateBytes: per(float64(s.Bytes - base.Bytes)), StateTooMany: s.TooMany - base.TooMany, StateConflicts: s.Conflicts - base.Conflicts,
+		StateKeys: len(r.state.Keys()), Processes: m.uses(measured), LoopLateS: r.loop.late.Seconds()}
+	for class, d := range m.timeToStart {
+		out.TimeToStart[class] = d.quantiles()
+	}
+	return out
+}
+
+// Result is a whole run.
+type Result struct {
+	Plan    *Plan           `json:"plan"`
+	Version string          `json:"version,omitempty"`
+	Regions []*RegionResult `json:"regions"`
+	Broken  *BrokenRule     `json:"broken_rule,omitempty"`
+	Error   string          `json:"error,omitempty"`
+}
+
+// Summary is the result for people.
+func (r *Result) Summary() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%d workers planned in %d region(s), %.0f s measured after %.0f s\n", r.Plan.Fleet.Workers, r.Plan.Fleet.Regions, r.Plan.Run.DurationS, r.Plan.Run.WarmupS)
+	for _, region := range r.Regions {
+		region.summary(&b)
+	}
+	switch {
+	case r.Broken != nil:
+		fmt.Fprintf(&b, "RULE BROKEN: %v\n", r.Broken)
+	case r.Error != "":
+		fmt.Fprintf(&b, "ended early: %s\n", r.Error)
+	default:
+		b.WriteString("no rule was broken\n")
+	}
+	return b.String()
+}
+
+func (r *RegionResult) summary(b *strings.Builder) {
+	fmt.Fprintf(b, "\nregion %d: %d workers at the end, at most %d tasks running\n", r.Region, r.Workers, r.PeakRunning)
+	fmt.Fprintf(b, "  starts            %.1f/s, most in a second %d\n", r.StartsPerS, r.PeakStartsPerS)
+	for _, class := range slices.Sorted(maps.Keys(r.TimeToStart)) {
+		fmt.Fprintf(b, "  %-17s %s\n", "start: "+class, r.TimeToStart[class])
+	}
+	fmt.Fprintf(b, "  accepted          %s\n", r.Accept)
+	fmt.Fprintf(b, "  reports           %.0f/s, round trip %s, refused %d\n", r.ReportsPerS, r.ReportRoundTrip, r.ReportsRefused)
+	fmt.Fprintf(b, "  each worker       %.0f bytes/s\n", r.WorkerBytesPerS)
+	fmt.Fprintf(b, "  state service     %.0f requests/s, %.0f changes/s, %.0f bytes/s, 429s %d, 409s %d, %d keys\n", r.StateRequests, r.StateChanges, r.StateBytes, r.StateTooMany, r.StateConflicts, r.StateKeys)
+	fmt.Fprintf(b, "  leader changes    %d, without one %s\n", r.LeaderChanges, r.LeaderGaps)
+	for _, key := range slices.Sorted(maps.Keys(r.Statuses)) {
+		fmt.Fprintf(b, "  %-17s %d\n", key, r.Statuses[key])
+	}
+	for _, label := range slices.Sorted(maps.Keys(r.Processes)) {
+		p := r.Processes[label]
+		fmt.Fprintf(b, "  %s: %.3f of a core, %.0f MB, %d restarts\n", label, p.CPUShare, p.PeakMB, p.Restarts)
+	}
+	fmt.Fprintf(b, "  stand-ins were at most %.3f s late\n", r.LoopLateS)
+}
+
+// String is a distribution in one line.
+func (q Quantiles) String() string {
+	return fmt.Sprintf("p50 %.1f ms, p99 %.1f ms, max %.1f ms (%d)", q.P50, q.P99, q.Max, q.Count)
+}
+
+func statusKey(op string, status int) string {
+	if status == 0 {
+		return op + ": no answer"
+	}
+	return op + ": " + strconv.Itoa(status)
+}
--- /dev/null
+++ b/internal/scalerun/run.go
@@ -0,0 +1,143 @@
+package scalerun
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/exec"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+)
+
+// regionExit is how a region's process tells its parent what happened.
+type regionExit struct {
+	Result *RegionResult `json:"result,omitempty"`
+	Broken *BrokenRule   `json:"broken,omitempty"`
+	Error  string        `json:"error,omitempty"`
+}
+
+// ServeRegion plays one region for a parent process and writes what happened to out. It ends
+// at once when in ends: then the parent is gone.
+func ServeRegion(ctx context.Context, plan *Plan, number int, in io.Reader, out io.Writer) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	go func() {
+		_, _ = io.Copy(io.Discard, in) // ends when the parent does
+		cancel(errInterrupted)
+	}()
+	result, err := RunRegion(ctx, plan, number)
+	exit := regionExit{Result: result}
+	var broken *BrokenRule
+	switch {
+	case errors.As(err, &broken):
+		exit.Broken = broken
+	case err != nil:
+		exit.Error = err.Error()
+	}
+	return json.NewEncoder(out).Encode(exit)
+}
+
+var errInterrupted = errors.New("interrupted")
+
+// RegionError is what went wrong in a region.
+type RegionError struct {
+	Region  int
+	Problem string
+}
+
+// Error names the region.
+func (e *RegionError) Error() string { return fmt.Sprintf("region %d: %s", e.Region, e.Problem) }
+
+// Run plays a plan, each region in a process of its own that runs this program with
+// regionArgs and the region's number. The result is there also if the run ended early.
+func Run(ctx context.Context, plan *Plan, self string, regionArgs []string) (*Result, error) {
+	if err := plan.CheckMachine(); err != nil {
+		return nil, err
+	}
+	if _, err := os.Stat(plan.Run.Program); err != nil {
+		return nil, planError("run.program", "%v", err)
+	}
+	result := &Result{Plan: plan, Version: programVersion(ctx, plan.Run.Program), Regions: make([]*RegionResult, plan.Fleet.Regions)}
+	group, ctx := errgroup.WithContext(ctx)
+	for number := range plan.Fleet.Regions {
+		group.Go(func() error {
+			exit, err := runChild(ctx, self, append(append([]string(nil), regionArgs...), strconv.Itoa(number)))
+			if err != nil {
+				return &RegionError{number, err.Error()}
+			}
+			result.Regions[number] = exit.Result
+			switch {
+			case exit.Broken != nil:
+				return exit.Broken
+			case exit.Error != "":
+				return &RegionError{number, exit.Error}
+			}
+			return nil
+		})
+	}
+	err := group.Wait()
+	result.Regions = withoutNil(result.Regions)
+	if !errors.As(err, &result.Broken) && err != nil {
+		result.Error = err.Error()
+	}
+	return result, err
+}
+
+func withoutNil(list []*RegionResult) []*RegionResult {
+	var out []*RegionResult
+	for _, r := range list {
+		if r != nil {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
+// childEnds is how long a region has for its end once it was told to.
+const childEnds = 10 * time.Second
+
+// runChild starts a region's process. When the context ends, its standard input does, and it
+// ends its own children and itself.
+func runChild(ctx context.Context, self string, args []string) (*regionExit, error) {
+	command := exec.Command(self, args...)
+	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGTERM, Setpgid: true}
+	var out, log bytes.Buffer
+	command.Stdout, command.Stderr = &out, &log
+	in, err := command.StdinPipe()
+	if err != nil {
+		return nil, err
+	}
+	if err := command.Start(); err != nil {
+		return nil, err
+	}
+	stop := context.AfterFunc(ctx, func() {
+		in.Close()
+		time.AfterFunc(childEnds, func() { _ = command.Process.Kill() }) // it may have ended
+	})
+	defer stop()
+	if err := command.Wait(); err != nil && out.Len() == 0 {
+		return nil, fmt.Errorf("%w: %s", err, strings.TrimSpace(log.String()))
+	}
+	var exit regionExit
+	if err := json.Unmarshal(out.Bytes(), &exit); err != nil {
+		return nil, fmt.Errorf("its result can't be read: %w", err)
+	}
+	return &exit, nil
+}
+
+// programVersion is what the program says of itself.
+func programVersion(ctx context.Context, program string) string {
+	out, err := exec.CommandContext(ctx, program, "version").Output()
+	if err != nil {
+		return ""
+	}
+	return strings.TrimSpace(string(out))
+}
--- /dev/null
+++ b/internal/scalerun/servers.go
@@ -0,0 +1,120 @@
+package scalerun
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"claybarrow/internal/emulator"
+	"claybarrow/internal/protocol"
+)
+
+// Ports of a region, after its first.
+const (
+	portState = iota
+	portCloud
+	portWorkers
+	portUsers     // of the controllers, by zone and number: see controllerHost
+	portPeers     //
+	networkOctets = 16
+)
+
+// workerAddress gives each worker an address of its own on the loopback network.
+func (p *Plan) workerAddress(region, n int) string {
+	const perOctet = 250
+	return fmt.Sprintf("127.%d.%d.%d:%d", networkOctets+region, n/perOctet, n%perOctet+1, p.port(region, portWorkers))
+}
+
+// controllerHost is a controller's address on the loopback network.
+func controllerHost(region, n int) string {
+	return fmt.Sprintf("127.%d.255.%d", networkOctets+region, n+1)
+}
+
+// answer is what a stand-in says.
+type answer struct {
+	status int
+	body   []byte
+}
+
+// serveAll starts the stand-ins' servers; they end with the context.
+func (r *region) serveAll(ctx context.Context) error {
+	listen := func(addr string, handler http.Handler) error {
+		l, err := net.Listen("tcp4", addr)
+		if err != nil {
+			return err
+		}
+		server := &http.Server{Handler: handler, ReadTimeout: 2 * time.Minute, IdleTimeout: 10 * time.Minute, MaxHeaderBytes: 8 << 10}
+		go func() {
+			if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+				r.fail(fmt.Errorf("stand-in on %s: %w", addr, err))
+			}
+		}()
+		context.AfterFunc(ctx, func() { server.Close() })
+		return nil
+	}
+	if err := listen(fmt.Sprintf("127.0.0.1:%d", r.plan.port(r.number, portState)), r.handle(r.serveState)); err != nil {
+		return err
+	}
+	if err := listen(fmt.Sprintf("127.0.0.1:%d", r.plan.port(r.number, portCloud)), r.handle(r.serveCloud)); err != nil {
+		return err
+	}
+	// One listener takes the connections to all workers' addresses; others than those of the
+	// loopback network are closed unread.
+	return listen(fmt.Sprintf(":%d", r.plan.port(r.number, portWorkers)), r.handle(r.serveWorker))
+}
+
+// handle answers requests by the loop.
+func (r *region) handle(serve func(request *http.Request, body []byte, reply emulator.Reply)) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
+		body, err := io.ReadAll(http.MaxBytesReader(w, request.Body, 2*protocol.MaxBody))
+		if err != nil {
+			w.WriteHeader(http.StatusBadRequest)
+			return
+		}
+		answers := make(chan answer, 1)
+		r.loop.post(func() {
+			serve(request, body, func(status int, body []byte) { answers <- answer{status, body} })
+		})
+		select {
+		case a := <-answers:
+			w.Header().Set("Content-Type", "application/msgpack")
+			w.WriteHeader(a.status)
+			_, _ = w.Write(a.body) // the other side may have gone
+		case <-request.Context().Done():
+		case <-r.loop.done:
+		}
+	})
+}
+
+func (r *region) serveState(request *http.Request, body []byte, reply emulator.Reply) {
+	r.state.Serve(0, request.Method, request.URL.RequestURI(), body, func(status int, body []byte) {
+		r.loop.agenda.After(seconds(r.plan.State.LatencyMS/1000), func() { reply(status, body) })
+	})
+}
+
+func (r *region) serveCloud(request *http.Request, body []byte, reply emulator.Reply) {
+	reply(r.cloud.Serve(request.Method, request.URL.RequestURI(), body))
+}
+
+// serveWorker takes a direct request: the address that it came to tells whom it is for. A
+// worker that can't be reached answers nothing.
+func (r *region) serveWorker(request *http.Request, body []byte, reply emulator.Reply) {
+	local, _ := request.Context().Value(http.LocalAddrContextKey).(*net.TCPAddr)
+	if local == nil || !local.IP.IsLoopback() {
+		reply(http.StatusForbidden, nil)
+		return
+	}
+	k := r.byAddress[local.String()]
+	if k == nil || !k.Reachable() {
+		return
+	}
+	r.measure.direct(len(body))
+	k.Serve(request.URL.Path, body, func(status int, answer []byte) {
+		r.measure.direct(len(answer))
+		reply(status, answer)
+	})
+}
