--- a/internal/scalerun/controllers.go
+++ b/internal/scalerun/controllers.go
@@ -100,13 +100,14 @@
 
 // ControllerError is a controller that did not start or ended by itself.
 type ControllerError struct {
-	Label, Log string
-	Cause      error
+	Label    string
+	Cause    error
+	LastLine string // of its log
 }
 
 // Error names the process and its log's last line.
 func (e *ControllerError) Error() string {
-	return fmt.Sprintf("%s ended by itself: %v: %s", e.Label, e.Cause, lastLine(e.Log))
+	return fmt.Sprintf("%s ended by itself: %v: %s", e.Label, e.Cause, e.LastLine)
 }
 
 func lastLine(path string) string {
@@ -142,7 +143,7 @@
 		return nil
 	}
 	if err := command.Start(); err != nil {
-		return &ControllerError{c.label, c.log, err}
+		return &ControllerError{c.label, err, lastLine(c.log)}
 	}
 	c.command, c.killed = command, false
 	c.starts++
@@ -154,7 +155,7 @@
 		c.healthy = false
 		c.mu.Unlock()
 		if byItself {
-			r.fail(&ControllerError{c.label, c.log, err})
+			r.fail(&ControllerError{c.label, err, lastLine(c.log)})
 		}
 	}()
 	return nil
--- /dev/null
+++ b/internal/scalerun/run_test.go
@@ -0,0 +1,135 @@
+package scalerun
+
+import (
+	"context"
+	"errors"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+)
+
+// TestMain lets the test program be a region's process, as the command is.
+func TestMain(m *testing.M) {
+	if file := os.Getenv("SCALERUN_TEST_PLAN"); file != "" {
+		number, _ := strconv.Atoi(os.Args[len(os.Args)-1])
+		plan, err := LoadPlanFile(file)
+		if err == nil {
+			err = ServeRegion(context.Background(), plan, number, os.Stdin, os.Stdout)
+		}
+		if err != nil {
+			panic(err)
+		}
+		return
+	}
+	os.Exit(m.Run())
+}
+
+// buildProgram builds the real program once for a test.
+func buildProgram(t *testing.T) string {
+	t.Helper()
+	program := filepath.Join(t.TempDir(), "claybarrow")
+	if out, err := exec.Command("go", "build", "-o", program, "claybarrow/cmd/claybarrow").CombinedOutput(); err != nil {
+		t.Fatalf("%v: %s", err, out)
+	}
+	return program
+}
+
+// planFile writes a plan of 50 workers with the program, and readies the test program to
+// play its regions.
+func planFile(t *testing.T, program, rest string) *Plan {
+	t.Helper()
+	text := smallPlan("program = \""+program+"\"\nwarmup_s = 6.0\nduration_s = 8.0\nbase_port = 31000", "workers = 50", rest)
+	file := filepath.Join(t.TempDir(), "plan.toml")
+	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	t.Setenv("SCALERUN_TEST_PLAN", file)
+	plan, err := LoadPlanFile(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return plan
+}
+
+// children lists the controllers of a program that are there.
+func children(t *testing.T, program string) (found []string) {
+	t.Helper()
+	links, err := filepath.Glob("/proc/[0-9]*/exe")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, link := range links {
+		if target, err := os.Readlink(link); err == nil && target == program {
+			found = append(found, link)
+		}
+	}
+	return found
+}
+
+func noChildren(t *testing.T, program string) {
+	t.Helper()
+	for range 50 {
+		if len(children(t, program)) == 0 {
+			return
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	t.Errorf("left behind: %v", children(t, program))
+}
+
+// Fifty workers and three controllers, whose leader is killed: work goes on, no rule is
+// broken, and nothing is left behind.
+func TestSmallRun(t *testing.T) {
+	program := buildProgram(t)
+	plan := planFile(t, program, "[[faults]]\nkind = \"kill_leader\"\nat_s = 1.0")
+	result, err := Run(context.Background(), plan, os.Args[0], nil)
+	if err != nil {
+		t.Fatalf("%v\n%s", err, result.Summary())
+	}
+	r := result.Regions[0]
+	if r.Starts < 10 || r.LeaderChanges != 1 || r.Workers != 50 || r.ReportsPerS < 5 || r.Statuses["submit: 201"] == 0 {
+		t.Errorf("%s", result.Summary())
+	}
+	if use := r.Processes["controller-0"]; use.PeakMB < 1 {
+		t.Errorf("no figures of the processes: %+v", r.Processes)
+	}
+	noChildren(t, program)
+}
+
+// An interrupt in the middle ends all children.
+func TestInterruptLeavesNothingBehind(t *testing.T) {
+	program := buildProgram(t)
+	plan := planFile(t, program, "")
+	ctx, interrupt := context.WithCancel(context.Background())
+	time.AfterFunc(2*time.Second, interrupt)
+	started := time.Now()
+	if _, err := Run(ctx, plan, os.Args[0], nil); err == nil || !strings.Contains(err.Error(), "interrupted") {
+		t.Errorf("%v", err)
+	}
+	if took := time.Since(started); took > 6*time.Second {
+		t.Errorf("it took %v to end", took)
+	}
+	noChildren(t, program)
+}
+
+// A program that can't be started, or ends at once, is named with its last line.
+func TestProgramThatDoesNotRun(t *testing.T) {
+	plan := planFile(t, "/nowhere/claybarrow", "")
+	var wrong *PlanError
+	if _, err := Run(context.Background(), plan, os.Args[0], nil); !errors.As(err, &wrong) || wrong.Field != "run.program" {
+		t.Errorf("%v", err)
+	}
+	ends := filepath.Join(t.TempDir(), "ends")
+	if err := os.WriteFile(ends, []byte("#!/bin/sh\necho it can not be >&2\nexit 3\n"), 0o700); err != nil {
+		t.Fatal(err)
+	}
+	plan = planFile(t, ends, "")
+	_, err := Run(context.Background(), plan, os.Args[0], nil)
+	if err == nil || !strings.Contains(err.Error(), "controller-") || !strings.Contains(err.Error(), "it can not be") {
+		t.Errorf("%v", err)
+	}
+}
