--- a/internal/sched/candidates.go
+++ b/internal/sched/candidates.go
@@ -38,7 +38,7 @@
 	job      *Job
 }
 
-func (e eachTime) best() *Machine { return e.snapshot.best(e.job) }
+func (e eachTime) best() *Machine { return e.snapshot.bestOfAll(e.job) }
 
 func (e eachTime) taken(*Machine) {}
 
@@ -46,6 +46,9 @@
 
 // choices picks machines for the job's waiting tasks.
 func (s *Snapshot) choices(j *Job) choice {
+	if c := s.choiceByIndex(j); c != nil {
+		return c
+	}
 	if j.severalAlike() {
 		return s.candidatesFor(j)
 	}
--- a/internal/sched/fill.go
+++ b/internal/sched/fill.go
@@ -26,6 +26,7 @@
 // within guarantees, then within slots (the upper queue under its cap), then
 // what was interrupted, then whatever room is spare.
 func (s *Snapshot) Fill() []Placement {
+	s.useIndex()
 	Order(s.Jobs)
 	out := s.placeServices(nil)
 	out = s.placeStarved(out)
@@ -186,7 +187,7 @@
 		}
 		rest.take(j, m)
 	}
-	s.Machines, s.spare = rest.Machines, [2][]*Machine{}
+	s.Machines, s.spare, s.index = rest.Machines, [2][]*Machine{}, nil
 	return true
 }
 
@@ -204,7 +205,9 @@
 		}
 		used := m.Used
 		s.take(j, m)
-		m.Used = used
+		if m.Used = used; !used {
+			s.changed(m)
+		}
 		choice.taken(m)
 	}
 }
@@ -229,6 +232,22 @@
 		}
 		m.Fetching[j.Image] = true
 	}
+	s.changed(m)
+}
+
+// changed has to follow each change of a machine.
+func (s *Snapshot) changed(m *Machine) {
+	m.Changed = true
+	if s.index != nil {
+		s.index.update(m)
+	}
+}
+
+// useIndex has machines be found by an index, which is made unless there is one.
+func (s *Snapshot) useIndex() {
+	if s.index == nil {
+		s.index = newMachineIndex(s.Machines)
+	}
 }
 
 // roomy lists the machines that may have room. What has filled up since the list
@@ -258,7 +277,16 @@
 		!(s.sparingCores && j.Plain && j.blocksAccelerators(m))
 }
 
+// best is the best machine for one task of the job, nil if none has room.
 func (s *Snapshot) best(j *Job) *Machine {
+	if c := s.choiceByIndex(j); c != nil {
+		return c.best()
+	}
+	return s.bestOfAll(j)
+}
+
+// bestOfAll looks at all machines.
+func (s *Snapshot) bestOfAll(j *Job) *Machine {
 	var pick *Machine
 	bestScore := math.Inf(1)
 	list := s.roomy(j.Need.Accel > 0, j.Need.Cores > 0)
@@ -274,6 +302,9 @@
 	return pick
 }
 
+// sparedCores is the part of their cores that free accelerators keep.
+const sparedCores = 0.75
+
 // blocksAccelerators says whether a task without accelerators would take cores that free
 // accelerators need: each keeps three quarters of its part of them.
 func (j *Job) blocksAccelerators(m *Machine) bool {
@@ -281,7 +312,7 @@
 		return false
 	}
 	left := m.Free.Minus(j.Need)
-	return left.Cores < 0.75*m.Type.Size.Cores*m.Free.Accel/m.Type.Size.Accel
+	return left.Cores < sparedCores*m.Type.Size.Cores*m.Free.Accel/m.Type.Size.Accel
 }
 
 // score is lower for a better machine. The weights only order the wishes:
@@ -315,7 +346,7 @@
 	if j.Need.Accel == 0 {
 		left = (m.Free.Cores - j.Need.Cores) / math.Max(m.Type.Size.Cores, eps)
 	}
-	sc += 25 * left
+	sc += looseFitScore * left
 	if !m.Used {
 		sc += 15
 	}
--- a/internal/sched/gang.go
+++ b/internal/sched/gang.go
@@ -96,6 +96,7 @@
 				if !b.fetching {
 					delete(b.m.Fetching, j.Image)
 				}
+				s.changed(b.m)
 				j.InZone[b.m.Zone]--
 				if t := s.Teams[j.Team]; t != nil {
 					t.Used = t.Used.Minus(j.Need)
--- a/internal/sched/gangstops.go
+++ b/internal/sched/gangstops.go
@@ -299,6 +299,7 @@
 				s.take(j, m)
 			}
 			m.For = j.ID
+			s.changed(m)
 		}
 	}
 }
--- /dev/null
+++ b/internal/sched/index_test.go
@@ -0,0 +1,224 @@
+package sched
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+)
+
+// randomTypes are three types of machine, one with accelerators.
+var randomTypes = []*Type{
+	{Name: "small", Size: Need{Cores: 4, Mem: 8}, Price: 1, SpotPrice: 0.4, Zones: []string{"a", "b", "c"}, BootS: 10, FetchGBPerS: 0.5},
+	{Name: "large", Size: Need{Cores: 32, Mem: 128}, Price: 6, SpotPrice: 2, Zones: []string{"a", "b"}, BootS: 10, FetchGBPerS: 2},
+	{Name: "accel", Size: Need{Cores: 64, Accel: 8, Mem: 384}, Price: 20, SpotPrice: 8, Zones: []string{"a", "c"}, BootS: 20, FetchGBPerS: 2},
+}
+
+// randomSnapshot makes the same snapshot for the same seed. Amounts are multiples of a quarter,
+// so that sums and differences of them are exact.
+func randomSnapshot(seed uint64) *Snapshot {
+	rng := rand.New(rand.NewPCG(seed, 7))
+	quarter := func(n int) float64 { return float64(rng.IntN(n)) / 4 }
+	s := &Snapshot{UpperCap: 0.3, Teams: map[string]*Team{}}
+	for i := range 1 + rng.IntN(5) {
+		s.Teams[fmt.Sprint("team-", i)] = &Team{Guarantee: Need{Cores: quarter(200), Accel: float64(rng.IntN(20))},
+			Limit: Need{Cores: quarter(3000), Accel: float64(rng.IntN(120))}, Kept: Need{Cores: quarter(20)}}
+	}
+	jobs := randomJobs(rng, quarter, len(s.Teams))
+	for i := range 2 + rng.IntN(60) {
+		t := randomTypes[rng.IntN(len(randomTypes))]
+		m := &Machine{ID: fmt.Sprintf("i-%03d", i), Type: t, Zone: t.Zones[rng.IntN(len(t.Zones))], Spot: rng.IntN(3) == 0,
+			Free: t.Size, Room: rng.IntN(30), Used: rng.IntN(2) == 0, Images: map[string]bool{}, Booting: rng.IntN(8) == 0}
+		if rng.IntN(2) == 0 {
+			m.Free = Need{Cores: min(t.Size.Cores, quarter(int(4*t.Size.Cores)+1)), Accel: float64(rng.IntN(int(t.Size.Accel) + 1)), Mem: quarter(int(4*t.Size.Mem) + 1)}
+		}
+		for range rng.IntN(4) {
+			m.Images[fmt.Sprint("img-", rng.IntN(5))] = true
+		}
+		if rng.IntN(5) == 0 {
+			m.Fetching = map[string]bool{fmt.Sprint("img-", rng.IntN(5)): true}
+		}
+		if rng.IntN(10) == 0 {
+			m.For = jobs[rng.IntN(len(jobs))].ID
+		}
+		hold(rng, m, jobs)
+		s.Machines = append(s.Machines, m)
+		s.Capacity = s.Capacity.Plus(t.Size)
+	}
+	s.Jobs = jobs
+	s.Moving = rng.IntN(12) == 0
+	return s
+}
+
+// hold puts tasks on a machine that a round may stop.
+func hold(rng *rand.Rand, m *Machine, jobs []*Job) {
+	for i := range rng.IntN(4) {
+		j := jobs[rng.IntN(len(jobs))]
+		if j.Phantom || !j.Need.Fits(m.Free) {
+			continue
+		}
+		m.Running = append(m.Running, Held{Job: j, Index: 1000 + i, SinceS: float64(rng.IntN(100))})
+		m.Free, m.Used = m.Free.Minus(j.Need), true
+		j.Held++
+		j.InZone[m.Zone]++
+	}
+}
+
+func randomJobs(rng *rand.Rand, quarter func(int) float64, teams int) []*Job {
+	var jobs []*Job
+	for i := range 2 + rng.IntN(40) {
+		j := &Job{ID: fmt.Sprintf("j-%03d", i), Team: fmt.Sprint("team-", rng.IntN(teams)), Image: []string{"", fmt.Sprint("img-", rng.IntN(5))}[min(1, rng.IntN(6))],
+			ImageGB: quarter(40), AimS: quarter(40), Service: rng.IntN(3) == 0, Gang: rng.IntN(6) == 0, Priority: rng.IntN(4), Submitted: int64(rng.IntN(20)),
+			Need: Need{Cores: quarter(48), Mem: quarter(100)}, Spot: rng.IntN(2) == 0, Degradation: 1, Attained: quarter(50), Slots: 1 + rng.IntN(4),
+			Upper: rng.IntN(2) == 0, InZone: map[string]int{}, LeftS: quarter(100), Late: rng.IntN(5) == 0, Starved: rng.IntN(4) == 0, Patient: rng.IntN(4) == 0,
+			Plain: rng.IntN(3) == 0, OneZone: rng.IntN(8) == 0, Spread: rng.IntN(5) == 0, Resume: rng.IntN(2)}
+		if rng.IntN(3) == 0 {
+			j.Need.Accel = float64(rng.IntN(5))
+		}
+		if rng.IntN(4) == 0 {
+			j.Types = map[string]bool{randomTypes[rng.IntN(3)].Name: true, randomTypes[rng.IntN(3)].Name: true}
+		}
+		if rng.IntN(8) == 0 {
+			j.Zone = []string{"a", "b", "c"}[rng.IntN(3)]
+		}
+		if rng.IntN(6) == 0 {
+			j.Avoid = map[string]bool{fmt.Sprintf("i-%03d", rng.IntN(60)): true, fmt.Sprintf("i-%03d", rng.IntN(60)): true}
+		}
+		if j.Service {
+			j.Gang, j.Upper = false, false
+		}
+		if rng.IntN(10) == 0 {
+			j.Service, j.Gang, j.Phantom, j.Team = true, false, true, ""
+			if rng.IntN(2) == 0 {
+				j.Images = []ImageShare{{"img-1", 0.5}, {"img-2", 0.5}}
+			}
+		}
+		j.Tasks = 1 + rng.IntN(14)
+		for k := range j.Tasks {
+			j.Waiting = append(j.Waiting, k)
+		}
+		jobs = append(jobs, j)
+	}
+	return jobs
+}
+
+// places tells what a pass decided, in its order.
+func places(ps []Placement) (out []string) {
+	for _, p := range ps {
+		out = append(out, fmt.Sprintf("%s/%d on %s", p.Job.ID, p.Index, p.Machine.ID))
+	}
+	return out
+}
+
+func stopped(p Preemption) (out []string) {
+	for _, st := range p.Stops {
+		out = append(out, fmt.Sprintf("stop %s/%d on %s for %s", st.Victim.Job.ID, st.Victim.Index, st.Machine.ID, st.For.ID))
+	}
+	for _, k := range p.Kept {
+		out = append(out, fmt.Sprintf("keep %s for %d of %s", k.Machine.ID, k.Tasks, k.Job.ID))
+	}
+	return out
+}
+
+// The index decides as looking at all machines did: fills, the stops of a round after one, and
+// what a plan rents, over fleets of all kinds.
+func TestIndexDecidesAsLookingAtAll(t *testing.T) {
+	placed, stops, rented := 0, 0, 0
+	for seed := range uint64(3000) {
+		got, want := randomSnapshot(seed), &oracle{Snapshot: randomSnapshot(seed)}
+		a, b := places(got.Fill()), places(want.Fill())
+		placed += len(a)
+		if !slices.Equal(a, b) {
+			t.Fatalf("seed %d: a fill decides\n%v\nand not\n%v", seed, a, b)
+		}
+		a, b = stopped(got.Stops(20)), stopped(want.Stops(20))
+		stops += len(a)
+		if !slices.Equal(a, b) {
+			t.Fatalf("seed %d: a round decides\n%v\nand not\n%v", seed, a, b)
+		}
+		short := func(p Pool) bool { return p.Zone == "b" && p.Spot }
+		got, want = randomSnapshot(seed), &oracle{Snapshot: randomSnapshot(seed)}
+		x, y := got.Plan(randomTypes, short, 20), want.Plan(randomTypes, short, 20)
+		rented += len(x)
+		if !slices.Equal(x, y) {
+			t.Fatalf("seed %d: a plan rents %v and not %v", seed, x, y)
+		}
+	}
+	if placed < 1000 || stops < 1000 || rented < 1000 {
+		t.Errorf("the fleets show little: %d placed, %d stops, %d rentals", placed, stops, rented)
+	}
+}
+
+// An index that stands while its machines change, come and go decides as one made anew.
+func TestStandingIndexFollowsChanges(t *testing.T) {
+	for seed := range uint64(150) {
+		rng := rand.New(rand.NewPCG(seed, 11))
+		s := randomSnapshot(seed)
+		s.useIndex()
+		for step := range 12 {
+			for range 1 + rng.IntN(6) {
+				changeOne(rng, s, seed*100+uint64(step))
+			}
+			fresh := copySnapshot(s)
+			a, b := places(s.Fill()), places((&oracle{Snapshot: fresh}).Fill())
+			if !slices.Equal(a, b) {
+				t.Fatalf("seed %d, step %d: the standing index decides\n%v\nand not\n%v", seed, step, a, b)
+			}
+			s.Jobs = randomJobs(rng, func(n int) float64 { return float64(rng.IntN(n)) / 4 }, len(s.Teams))
+		}
+	}
+}
+
+// changeOne changes a machine, or has one come or go.
+func changeOne(rng *rand.Rand, s *Snapshot, seed uint64) {
+	i := rng.IntN(len(s.Machines))
+	m := s.Machines[i]
+	switch rng.IntN(7) {
+	case 0:
+		m.Free = m.Type.Size
+	case 1:
+		m.Images[fmt.Sprint("img-", rng.IntN(5))] = true
+	case 2:
+		m.For = []string{"", "j-001"}[rng.IntN(2)]
+	case 3:
+		m.Fetching, m.Used = nil, !m.Used
+	case 4:
+		m.Room = rng.IntN(5)
+	case 5:
+		if len(s.Machines) > 2 {
+			s.index.remove(m)
+			s.Machines = slices.Delete(s.Machines, i, i+1)
+		}
+		return
+	case 6:
+		more := randomSnapshot(seed).Machines[0]
+		more.ID, more.place = fmt.Sprint("n-", seed, len(s.Machines)), s.Machines[len(s.Machines)-1].place+1
+		s.Machines = append(s.Machines, more)
+		m = more
+	}
+	s.changed(m)
+	s.spare = [2][]*Machine{}
+}
+
+// copySnapshot copies what a pass changes.
+func copySnapshot(s *Snapshot) *Snapshot {
+	out := s.clone("")
+	out.Moving = s.Moving
+	for name, team := range s.Teams {
+		copied := *team
+		out.Teams[name] = &copied
+	}
+	for _, j := range s.Jobs {
+		copied := *j
+		copied.Waiting = slices.Clone(j.Waiting)
+		copied.InZone = map[string]int{}
+		for zone, n := range j.InZone {
+			copied.InZone[zone] = n
+		}
+		out.Jobs = append(out.Jobs, &copied)
+	}
+	for _, m := range out.Machines {
+		m.Running = nil
+	}
+	return out
+}
--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -38,9 +38,9 @@
 	// gone yet.
 	Claims int
 	// Images are the images that expected tasks may need, with the share of each; missing
-	// is what share of them a machine lacks, as far as asked.
+	// is what share of them machines of an image set lack, as far as asked.
 	Images  []ImageShare
-	missing map[*Machine]float64
+	missing map[int]float64
 	// Plain: a batch for machines without accelerators, see IsPlain.
 	Plain bool
 	// Patient: it has waited so long that no rented machine will come.
@@ -115,7 +115,7 @@
 
 // missingShare is the share of expected tasks whose image the machine lacks.
 func (j *Job) missingShare(m *Machine) float64 {
-	if share, known := j.missing[m]; known {
+	if share, known := j.missing[m.ImageSet]; known {
 		return share
 	}
 	share := 0.0
@@ -124,10 +124,13 @@
 			share += expected.Share
 		}
 	}
+	if m.ImageSet == 0 {
+		return share
+	}
 	if j.missing == nil {
-		j.missing = map[*Machine]float64{}
+		j.missing = map[int]float64{}
 	}
-	j.missing[m] = share
+	j.missing[m.ImageSet] = share
 	return share
 }
 
--- /dev/null
+++ b/internal/sched/oracle_test.go
@@ -0,0 +1,546 @@
+package sched
+
+import (
+	"cmp"
+	"container/heap"
+	"math"
+	"slices"
+)
+
+// The pass in this file is the one that looked at all machines for each task, as it stood
+// before the index. It is the oracle of the index: both must decide alike.
+type oracle struct {
+	*Snapshot
+	roomyLists [2][]*Machine
+}
+
+// Fill starts waiting tasks in rank order: services, those within their team's
+// guarantee first; then the room kept for expected ones; then batches, first
+// within guarantees, then within slots (the upper queue under its cap), then
+// what was interrupted, then whatever room is spare.
+func (s *oracle) Fill() []Placement {
+	Order(s.Jobs)
+	out := s.placeServices(nil)
+	out = s.placeStarved(out)
+	out = s.placeStarvedGangs(out)
+	for _, j := range s.Jobs {
+		if j.Phantom {
+			s.reserve(j)
+		}
+		s.keepClaimed(j)
+	}
+	if s.Moving {
+		return out
+	}
+	for pass := range fillPasses {
+		s.sparingCores = pass == spareRoom
+		if pass == interrupted {
+			orderBeyondSlots(s.Jobs)
+		}
+		out = s.placeBatches(out, pass)
+	}
+	s.sparingCores = false
+	return out
+}
+
+// placeServices starts replicas, those within their teams' guarantees first.
+func (s *oracle) placeServices(out []Placement) []Placement {
+	for _, guaranteed := range []bool{true, false} {
+		for _, j := range s.Jobs {
+			if j.Service && !j.Phantom {
+				out = s.place(out, j, func(t *Team) bool { return !guaranteed || t.InGuarantee(j.Need) })
+			}
+		}
+	}
+	return out
+}
+
+// placeStarved gives each batch that has waited for longer than a boot one task. Room
+// kept for what may come, or left of a limit, is no reason for a batch to go without
+// a single task for as long as there is no other.
+func (s *oracle) placeStarved(out []Placement) []Placement {
+	for _, j := range s.Jobs {
+		if j.Service || j.Gang || !j.Starved || j.Held > 0 || len(j.Waiting) == 0 {
+			continue
+		}
+		if t := s.Teams[j.Team]; t == nil || !t.InLimit(j.Need) {
+			continue
+		}
+		if m := s.best(j); m != nil {
+			out = append(out, Placement{j, j.Waiting[0], m})
+			s.take(j, m)
+		}
+	}
+	return out
+}
+
+// placeBatches is one pass over batches and gangs. Gangs have no slots to go beyond, so
+// the first two passes are all of theirs.
+func (s *oracle) placeBatches(out []Placement, pass int) []Placement {
+	upper := 0.0 // of the fleet, that the upper queue has in this pass
+	for _, j := range s.Jobs {
+		if j.Service || j.Gang && pass > withinSlots {
+			continue
+		}
+		s.releaseClaimed(j)
+		if j.Gang {
+			out = s.placeGang(out, j, func(t *Team, whole Need) bool {
+				return t.InLimit(whole.Plus(t.Kept)) && (pass == withinSlots || t.InGuarantee(whole))
+			})
+		} else {
+			if j.Upper && pass == withinSlots {
+				upper += Share(j.Need, s.Capacity) * float64(min(j.Slots, j.Tasks))
+			}
+			out = s.place(out, j, func(t *Team) bool { return s.mayTake(j, t, pass, upper) })
+		}
+		s.keepClaimed(j)
+	}
+	return out
+}
+
+// place starts a job's tasks while its team's limit, the given condition and
+// the room allow.
+func (s *oracle) place(out []Placement, j *Job, may func(*Team) bool) []Placement {
+	team := s.Teams[j.Team]
+	if len(j.Waiting) == 0 || !team.Takes(j) || !may(team) {
+		return out
+	}
+	choice := s.choices(j)
+	for len(j.Waiting) > 0 && team.Takes(j) && may(team) {
+		m := choice.best()
+		if m == nil {
+			break
+		}
+		out = append(out, Placement{j, j.Waiting[0], m})
+		s.take(j, m)
+		choice.taken(m)
+	}
+	return out
+}
+
+// reserve takes room for expected tasks on machines that are up, as far as
+// there is any.
+func (s *oracle) reserve(j *Job) {
+	if len(j.Waiting) == 0 {
+		return
+	}
+	choice := s.choices(j)
+	for len(j.Waiting) > 0 {
+		m := choice.best()
+		if m == nil {
+			return
+		}
+		used := m.Used
+		s.take(j, m)
+		m.Used = used
+		choice.taken(m)
+	}
+}
+
+func (s *oracle) take(j *Job, m *Machine) {
+	j.Waiting = j.Waiting[1:]
+	j.Resume = max(0, j.Resume-1)
+	j.Held++
+	if j.InZone == nil {
+		j.InZone = map[string]int{}
+	}
+	j.InZone[m.Zone]++
+	if t := s.Teams[j.Team]; t != nil {
+		t.Used = t.Used.Plus(j.Need)
+	}
+	m.Free = m.Free.Minus(j.Need)
+	m.Room--
+	m.Used = true
+	if !m.Images[j.Image] && j.Image != "" {
+		if m.Fetching == nil {
+			m.Fetching = map[string]bool{}
+		}
+		m.Fetching[j.Image] = true
+	}
+}
+
+// roomy lists the machines that may have room. What has filled up since the list
+// was made stays in it; whatever frees room or adds a machine drops the list.
+func (s *oracle) roomy(accel, cores bool) []*Machine {
+	k := 0
+	if !accel && !cores {
+		return s.Machines // memory alone
+	}
+	if accel {
+		k = 1
+	}
+	if s.roomyLists[k] == nil {
+		s.roomyLists[k] = make([]*Machine, 0, len(s.Machines))
+		for _, m := range s.Machines {
+			if m.Room > 0 && (accel && m.Free.Accel > eps || !accel && m.Free.Cores > eps) {
+				s.roomyLists[k] = append(s.roomyLists[k], m)
+			}
+		}
+	}
+	return s.roomyLists[k]
+}
+
+func (s *oracle) best(j *Job) *Machine {
+	var pick *Machine
+	bestScore := math.Inf(1)
+	list := s.roomy(j.Need.Accel > 0, j.Need.Cores > 0)
+	s.Looked += len(list)
+	for _, m := range list {
+		if !s.takes(j, m) {
+			continue
+		}
+		if sc := s.score(j, m); sc < bestScore {
+			pick, bestScore = m, sc
+		}
+	}
+	return pick
+}
+
+// placeStarvedGangs places gangs that have waited for longer than a boot, the oldest first.
+// What there is of the room for one that does not fit is held back from all others:
+// small jobs would take it again and again. Nothing of that outlives the snapshot,
+// so gangs can't block one another.
+func (s *oracle) placeStarvedGangs(out []Placement) []Placement {
+	var starved []*Job
+	for _, j := range s.Jobs {
+		if j.Gang && j.Starved && len(j.Waiting) > 0 {
+			starved = append(starved, j)
+		}
+	}
+	slices.SortStableFunc(starved, func(a, b *Job) int { return cmp.Compare(a.Submitted, b.Submitted) })
+	inLimit := func(t *Team, whole Need) bool { return t.InLimit(whole) }
+	for _, j := range starved {
+		if t := s.Teams[j.Team]; t == nil || !t.InLimit(j.Need.Times(float64(len(j.Waiting)))) {
+			continue // its team's own work has to end first
+		}
+		before := len(out)
+		if out = s.placeGang(out, j, inLimit); len(out) == before && s.holds(j) {
+			s.reserve(j)
+			j.Waiting = nil
+		}
+	}
+	return out
+}
+
+// placeGang starts all tasks of a gang, or none: in one zone after the other if
+// they must be together, as the best place for the first may have no room for all.
+func (s *oracle) placeGang(out []Placement, j *Job, may func(*Team, Need) bool) []Placement {
+	team := s.Teams[j.Team]
+	if len(j.Waiting) == 0 || team == nil || !may(team, j.Need.Times(float64(len(j.Waiting)))) {
+		return out
+	}
+	if !j.OneZone || j.Zone != "" {
+		got, _ := s.tryGang(j)
+		return append(out, got...)
+	}
+	defer func() { j.Zone = "" }()
+	for _, j.Zone = range s.zonesFor(j) {
+		if got, ok := s.tryGang(j); ok {
+			return append(out, got...)
+		}
+	}
+	return out
+}
+
+// tryGang places all waiting tasks of a gang, or takes everything back.
+func (s *oracle) tryGang(j *Job) ([]Placement, bool) {
+	var out []Placement
+	waiting, held := j.Waiting, j.Held
+	type before struct {
+		m        *Machine
+		used     bool
+		fetching bool
+	}
+	var undo []before
+	for len(j.Waiting) > 0 {
+		m := s.best(j)
+		if m == nil {
+			for _, b := range slices.Backward(undo) {
+				b.m.Free, b.m.Used = b.m.Free.Plus(j.Need), b.used
+				b.m.Room++
+				if !b.fetching {
+					delete(b.m.Fetching, j.Image)
+				}
+				j.InZone[b.m.Zone]--
+				if t := s.Teams[j.Team]; t != nil {
+					t.Used = t.Used.Minus(j.Need)
+				}
+			}
+			j.Waiting, j.Held = waiting, held
+			return nil, false
+		}
+		undo = append(undo, before{m, m.Used, m.Fetching[j.Image]})
+		out = append(out, Placement{j, j.Waiting[0], m})
+		s.take(j, m)
+	}
+	return out, true
+}
+
+// Plan places what still waits on free, booting and, where these don't do, new
+// machines. It returns what to rent and marks (Used) the machines that the
+// waiting and expected work needs. blocked pools are short.
+func (s *oracle) Plan(types []*Type, blocked func(Pool) bool, maxNew int) []Rental {
+	Order(s.Jobs)
+	s.sparingCores = true
+	want := map[Pool]int{}
+	var order []Pool
+	created := 0
+	for ji, j := range s.Jobs {
+		if j.Gang && len(j.Waiting) > 0 {
+			if t := s.Teams[j.Team]; t == nil || !t.InLimit(j.Need.Times(float64(len(j.Waiting)))) {
+				continue
+			}
+			if s.placeGang(nil, j, func(*Team, Need) bool { return true }) != nil {
+				continue
+			}
+			if j.OneZone && j.Zone == "" {
+				// What is missing has to be rented in a zone where that can be done.
+				if p, typ := s.cheapestPool(j, s.Jobs[ji:], types, blocked); typ != nil {
+					j.Zone = p.Zone
+				}
+			}
+		}
+		if len(j.Waiting) == 0 {
+			continue
+		}
+		choice := s.choices(j)
+		for len(j.Waiting) > 0 {
+			if t := s.Teams[j.Team]; t != nil && !t.Takes(j) && !j.Phantom {
+				break
+			}
+			m := choice.best()
+			if m == nil {
+				if created >= maxNew {
+					break
+				}
+				p, typ := s.cheapestPool(j, s.Jobs[ji:], types, blocked)
+				if typ == nil {
+					break
+				}
+				m = &Machine{Type: typ, Zone: p.Zone, Spot: p.Spot, Free: typ.Size, Room: 1 << 20, Booting: true}
+				s.Machines = append(s.Machines, m)
+				s.roomyLists = [2][]*Machine{}
+				choice.add(m, len(s.Machines))
+				if want[p] == 0 {
+					order = append(order, p)
+				}
+				want[p]++
+				created++
+			}
+			s.take(j, m)
+			choice.taken(m)
+		}
+	}
+	var out []Rental
+	for _, p := range order {
+		out = append(out, Rental{p, want[p]})
+	}
+	return out
+}
+
+// Stops are a round's: for tasks that wait within their slots and found no
+// room, lower-ranked tasks give way, as far as "Preemption" lets them.
+func (s *oracle) Stops(most int) Preemption {
+	Order(s.Jobs)
+	rank := map[*Job]int{}
+	for i, j := range s.Jobs {
+		rank[j] = i
+	}
+	var out Preemption
+	none := hopeless{}
+	s.gangLooked = 0
+	for _, j := range s.Jobs {
+		switch {
+		case j.Phantom:
+		case j.Claims > 0:
+			// What was stopped for this job before is still on its way out.
+		case j.Gang:
+			s.stopsForGang(j, rank, &out, most, none)
+		default:
+			s.stopsForTasks(j, rank, &out, most)
+		}
+	}
+	return out
+}
+
+// stopsForTasks makes room for the waiting tasks of a job that it has slots for, one
+// after the other.
+func (s *oracle) stopsForTasks(j *Job, rank map[*Job]int, out *Preemption, most int) {
+	held := j.Held
+	for len(j.Waiting) > 0 && (j.Service || held < j.Slots) {
+		m, set := s.stopsFor(j, rank)
+		if m == nil || len(out.Stops)+len(set) > most {
+			return
+		}
+		for _, v := range set {
+			out.Stops = append(out.Stops, s.stop(v.Machine, v.Victim, j))
+		}
+		s.take(j, m)
+		held++
+		if len(set) > 0 {
+			m.For = j.ID // nobody else's stops may count on it
+			out.Kept = append(out.Kept, Kept{Job: j, Machine: m, Tasks: 1})
+		}
+	}
+}
+
+// stopsFor finds a machine for one task of the job and all that must stop for
+// it, for room and for the team's limit alike: all of it or nothing, as stops
+// that don't lead to a start only cost work.
+func (s *oracle) stopsFor(j *Job, rank map[*Job]int) (*Machine, []Stop) {
+	team := s.Teams[j.Team]
+	var set []Stop
+	m := s.best(j)
+	if m == nil {
+		var victims []Held
+		if m, victims = s.cheapestStops(j, team.InGuarantee(j.Need), rank); m == nil {
+			return nil, nil
+		}
+		for _, v := range victims {
+			set = append(set, Stop{Victim: v, Machine: m})
+		}
+	}
+	after := *team
+	for _, v := range set {
+		if v.Victim.Job.Team == j.Team {
+			after.Used = after.Used.Minus(v.Victim.Job.Need)
+		}
+	}
+	for !after.InLimit(j.Need) {
+		on, v := s.youngest(j, set)
+		if on == nil {
+			return nil, nil
+		}
+		set = append(set, Stop{Victim: v, Machine: on})
+		after.Used = after.Used.Minus(v.Job.Need)
+	}
+	return m, set
+}
+
+// candidates are the machines that may take a task of one job, the best first. Tasks of a
+// job are alike, so taking one changes the score of its machine alone: for an array of
+// thousands in a fleet of hundreds, looking at all machines for each task took a quarter
+// of a second of a controller's share of a core.
+type oracleCandidates struct {
+	oracle *oracle
+	job    *Job
+	list   []oracleCandidate
+}
+
+type oracleCandidate struct {
+	machine *Machine
+	score   float64
+	place   int // in the oracle's list: equal scores go to the first
+}
+
+// choice picks the machines for one task of a job after the other.
+type oracleChoice interface {
+	// best is the best machine for the next task, nil if none has room.
+	best() *Machine
+	// taken has to follow when a machine was given the task.
+	taken(m *Machine)
+	// add brings in a machine that was not there before.
+	add(m *Machine, place int)
+}
+
+// oracleEachTime looks at all machines anew for each task.
+type oracleEachTime struct {
+	oracle *oracle
+	job    *Job
+}
+
+func (e oracleEachTime) best() *Machine { return e.oracle.best(e.job) }
+
+func (e oracleEachTime) taken(*Machine) {}
+
+func (e oracleEachTime) add(*Machine, int) {}
+
+// choices picks machines for the job's waiting tasks.
+func (s *oracle) choices(j *Job) oracleChoice {
+	if j.severalAlike() {
+		return s.candidatesFor(j)
+	}
+	return oracleEachTime{s, j}
+}
+
+// candidatesFor puts the machines that have room for a task of the job in order.
+func (s *oracle) candidatesFor(j *Job) *oracleCandidates {
+	c := &oracleCandidates{oracle: s, job: j}
+	list := s.roomy(j.Need.Accel > 0, j.Need.Cores > 0)
+	s.Looked += len(list)
+	for place, m := range list {
+		if s.takes(j, m) {
+			c.list = append(c.list, oracleCandidate{machine: m, score: s.score(j, m), place: place})
+		}
+	}
+	heap.Init(c)
+	return c
+}
+
+// best is the best machine, nil if none has room.
+func (c *oracleCandidates) best() *Machine {
+	if len(c.list) == 0 {
+		return nil
+	}
+	return c.list[0].machine
+}
+
+// taken puts the machine in its new place after it was given a task: it was the best, or
+// one that was added just now and is.
+func (c *oracleCandidates) taken(m *Machine) {
+	if len(c.list) == 0 || c.list[0].machine != m {
+		return
+	}
+	first := &c.list[0]
+	c.oracle.Looked++
+	if !c.oracle.takes(c.job, first.machine) {
+		heap.Pop(c)
+		return
+	}
+	first.score = c.oracle.score(c.job, first.machine)
+	heap.Fix(c, 0)
+}
+
+// add puts a new machine among the candidates.
+func (c *oracleCandidates) add(m *Machine, place int) {
+	if c.oracle.takes(c.job, m) {
+		heap.Push(c, oracleCandidate{machine: m, score: c.oracle.score(c.job, m), place: place})
+	}
+}
+
+// Len, Less, Swap, Push and Pop make a heap of it.
+func (c *oracleCandidates) Len() int { return len(c.list) }
+
+// Less is part of heap.Interface.
+func (c *oracleCandidates) Less(a, b int) bool {
+	x, y := &c.list[a], &c.list[b]
+	if x.score != y.score {
+		return x.score < y.score
+	}
+	return x.place < y.place
+}
+
+// Swap is part of heap.Interface.
+func (c *oracleCandidates) Swap(a, b int) { c.list[a], c.list[b] = c.list[b], c.list[a] }
+
+// Push is part of heap.Interface.
+func (c *oracleCandidates) Push(x any) { c.list = append(c.list, x.(oracleCandidate)) }
+
+// Pop is part of heap.Interface.
+func (c *oracleCandidates) Pop() any {
+	last := len(c.list) - 1
+	x := c.list[last]
+	c.list = c.list[:last]
+	return x
+}
+
+// stop and stopsForGang free room, so that the lists of machines with room are made anew.
+func (s *oracle) stop(m *Machine, v Held, j *Job) Stop {
+	s.roomyLists = [2][]*Machine{}
+	return s.Snapshot.stop(m, v, j)
+}
+
+func (s *oracle) stopsForGang(j *Job, rank map[*Job]int, out *Preemption, most int, none hopeless) {
+	s.Snapshot.stopsForGang(j, rank, out, most, none)
+	s.roomyLists = [2][]*Machine{}
+}
--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -22,6 +22,7 @@
 // machines. It returns what to rent and marks (Used) the machines that the
 // waiting and expected work needs. blocked pools are short.
 func (s *Snapshot) Plan(types []*Type, blocked func(Pool) bool, maxNew int) []Rental {
+	s.useIndex()
 	Order(s.Jobs)
 	s.sparingCores = true
 	want := map[Pool]int{}
@@ -60,8 +61,7 @@
 					break
 				}
 				m = &Machine{Type: typ, Zone: p.Zone, Spot: p.Spot, Free: typ.Size, Room: 1 << 20, Booting: true}
-				s.Machines = append(s.Machines, m)
-				s.spare = [2][]*Machine{}
+				s.add(m)
 				choice.add(m, len(s.Machines))
 				if want[p] == 0 {
 					order = append(order, p)
@@ -80,6 +80,14 @@
 	return out
 }
 
+// add brings in a machine that was not there before.
+func (s *Snapshot) add(m *Machine) {
+	m.place = len(s.Machines)
+	s.Machines = append(s.Machines, m)
+	s.spare = [2][]*Machine{}
+	s.changed(m)
+}
+
 // mayUse says whether a task of the job fits the type and is allowed on it.
 func (j *Job) mayUse(t *Type) bool {
 	return j.Need.Fits(t.Size) && (j.Types == nil || j.Types[t.Name])
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -29,6 +29,11 @@
 	Fetching map[string]bool
 	Booting  bool
 	Used     bool // holds or was given something
+	// Changed: a decision has changed it since whoever keeps it last looked.
+	Changed bool
+	// ImageSet is the same for machines that have the same images; 0: not known.
+	ImageSet int
+	place    int // among the machines: equal scores go to the first
 	Running  []Held
 }
 
@@ -58,6 +63,9 @@
 	// spare are the machines with any room: with cores, and with accelerators.
 	// Most of a busy fleet is full. Nil: to be found anew.
 	spare [2][]*Machine
+	// index finds machines without looking at all; nil: all are looked at.
+	index   *machineIndex
+	byIndex indexChoice
 	// kept is how much room for expected tasks there is, once Emptied asked.
 	kept      int
 	keptKnown bool
--- a/internal/sched/stops.go
+++ b/internal/sched/stops.go
@@ -67,6 +67,7 @@
 		held++
 		if len(set) > 0 {
 			m.For = j.ID // nobody else's stops may count on it
+			s.changed(m)
 			out.Kept = append(out.Kept, Kept{Job: j, Machine: m, Tasks: 1})
 		}
 	}
@@ -108,6 +109,7 @@
 func (s *Snapshot) stop(m *Machine, v Held, j *Job) Stop {
 	m.Free = m.Free.Plus(v.Job.Need)
 	s.spare = [2][]*Machine{}
+	s.changed(m)
 	if t := s.Teams[v.Job.Team]; t != nil {
 		t.Used = t.Used.Minus(v.Job.Need)
 	}
