A round draws up what it may stop once, and not for each waiting task

Cause: for each waiting task a round looked at all running tasks, and at all of a team's for its limit.

--- a/internal/sched/fill.go
+++ b/internal/sched/fill.go
@@ -233,6 +233,9 @@
 		m.Fetching[j.Image] = true
 	}
 	s.changed(m)
+	if s.victims != nil {
+		s.victims.took(j)
+	}
 }
 
 // changed has to follow each change of a machine.
--- a/internal/sched/gangstops.go
+++ b/internal/sched/gangstops.go
@@ -13,7 +13,6 @@
 type gangRoom struct {
 	snapshot   *Snapshot
 	job        *Job
-	rank       map[*Job]int
 	guaranteed bool
 	victims    map[*Job][]Stop // a gang's tasks, as it stops whole
 
@@ -33,15 +32,15 @@
 
 // roomForGang finds the cheapest way, as far as "Preemption" and the ranks let others
 // give way: in each zone in turn if the gang must be together. Nil: there is none.
-func (s *Snapshot) roomForGang(j *Job, rank map[*Job]int) *gangRoom {
+func (s *Snapshot) roomForGang(j *Job) *gangRoom {
 	zones := []string{j.Zone}
 	if j.OneZone && j.Zone == "" {
 		zones = s.zones()
 	}
-	gangs := s.runningGangs()
+	gangs := s.victims.runningGangs()
 	var cheapest *gangRoom
 	for _, zone := range zones {
-		room := s.newGangRoom(j, rank, gangs)
+		room := s.newGangRoom(j, gangs)
 		if room.find(zone) && (cheapest == nil || room.cost < cheapest.cost) {
 			cheapest = room
 		}
@@ -49,8 +48,8 @@
 	return cheapest
 }
 
-func (s *Snapshot) newGangRoom(j *Job, rank map[*Job]int, gangs map[*Job][]Stop) *gangRoom {
-	room := &gangRoom{snapshot: s, job: j, rank: rank, victims: gangs, free: map[*Machine]Need{}, given: map[*Machine]int{},
+func (s *Snapshot) newGangRoom(j *Job, gangs map[*Job][]Stop) *gangRoom {
+	room := &gangRoom{snapshot: s, job: j, victims: gangs, free: map[*Machine]Need{}, given: map[*Machine]int{},
 		freed: map[string]Need{}, stopped: map[taskKey]bool{}, inZone: maps.Clone(j.InZone)}
 	if room.inZone == nil {
 		room.inZone = map[string]int{}
@@ -68,19 +67,6 @@
 	return slices.Sorted(maps.Keys(seen))
 }
 
-// runningGangs lists the tasks of each gang that runs.
-func (s *Snapshot) runningGangs() map[*Job][]Stop {
-	out := map[*Job][]Stop{}
-	for _, m := range s.Machines {
-		for _, h := range m.Running {
-			if h.Job.Gang {
-				out[h.Job] = append(out[h.Job], Stop{Victim: h, Machine: m})
-			}
-		}
-	}
-	return out
-}
-
 // find places the tasks one by one where the next costs least, and then frees the
 // team's limit. False: some of them have no room.
 func (r *gangRoom) find(zone string) bool {
@@ -139,7 +125,7 @@
 	}
 	var may []Held
 	for _, h := range m.Running {
-		if !r.stopped[taskKey{h.Job, h.Index}] && r.snapshot.givesWay(h.Job, j, r.guaranteed, r.rank) {
+		if !r.stopped[taskKey{h.Job, h.Index}] && r.snapshot.givesWay(h.Job, j, r.guaranteed) {
 			may = append(may, h)
 		}
 	}
@@ -241,7 +227,7 @@
 		if after.InLimit(whole) {
 			return true
 		}
-		m, youngest := r.snapshot.youngest(j, r.stops)
+		m, youngest := r.snapshot.victims.youngest(j, r.stops)
 		if m == nil {
 			return false
 		}
@@ -274,7 +260,7 @@
 
 // stopsForGang makes room for all waiting tasks of a gang, within most stops unless
 // they are the round's first: a gang that needs more would wait for ever.
-func (s *Snapshot) stopsForGang(j *Job, rank map[*Job]int, out *Preemption, most int, none hopeless) {
+func (s *Snapshot) stopsForGang(j *Job, out *Preemption, most int, none hopeless) {
 	if len(j.Waiting) == 0 || s.Teams[j.Team] == nil || s.gangLooked > gangStopsWork {
 		return
 	}
@@ -282,7 +268,7 @@
 	if tasks, known := none[shape]; known && len(j.Waiting) >= tasks && j.Held == 0 {
 		return
 	}
-	room := s.roomForGang(j, rank)
+	room := s.roomForGang(j)
 	if room == nil && j.Held == 0 {
 		none[shape] = len(j.Waiting)
 	}
--- a/internal/sched/index_test.go
+++ b/internal/sched/index_test.go
@@ -41,7 +41,7 @@
 		if rng.IntN(10) == 0 {
 			m.For = jobs[rng.IntN(len(jobs))].ID
 		}
-		hold(rng, m, jobs)
+		hold(rng, m, jobs, 1000+10*i)
 		s.Machines = append(s.Machines, m)
 		s.Capacity = s.Capacity.Plus(t.Size)
 	}
@@ -51,13 +51,13 @@
 }
 
 // hold puts tasks on a machine that a round may stop.
-func hold(rng *rand.Rand, m *Machine, jobs []*Job) {
+func hold(rng *rand.Rand, m *Machine, jobs []*Job, first int) {
 	for i := range rng.IntN(4) {
 		j := jobs[rng.IntN(len(jobs))]
 		if j.Phantom || !j.Need.Fits(m.Free) {
 			continue
 		}
-		m.Running = append(m.Running, Held{Job: j, Index: 1000 + i, SinceS: float64(rng.IntN(100))})
+		m.Running = append(m.Running, Held{Job: j, Index: first + i, SinceS: float64(rng.IntN(100))})
 		m.Free, m.Used = m.Free.Minus(j.Need), true
 		j.Held++
 		j.InZone[m.Zone]++
--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -45,6 +45,7 @@
 	Plain bool
 	// Patient: it has waited so long that no rented machine will come.
 	Patient bool
+	order   int // of the jobs in a round, by rank
 	// Starved: it has had no task anywhere for longer than a boot.
 	Starved bool
 }
--- a/internal/sched/oracle_test.go
+++ b/internal/sched/oracle_test.go
@@ -541,6 +541,75 @@
 }
 
 func (s *oracle) stopsForGang(j *Job, rank map[*Job]int, out *Preemption, most int, none hopeless) {
-	s.Snapshot.stopsForGang(j, rank, out, most, none)
+	for job, i := range rank {
+		job.order = i
+	}
+	s.victims = newVictims(s.Snapshot)
+	s.Snapshot.stopsForGang(j, out, most, none)
 	s.roomyLists = [2][]*Machine{}
 }
+
+// youngest is the task of the job's team and of lower priority that has held
+// its place for the least time, and is not among those to stop already.
+func (s *oracle) youngest(j *Job, but []Stop) (*Machine, Held) {
+	var pick *Machine
+	var held Held
+	for _, m := range s.Machines {
+		for _, h := range m.Running {
+			if h.Job.Team != j.Team || h.Job.Priority >= j.Priority || (pick != nil && h.SinceS >= held.SinceS) ||
+				slices.ContainsFunc(but, func(b Stop) bool { return b.Victim.Job == h.Job && b.Victim.Index == h.Index }) {
+				continue
+			}
+			pick, held = m, h
+		}
+	}
+	return pick, held
+}
+
+// givesWay says whether a victim's tasks may be stopped for a job: by "Preemption", and
+// as it ranks after the job or has more than its slots.
+func (s *oracle) givesWay(victim, j *Job, guaranteed bool, rank map[*Job]int) bool {
+	lower := victim.Priority < j.Priority
+	team := s.Teams[victim.Team]
+	lent := guaranteed && victim.Team != j.Team && team != nil && team.Beyond()
+	if victim.Service && !lower && !j.Patient {
+		// One replica for another is no gain, and the stopped one fetches its image
+		// anew; a machine may be on its way.
+		lent = false
+	}
+	ranked := rank[victim] > rank[j] || (!victim.Service && victim.Held > victim.Slots)
+	return (lower || lent) && ranked
+}
+
+// cheapestStops finds the machine on which room for one task costs least.
+func (s *oracle) cheapestStops(j *Job, guaranteed bool, rank map[*Job]int) (*Machine, []Held) {
+	var pick *Machine
+	var chosen []Held
+	cheapest := math.Inf(1)
+	for _, m := range s.Machines {
+		if m.Booting || m.For != "" || !j.Need.Fits(m.Type.Size) || !j.MayRunOn(m) {
+			continue
+		}
+		var may []Held
+		for _, h := range m.Running {
+			if s.givesWay(h.Job, j, guaranteed, rank) {
+				may = append(may, h)
+			}
+		}
+		sortVictims(may)
+		free, cost := m.Free, 0.0
+		var set []Held
+		for _, h := range may {
+			if j.Need.Fits(free) {
+				break
+			}
+			set = append(set, h)
+			free = free.Plus(h.Job.Need)
+			cost += stopCost(h, m)
+		}
+		if j.Need.Fits(free) && len(set) > 0 && cost < cheapest {
+			pick, chosen, cheapest = m, set, cost
+		}
+	}
+	return pick, chosen
+}
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -66,6 +66,8 @@
 	// index finds machines without looking at all; nil: all are looked at.
 	index   *machineIndex
 	byIndex indexChoice
+	// victims are what a round may stop.
+	victims *victims
 	// kept is how much room for expected tasks there is, once Emptied asked.
 	kept      int
 	keptKnown bool
--- a/internal/sched/stops.go
+++ b/internal/sched/stops.go
@@ -1,8 +1,6 @@
 package sched
 
 import (
-	"math"
-	"slices"
 	"sort"
 )
 
@@ -29,11 +27,12 @@
 // Stops are a round's: for tasks that wait within their slots and found no
 // room, lower-ranked tasks give way, as far as "Preemption" lets them.
 func (s *Snapshot) Stops(most int) Preemption {
+	s.useIndex()
 	Order(s.Jobs)
-	rank := map[*Job]int{}
 	for i, j := range s.Jobs {
-		rank[j] = i
+		j.order = i
 	}
+	s.victims = newVictims(s)
 	var out Preemption
 	none := hopeless{}
 	s.gangLooked = 0
@@ -43,9 +42,9 @@
 		case j.Claims > 0:
 			// What was stopped for this job before is still on its way out.
 		case j.Gang:
-			s.stopsForGang(j, rank, &out, most, none)
+			s.stopsForGang(j, &out, most, none)
 		default:
-			s.stopsForTasks(j, rank, &out, most)
+			s.stopsForTasks(j, &out, most)
 		}
 	}
 	return out
@@ -53,10 +52,11 @@
 
 // stopsForTasks makes room for the waiting tasks of a job that it has slots for, one
 // after the other.
-func (s *Snapshot) stopsForTasks(j *Job, rank map[*Job]int, out *Preemption, most int) {
+func (s *Snapshot) stopsForTasks(j *Job, out *Preemption, most int) {
 	held := j.Held
+	var candidates *stopCandidates
 	for len(j.Waiting) > 0 && (j.Service || held < j.Slots) {
-		m, set := s.stopsFor(j, rank)
+		m, set := s.stopsFor(j, &candidates)
 		if m == nil || len(out.Stops)+len(set) > most {
 			return
 		}
@@ -76,13 +76,13 @@
 // stopsFor finds a machine for one task of the job and all that must stop for
 // it, for room and for the team's limit alike: all of it or nothing, as stops
 // that don't lead to a start only cost work.
-func (s *Snapshot) stopsFor(j *Job, rank map[*Job]int) (*Machine, []Stop) {
+func (s *Snapshot) stopsFor(j *Job, candidates **stopCandidates) (*Machine, []Stop) {
 	team := s.Teams[j.Team]
 	var set []Stop
 	m := s.best(j)
 	if m == nil {
 		var victims []Held
-		if m, victims = s.cheapestStops(j, team.InGuarantee(j.Need), rank); m == nil {
+		if m, victims = s.cheapestStops(j, team.InGuarantee(j.Need), candidates); m == nil {
 			return nil, nil
 		}
 		for _, v := range victims {
@@ -96,7 +96,7 @@
 		}
 	}
 	for !after.InLimit(j.Need) {
-		on, v := s.youngest(j, set)
+		on, v := s.victims.youngest(j, set)
 		if on == nil {
 			return nil, nil
 		}
@@ -106,34 +106,23 @@
 	return m, set
 }
 
+// stop takes a task off a machine.
 func (s *Snapshot) stop(m *Machine, v Held, j *Job) Stop {
 	m.Free = m.Free.Plus(v.Job.Need)
 	s.spare = [2][]*Machine{}
 	s.changed(m)
-	if t := s.Teams[v.Job.Team]; t != nil {
-		t.Used = t.Used.Minus(v.Job.Need)
+	team := s.Teams[v.Job.Team]
+	beyond, extra := team != nil && team.Beyond(), v.Job.Held > v.Job.Slots
+	if team != nil {
+		team.Used = team.Used.Minus(v.Job.Need)
 	}
 	v.Job.InZone[m.Zone]--
 	v.Job.Held--
 	m.Running = remove(m.Running, v)
-	return Stop{Victim: v, Machine: m, For: j}
-}
-
-// youngest is the task of the job's team and of lower priority that has held
-// its place for the least time, and is not among those to stop already.
-func (s *Snapshot) youngest(j *Job, but []Stop) (*Machine, Held) {
-	var pick *Machine
-	var held Held
-	for _, m := range s.Machines {
-		for _, h := range m.Running {
-			if h.Job.Team != j.Team || h.Job.Priority >= j.Priority || (pick != nil && h.SinceS >= held.SinceS) ||
-				slices.ContainsFunc(but, func(b Stop) bool { return b.Victim.Job == h.Job && b.Victim.Index == h.Index }) {
-				continue
-			}
-			pick, held = m, h
-		}
+	if s.victims != nil {
+		s.victims.stopped(m, v, j, beyond != (team != nil && team.Beyond()) || extra != (v.Job.Held > v.Job.Slots) || v.Job.Gang)
 	}
-	return pick, held
+	return Stop{Victim: v, Machine: m, For: j}
 }
 
 func remove(list []Held, v Held) []Held {
@@ -148,17 +137,18 @@
 
 // givesWay says whether a victim's tasks may be stopped for a job: by "Preemption", and
 // as it ranks after the job or has more than its slots.
-func (s *Snapshot) givesWay(victim, j *Job, guaranteed bool, rank map[*Job]int) bool {
-	lower := victim.Priority < j.Priority
-	team := s.Teams[victim.Team]
-	lent := guaranteed && victim.Team != j.Team && team != nil && team.Beyond()
-	if victim.Service && !lower && !j.Patient {
+func (s *Snapshot) givesWay(victim, j *Job, guaranteed bool) bool {
+	if victim.Priority >= j.Priority {
 		// One replica for another is no gain, and the stopped one fetches its image
 		// anew; a machine may be on its way.
-		lent = false
+		if !guaranteed || victim.Team == j.Team || victim.Service && !j.Patient {
+			return false
+		}
+		if team := s.Teams[victim.Team]; team == nil || !team.Beyond() {
+			return false
+		}
 	}
-	ranked := rank[victim] > rank[j] || (!victim.Service && victim.Held > victim.Slots)
-	return (lower || lent) && ranked
+	return victim.order > j.order || !victim.Service && victim.Held > victim.Slots
 }
 
 // sortVictims puts first what costs least to stop: replicas last, gangs before them as
@@ -175,36 +165,3 @@
 		return x.SinceS < y.SinceS
 	})
 }
-
-// cheapestStops finds the machine on which room for one task costs least.
-func (s *Snapshot) cheapestStops(j *Job, guaranteed bool, rank map[*Job]int) (*Machine, []Held) {
-	var pick *Machine
-	var chosen []Held
-	cheapest := math.Inf(1)
-	for _, m := range s.Machines {
-		if m.Booting || m.For != "" || !j.Need.Fits(m.Type.Size) || !j.MayRunOn(m) {
-			continue
-		}
-		var may []Held
-		for _, h := range m.Running {
-			if s.givesWay(h.Job, j, guaranteed, rank) {
-				may = append(may, h)
-			}
-		}
-		sortVictims(may)
-		free, cost := m.Free, 0.0
-		var set []Held
-		for _, h := range may {
-			if j.Need.Fits(free) {
-				break
-			}
-			set = append(set, h)
-			free = free.Plus(h.Job.Need)
-			cost += stopCost(h, m)
-		}
-		if j.Need.Fits(free) && len(set) > 0 && cost < cheapest {
-			pick, chosen, cheapest = m, set, cost
-		}
-	}
-	return pick, chosen
-}
