A fill works on a view of the fleet that stands and follows changes

Cause: each fill, many in a second, drew all machines and jobs anew. Change: internal/coordination/standing.go keeps machines and waiting jobs from one fill to the next by the ledger's revisions; whether a machine may be used is asked of each at each fill, as it hangs on the time. The running program compares 32 machines with the ledger at each round, logs a difference once and builds the view anew. Room for expected replicas is only worked out when batches wait.

--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -31,6 +31,8 @@
 	typeInfo  map[string]protocol.MachineType
 	typesAsk  time.Duration
 	typesBusy bool
+	// typesGeneration counts the lists of machine types.
+	typesGeneration int
 
 	requests, changes, cloud bucket
 
@@ -156,6 +158,7 @@
 		}
 		c.typesAsk = c.now + 12*c.cfg.Lease()
 		c.types = c.types[:0]
+		c.typesGeneration++
 		for _, t := range list.Types {
 			c.typeInfo[t.Name] = t
 			c.types = append(c.types, &sched.Type{Name: t.Name,
--- a/internal/coordination/schedule.go
+++ b/internal/coordination/schedule.go
@@ -1,6 +1,7 @@
 package coordination
 
 import (
+	"slices"
 	"time"
 
 	"claybarrow/internal/ledger"
@@ -21,6 +22,7 @@
 		r.roundAt = c.now + seconds(g.RoundS)
 		r.round()
 		r.consolidate()
+		r.standing.check()
 	}
 	if c.now >= r.countersAt {
 		r.countersAt = c.now + seconds(g.CountersS)
@@ -46,12 +48,15 @@
 	if !r.certain() || len(r.c.types) == 0 {
 		return
 	}
-	s := r.snapshot(false, false)
-	if len(s.Jobs) == 0 || len(s.Machines) == 0 {
+	s := r.standing.snapshot()
+	if s == nil {
 		return
 	}
-	s.Jobs = append(s.Jobs, r.expected()...)
-	s.Jobs = append(s.Jobs, r.doubles()...)
+	if slices.ContainsFunc(s.Jobs, func(j *sched.Job) bool { return !j.Service }) {
+		// Room is kept from batches; replicas go before it.
+		s.Jobs = append(s.Jobs, r.expected()...)
+		s.Jobs = append(s.Jobs, r.doubles()...)
+	}
 	tries := map[*ledger.Job]uint64{} // a gang's tasks have one number
 	for _, p := range s.Fill() {
 		j := r.Jobs[p.Job.ID]
--- a/internal/coordination/snapshot.go
+++ b/internal/coordination/snapshot.go
@@ -51,14 +51,7 @@
 	}
 	r.keepLimits(s.Teams)
 	jobs := map[*ledger.Job]*sched.Job{}
-	claims := map[string]int{}
-	for id, cl := range r.claims {
-		if j := r.Jobs[cl.job]; j == nil || j.Cancelling || c.now >= cl.until || r.Machines[id] == nil {
-			delete(r.claims, id)
-		} else {
-			claims[cl.job] += cl.tasks
-		}
-	}
+	claims := r.liveClaims()
 	for _, j := range r.SortedJobs() {
 		if !j.Stored {
 			continue
@@ -79,9 +72,7 @@
 			continue
 		}
 		if c.now < m.DrainUntil {
-			for _, a := range m.Attempts {
-				s.Moving = s.Moving || a.Job.Spec.Service
-			}
+			s.Moving = s.Moving || movesReplicas(m)
 		}
 		views = append(views, r.machineView(m, t))
 		sm := &views[len(views)-1]
@@ -107,9 +98,16 @@
 // waitingTasks lists what waits of a job now; the first of them, as many as it says, were
 // interrupted.
 func (r *term) waitingTasks(j *ledger.Job) (waiting []int, resume int) {
+	waiting, resume = j.Waiting(mostWaiting)
+	return r.mayStart(j, waiting, resume)
+}
+
+// mayStart is what may be started now of the tasks that wait: nothing for a while after
+// failures, and one at a time while it is tried whether the job still fails.
+func (r *term) mayStart(j *ledger.Job, waiting []int, resume int) ([]int, int) {
 	c := r.c
-	if c.now >= j.NotBefore {
-		waiting, resume = j.Waiting(mostWaiting)
+	if j.Cancelling || j.Finishing || c.now < j.NotBefore {
+		waiting, resume = nil, 0
 	}
 	if j.Failures.Probing() && j.Gang == nil && len(waiting) > 1 {
 		waiting, resume = waiting[:1], min(resume, 1)
@@ -122,6 +120,19 @@
 	return waiting, resume
 }
 
+// liveClaims counts the tasks that machines are kept for, by job, and drops what is over.
+func (r *term) liveClaims() map[string]int {
+	claims := map[string]int{}
+	for id, cl := range r.claims {
+		if j := r.Jobs[cl.job]; j == nil || j.Cancelling || r.c.now >= cl.until || r.Machines[id] == nil {
+			delete(r.claims, id)
+		} else {
+			claims[cl.job] += cl.tasks
+		}
+	}
+	return claims
+}
+
 // jobView is a job as the scheduler sees it, with what waits of it now.
 func (r *term) jobView(j *ledger.Job, waiting []int, resume, claims int) *sched.Job {
 	c := r.c
@@ -141,7 +152,7 @@
 func (r *term) machineView(m *ledger.Machine, t *sched.Type) sched.Machine {
 	entries := r.c.cfg.ValueBytes() / ledger.EntryBytes
 	return sched.Machine{ID: m.ID, Type: t, Zone: m.Zone, Spot: m.Spot, Free: m.Size.Minus(m.Used),
-		Room: entries - len(m.Attempts), Used: len(m.Attempts) > 0, For: r.claims[m.ID].job}
+		Room: entries - len(m.Attempts), Used: len(m.Attempts) > 0, For: r.claims[m.ID].job, ImageSet: r.ImageSet(m)}
 }
 
 // showImages tells which images a machine has, and which it is fetching.
--- /dev/null
+++ b/internal/coordination/standing.go
@@ -0,0 +1,312 @@
+package coordination
+
+import (
+	"slices"
+
+	"claybarrow/internal/ledger"
+	"claybarrow/internal/sched"
+)
+
+// standing is what the scheduler sees of the fleet and of the jobs that wait, kept from one
+// fill to the next. A fill follows a transaction, many times a second: drawing all machines and
+// jobs anew for each took longer than the leader's lease in a fleet of thousands.
+//
+// What is on a machine and which tasks of a job wait are followed by the ledger's revisions.
+// Whether a machine may be used hangs on the time too, so each fill asks that of all machines:
+// that is a few comparisons for each. Nothing in here decides anything that the ledger does not
+// say when a fill begins, so a cancellation, a machine that is lost or a lower limit need no
+// care of their own.
+type standing struct {
+	term     *term
+	fleet    *sched.Fleet
+	types    int // the generation of the machine types
+	listed   []*ledger.Machine
+	machines []*standingMachine // in the order of listed
+	known    map[*ledger.Machine]*standingMachine
+	waiting  map[*ledger.Job]*standingJob
+	teams    map[string]*sched.Team
+	// Memory of the last snapshot, for the next.
+	machineViews []*sched.Machine
+	jobViews     []*sched.Job
+	// checkFrom is the machine that the next check begins with.
+	checkFrom int
+	// drifted: a difference has been logged.
+	drifted bool
+}
+
+// standingMachine is a machine as the scheduler saw it last.
+type standingMachine struct {
+	view     sched.Machine
+	machine  *ledger.Machine
+	revision uint64
+	size     sched.Need
+	place    int
+	placed   bool // it has a place
+	inFleet  bool // it was usable
+	listed   bool // while the list is gone through: it is still there
+}
+
+// standingJob is a job with tasks that wait.
+type standingJob struct {
+	view     *sched.Job
+	revision uint64
+	types    int
+	waiting  []int
+	resume   int
+	drawn    bool
+}
+
+func newStanding(r *term) *standing {
+	s := &standing{term: r, teams: map[string]*sched.Team{}, waiting: map[*ledger.Job]*standingJob{}}
+	s.rebuild()
+	for _, j := range r.Jobs {
+		s.waiting[j] = &standingJob{}
+	}
+	return s
+}
+
+// rebuild forgets what it knows of the machines.
+func (s *standing) rebuild() {
+	s.fleet, s.known = sched.NewFleet(), map[*ledger.Machine]*standingMachine{}
+	s.listed, s.machines = nil, nil
+	s.types = s.term.c.typesGeneration
+}
+
+// snapshot is what a fill decides from; nil if no job waits or no machine may be used.
+func (s *standing) snapshot() *sched.Snapshot {
+	r := s.term
+	if s.types != r.c.typesGeneration {
+		s.rebuild()
+	}
+	out := &sched.Snapshot{Teams: s.teams, UpperCap: r.c.cfg.Operator.Green.UpperCap, Fleet: s.fleet}
+	claims := r.liveClaims()
+	out.Jobs = s.jobs(claims)
+	if len(out.Jobs) == 0 {
+		return nil
+	}
+	s.followList()
+	s.followMachines(out)
+	if len(out.Machines) == 0 {
+		return nil
+	}
+	if out.Capacity.Cores == 0 {
+		out.Capacity = r.capacity()
+	}
+	for name, t := range r.Teams {
+		if s.teams[name] == nil {
+			s.teams[name] = &sched.Team{}
+		}
+		*s.teams[name] = *t
+	}
+	r.keepLimits(s.teams)
+	return out
+}
+
+// jobs lists those that wait.
+func (s *standing) jobs(claims map[string]int) []*sched.Job {
+	r := s.term
+	for _, j := range r.TakeOpened() {
+		if s.waiting[j] == nil {
+			s.waiting[j] = &standingJob{}
+		}
+	}
+	list := s.jobViews[:0]
+	for j, kept := range s.waiting {
+		if r.Jobs[j.Spec.UID] != j {
+			delete(s.waiting, j)
+			continue
+		}
+		if !j.Stored {
+			continue
+		}
+		waiting, resume := s.waitingTasks(j, kept)
+		if len(waiting) == 0 {
+			if j.HeldTotal > 0 && j.Open() == 0 {
+				delete(s.waiting, j) // until it loses a task
+			}
+			continue
+		}
+		list = append(list, s.view(j, kept, waiting, resume, claims[j.Spec.UID]))
+	}
+	s.jobViews = list
+	return list
+}
+
+// waitingTasks is the term's, from memory if nothing has changed.
+func (s *standing) waitingTasks(j *ledger.Job, kept *standingJob) ([]int, int) {
+	if j.Gang != nil || !kept.drawn || kept.revision != j.Revision() {
+		kept.drawn, kept.revision = true, j.Revision()
+		kept.waiting, kept.resume = j.WaitingInto(kept.waiting[:0], mostWaiting)
+	}
+	return s.term.mayStart(j, kept.waiting, kept.resume)
+}
+
+// view is a job as the scheduler sees it now. Amounts that change by themselves are always
+// taken from the ledger; its places by zone only change with its tasks.
+func (s *standing) view(j *ledger.Job, kept *standingJob, waiting []int, resume, claims int) *sched.Job {
+	fresh := s.term.jobView(j, waiting, resume, claims)
+	if kept.view == nil {
+		kept.view = fresh
+	} else {
+		*kept.view = *fresh
+	}
+	kept.view.InZone = j.InZone()
+	return kept.view
+}
+
+// placeGap leaves room for machines that come between others.
+const placeGap = 1 << 20
+
+// followList takes in machines that have come and drops those that are gone.
+func (s *standing) followList() {
+	list := s.term.machines()
+	if len(list) == len(s.listed) && (len(list) == 0 || &list[0] == &s.listed[0]) {
+		return
+	}
+	s.listed = list
+	for _, e := range s.machines {
+		e.listed = false
+	}
+	machines := make([]*standingMachine, 0, len(list))
+	for _, m := range list {
+		e := s.known[m]
+		if e == nil {
+			e = &standingMachine{machine: m}
+			s.known[m] = e
+		}
+		e.listed = true
+		machines = append(machines, e)
+	}
+	for _, e := range s.machines {
+		if !e.listed {
+			s.drop(e)
+			delete(s.known, e.machine)
+		}
+	}
+	s.machines = machines
+	s.givePlaces()
+}
+
+// givePlaces numbers new machines between their neighbours, or all if there is no room.
+func (s *standing) givePlaces() {
+	last := 0
+	for i, e := range s.machines {
+		if e.placed {
+			last = e.place
+			continue
+		}
+		next := last + 2*placeGap
+		if k := slices.IndexFunc(s.machines[i:], func(o *standingMachine) bool { return o.placed }); k >= 0 {
+			next = s.machines[i+k].place
+		}
+		if next-last < 2 {
+			s.renumber()
+			return
+		}
+		e.place, e.placed = last+min(placeGap, (next-last)/2), true
+		last = e.place
+	}
+}
+
+func (s *standing) renumber() {
+	for _, e := range s.machines {
+		s.drop(e)
+	}
+	for i, e := range s.machines {
+		e.place, e.placed = (i+1)*placeGap, true
+	}
+}
+
+func (s *standing) drop(e *standingMachine) {
+	if e.inFleet {
+		s.fleet.Remove(&e.view)
+		e.inFleet = false
+	}
+}
+
+// followMachines draws those anew that have changed, and lists the usable ones.
+func (s *standing) followMachines(out *sched.Snapshot) {
+	r := s.term
+	now := r.c.now
+	list := s.machineViews[:0]
+	for _, e := range s.machines {
+		m := e.machine
+		if m.Up && !m.Returning {
+			out.Capacity = out.Capacity.Plus(m.Size)
+		}
+		if now < m.DrainUntil {
+			out.Moving = out.Moving || movesReplicas(m)
+		}
+		if !r.usable(m) {
+			s.drop(e)
+			continue
+		}
+		if !e.inFleet || e.view.Changed || e.revision != m.Revision() || e.size != m.Size || e.view.For != r.claims[m.ID].job {
+			t := r.c.typeOf(m.Type)
+			if t == nil {
+				s.drop(e)
+				continue
+			}
+			s.draw(e, t)
+		}
+		list = append(list, &e.view)
+	}
+	s.machineViews, out.Machines = list, list
+}
+
+// draw has a machine be as the ledger has it.
+func (s *standing) draw(e *standingMachine, t *sched.Type) {
+	m := e.machine
+	e.view = s.term.machineView(m, t)
+	showImages(&e.view, m)
+	e.revision, e.size, e.inFleet = m.Revision(), m.Size, true
+	s.fleet.Update(&e.view, e.place)
+}
+
+// checkSlice is how many machines a check looks at.
+const checkSlice = 32
+
+// check compares some machines with the ledger, those that it takes for unchanged. A difference
+// is a fault of this program: it is logged once, and the view is built anew.
+func (s *standing) check() {
+	if len(s.machines) == 0 {
+		return
+	}
+	for i := range min(checkSlice, len(s.machines)) {
+		e := s.machines[(s.checkFrom+i)%len(s.machines)]
+		if s.agrees(e) {
+			continue
+		}
+		if !s.drifted {
+			s.drifted = true
+			s.term.c.log.Error("the scheduler's view differs from the ledger", "machine", e.machine.ID)
+		}
+		s.rebuild()
+		return
+	}
+	s.checkFrom = (s.checkFrom + checkSlice) % len(s.machines)
+}
+
+// agrees says whether a machine that nothing seems to have changed is as the ledger has it.
+func (s *standing) agrees(e *standingMachine) bool {
+	m := e.machine
+	if s.types != s.term.c.typesGeneration || !e.inFleet || e.view.Changed || e.revision != m.Revision() || e.size != m.Size ||
+		e.view.For != s.term.claims[m.ID].job {
+		return true // drawn anew at the next fill
+	}
+	fresh := s.term.machineView(m, e.view.Type)
+	showImages(&fresh, m)
+	return fresh.Free == e.view.Free && fresh.Room == e.view.Room && fresh.Used == e.view.Used && fresh.Zone == e.view.Zone &&
+		fresh.Spot == e.view.Spot && fresh.Type.Name == m.Type && fresh.ImageSet == e.view.ImageSet &&
+		len(fresh.Fetching) == len(e.view.Fetching) && s.fleet.Follows(&e.view)
+}
+
+// movesReplicas says whether replicas are on their way from the machine to others.
+func movesReplicas(m *ledger.Machine) bool {
+	for _, a := range m.Attempts {
+		if a.Job.Spec.Service {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/coordination/term.go
+++ b/internal/coordination/term.go
@@ -41,6 +41,7 @@
 	reach
 
 	// What the scheduler keeps.
+	standing   *standing
 	fillDirty  bool
 	fillAt     time.Duration
 	planAt     time.Duration
@@ -99,6 +100,7 @@
 			Guarantee: sched.Need{Cores: t.Cores, Accel: t.Accelerators},
 			Limit:     sched.Need{Cores: t.CoresMax, Accel: t.AccelMax}}
 	}
+	r.standing = newStanding(r)
 	for _, s := range c.cfg.Siblings {
 		r.peers[s.Label] = &peer{zone: s.Zone}
 	}
--- a/internal/coordination/world_test.go
+++ b/internal/coordination/world_test.go
@@ -48,6 +48,7 @@
 	told     map[string]protocol.JobState // what users were told last
 	stopped  map[string]time.Duration     // when users were told of a cancellation
 	broken   []string
+	events   int // that leaders have handled
 	checker
 	// script decides the fate of a call from a node; nil: all goes well.
 	script func(node int, c Call) fate
@@ -191,7 +192,11 @@
 		})
 		return
 	}
-	for _, e := range n.core.Handle(Clock{Steady: w.Now() - n.born, Wall: 1_700_000_000_000 + w.Now().Milliseconds()}, ev) {
+	effects := n.core.Handle(Clock{Steady: w.Now() - n.born, Wall: 1_700_000_000_000 + w.Now().Milliseconds()}, ev)
+	if r := n.core.term; r != nil && r.ready {
+		w.checkStanding(r)
+	}
+	for _, e := range effects {
 		switch e := e.(type) {
 		case Reply:
 			if f := n.wants[e.ID]; f != nil {
--- a/internal/ledger/attempt.go
+++ b/internal/ledger/attempt.go
@@ -63,6 +63,7 @@
 	if a.starting() {
 		a.Machine.starting--
 	}
+	a.Machine.revision++
 	a.State = s
 	if a.starting() {
 		a.Machine.starting++
--- a/internal/ledger/images.go
+++ b/internal/ledger/images.go
@@ -1,5 +1,11 @@
 package ledger
 
+import (
+	"maps"
+	"slices"
+	"strings"
+)
+
 // imageUse is an image that a machine is believed to have cached.
 type imageUse struct {
 	sizeGB float64
@@ -14,6 +20,9 @@
 		m.imageUses = map[string]imageUse{}
 	}
 	m.lastUse++
+	if !m.Images[name] {
+		m.imagesChanged()
+	}
 	m.imageUses[name] = imageUse{sizeGB: sizeGB, last: m.lastUse}
 	m.Images[name] = true
 	if cacheGB <= 0 {
@@ -31,6 +40,7 @@
 		total -= m.imageUses[oldest].sizeGB
 		delete(m.imageUses, oldest)
 		delete(m.Images, oldest)
+		m.imagesChanged()
 	}
 }
 
@@ -48,3 +58,39 @@
 	}
 	return oldest
 }
+
+// imagesChanged notes that the machine has other images now.
+func (m *Machine) imagesChanged() {
+	m.imageSet = 0
+	m.revision++
+}
+
+// mostImageSets bounds the numbers that are given to sets of images.
+const mostImageSets = 1 << 16
+
+// ImageSet is a number that machines share which have the same images; it is at least 1.
+func (b *Ledger) ImageSet(m *Machine) int {
+	if m.imageSet != 0 {
+		return m.imageSet
+	}
+	name := strings.Join(slices.Sorted(maps.Keys(m.Images)), "\n")
+	set, known := b.imageSets[name]
+	if !known {
+		if len(b.imageSets) >= mostImageSets {
+			b.forgetImageSets()
+		}
+		b.lastImageSet++
+		set = b.lastImageSet
+		b.imageSets[name] = set
+	}
+	m.imageSet = set
+	return set
+}
+
+// forgetImageSets begins anew, as most sets are long gone. Numbers are not used again.
+func (b *Ledger) forgetImageSets() {
+	b.imageSets = map[string]int{}
+	for _, m := range b.Machines {
+		m.imageSet = 0
+	}
+}
--- a/internal/ledger/job.go
+++ b/internal/ledger/job.go
@@ -39,6 +39,9 @@
 	resume    map[int]bool // interrupted tasks, which go on first
 	// Gang is a gang's current attempt; nil: the job is no gang.
 	Gang *Gang
+	// revision changes with the tasks that wait, see Revision.
+	revision uint64
+	isOpened bool // in the ledger's list of opened jobs
 
 	// WaitingSince is since when it has waited with no task anywhere, 0: it does not.
 	WaitingSince time.Duration
@@ -70,6 +73,7 @@
 	}
 	b.Jobs[spec.UID] = j
 	b.sortedJobs = nil
+	b.open(j)
 	return j
 }
 
@@ -99,6 +103,7 @@
 	}
 	j.done[i/64] |= 1 << (i % 64)
 	j.Done++
+	j.revision++
 	return true
 }
 
@@ -114,16 +119,33 @@
 		j.resume = map[int]bool{}
 	}
 	j.resume[index] = true
+	j.revision++
 }
 
+// Revision changes whenever a task of the job starts, ends or is interrupted. It serves those
+// who keep a view of what waits; a gang's waiting tasks hang on its state too.
+func (j *Job) Revision() uint64 { return j.revision }
+
 // Waiting lists up to limit tasks that may be started. The first of them, as
 // many as it says, were interrupted.
-func (j *Job) Waiting(limit int) (out []int, resume int) {
+func (j *Job) Waiting(limit int) (out []int, resume int) { return j.WaitingInto(nil, limit) }
+
+// Open is how many tasks are neither done nor on a machine, as far as is known.
+func (j *Job) Open() int {
+	open := j.Spec.Tasks
+	for w := range j.done {
+		open -= bits.OnesCount64(j.done[w] | j.heldBits[w])
+	}
+	return open
+}
+
+// WaitingInto is Waiting with a list to use.
+func (j *Job) WaitingInto(out []int, limit int) (_ []int, resume int) {
 	if j.Cancelling || j.Finishing {
-		return nil, 0
+		return out, 0
 	}
 	if j.Gang != nil {
-		return j.waitingOfGang(), 0
+		return append(out, j.waitingOfGang()...), 0
 	}
 	for _, i := range slices.Sorted(maps.Keys(j.resume)) {
 		if len(out) < limit && !j.IsDone(i) && j.held[i] == 0 {
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -19,13 +19,18 @@
 	// Kept until something comes or goes, see SortedMachines.
 	sorted     []*Machine
 	sortedJobs []*Job
+	// opened are the jobs that may have come to wait since somebody last asked.
+	opened []*Job
+	// imageSets are numbers of sets of images, by their names.
+	imageSets    map[string]int
+	lastImageSet int
 }
 
 // New makes an empty ledger. layoutBytes is the store's limit for one value that the layout
 // of completions is computed from, valueBytes the limit that is written within.
 func New(layoutBytes, valueBytes int) *Ledger {
 	return &Ledger{Jobs: map[string]*Job{}, Terminal: map[string]TerminalState{}, Machines: map[string]*Machine{},
-		Teams: map[string]*sched.Team{}, layout: newLayout(layoutBytes, valueBytes)}
+		Teams: map[string]*sched.Team{}, imageSets: map[string]int{}, layout: newLayout(layoutBytes, valueBytes)}
 }
 
 // Put notes that an attempt may be on the machine.
@@ -39,6 +44,8 @@
 	delete(j.resume, index)
 	j.inZone[m.Zone]++
 	j.HeldTotal++
+	j.revision++
+	m.revision++
 	if j.Gang != nil {
 		j.Gang.add(a)
 	}
@@ -62,6 +69,9 @@
 	}
 	j.inZone[m.Zone]--
 	j.HeldTotal--
+	j.revision++
+	m.revision++
+	b.open(j)
 	a.SetState("")
 	m.starting--
 	if j.Gang != nil {
@@ -71,3 +81,25 @@
 		t.Used = t.Used.Minus(j.Need)
 	}
 }
+
+// open notes that a job may have tasks that wait.
+func (b *Ledger) open(j *Job) {
+	if !j.isOpened {
+		j.isOpened = true
+		b.opened = append(b.opened, j)
+	}
+}
+
+// Opened is what TakeOpened would list.
+func (b *Ledger) Opened() []*Job { return b.opened }
+
+// TakeOpened lists the jobs that may have come to wait since it was last called: those that
+// are new, and those that have lost a task. No other change has a task wait.
+func (b *Ledger) TakeOpened() []*Job {
+	out := b.opened
+	b.opened = nil
+	for _, j := range out {
+		j.isOpened = false
+	}
+	return out
+}
--- a/internal/ledger/machine.go
+++ b/internal/ledger/machine.go
@@ -51,6 +51,10 @@
 	Images    map[string]bool
 	imageUses map[string]imageUse
 	lastUse   uint64
+	// imageSet names the images that it has, see ImageSet; 0: not known yet.
+	imageSet int
+	// revision changes with what is on the machine, see Revision.
+	revision uint64
 
 	// Exists is when it surely existed; a list surely younger without it
 	// proves that it is gone.
@@ -85,6 +89,10 @@
 	return m
 }
 
+// Revision changes whenever an attempt comes, goes or changes its state, or an image comes or
+// goes. It serves those who keep a view of the machine.
+func (m *Machine) Revision() uint64 { return m.revision }
+
 // Starting says whether any task on the machine may still need its image.
 func (m *Machine) Starting() bool { return m.starting > 0 }
 
--- a/internal/sched/fill.go
+++ b/internal/sched/fill.go
@@ -248,7 +248,11 @@
 
 // useIndex has machines be found by an index, which is made unless there is one.
 func (s *Snapshot) useIndex() {
-	if s.index == nil {
+	switch {
+	case s.index != nil:
+	case s.Fleet != nil:
+		s.index = s.Fleet.index
+	default:
 		s.index = newMachineIndex(s.Machines)
 	}
 }
--- a/internal/sched/index.go
+++ b/internal/sched/index.go
@@ -1,6 +1,8 @@
 package sched
 
 import (
+	"slices"
+
 	"github.com/tidwall/btree"
 )
 
@@ -176,17 +178,47 @@
 		x.dropClaim(s)
 		return
 	}
-	if s.group == nil {
+	g := s.group
+	if g == nil {
 		return
 	}
-	s.group.all.remove(s.entry)
+	g.all.remove(s.entry)
 	for _, image := range s.having {
-		s.group.having[image].remove(s.entry)
+		takeFromShelf(g.having, image, s.entry)
 	}
 	for _, image := range s.fetching {
-		s.group.fetchingImage[image].remove(s.entry)
+		takeFromShelf(g.fetchingImage, image, s.entry)
 	}
 	s.group = nil
+	if g.all.byCores.Len() == 0 && len(s.family.list) > mostEmptyGroups {
+		s.family.dropEmpty()
+	}
+}
+
+// Empty groups and shelves are kept for the next machine, as far as there are few: amounts of
+// accelerators and names of images come and go over the months.
+const (
+	mostEmptyGroups  = 64
+	mostEmptyShelves = 256
+)
+
+func takeFromShelf(shelves map[string]*shelf, image string, e entry) {
+	s := shelves[image]
+	s.remove(e)
+	if s.byCores.Len() == 0 && len(shelves) > mostEmptyShelves {
+		delete(shelves, image)
+	}
+}
+
+// dropEmpty forgets the groups that have no machine.
+func (f *family) dropEmpty() {
+	f.list = slices.DeleteFunc(f.list, func(g *group) bool {
+		if g.all.byCores.Len() > 0 {
+			return false
+		}
+		delete(f.groups, g.groupKey)
+		return true
+	})
 }
 
 func (x *machineIndex) dropClaim(s *slot) {
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -63,6 +63,8 @@
 	// spare are the machines with any room: with cores, and with accelerators.
 	// Most of a busy fleet is full. Nil: to be found anew.
 	spare [2][]*Machine
+	// Fleet has the machines in order, if somebody keeps it; nil: it is made anew.
+	Fleet *Fleet
 	// index finds machines without looking at all; nil: all are looked at.
 	index   *machineIndex
 	byIndex indexChoice
