--- a/internal/coordination/snapshot.go
+++ b/internal/coordination/snapshot.go
@@ -26,9 +26,17 @@
 	return n
 }
 
+// schedJob is a job as the scheduler sees it, without its tasks.
 func schedJob(j *ledger.Job) *sched.Job {
+	sj := &sched.Job{}
+	describe(sj, j)
+	return sj
+}
+
+// describe has a view be of a job as it is now, without its tasks.
+func describe(sj *sched.Job, j *ledger.Job) {
 	s := j.Spec
-	sj := &sched.Job{ID: s.UID, Class: s.Class, Team: s.Team, Image: s.Image, ImageGB: s.ImageGB, Service: s.Service,
+	*sj = sched.Job{ID: s.UID, Class: s.Class, Team: s.Team, Image: s.Image, ImageGB: s.ImageGB, Service: s.Service,
 		Priority: int(s.Priority), Submitted: j.Submitted, Need: j.Need, SaveS: s.SaveS, Spot: s.Spot, Types: j.Types,
 		Zone: s.Zone, OneZone: s.OneZone, Spread: s.Spread, Tasks: s.Tasks,
 		Held: j.HeldTotal, Upper: j.Scale.Upper && !s.Service, Slots: j.Scale.Slots,
@@ -37,7 +45,6 @@
 		// Gangs skip the upper queue, with degradation 1, and have no slots.
 		sj.Gang, sj.Upper, sj.Slots, sj.Degradation = true, false, s.Tasks, 1
 	}
-	return sj
 }
 
 // snapshot renders the ledger for the scheduler. Waiting tasks are listed only
@@ -135,8 +142,15 @@
 
 // jobView is a job as the scheduler sees it, with what waits of it now.
 func (r *term) jobView(j *ledger.Job, waiting []int, resume, claims int) *sched.Job {
+	sj := &sched.Job{}
+	r.viewJob(sj, j, waiting, resume, claims)
+	return sj
+}
+
+// viewJob has a view be of a job as it is now, but for its places by zone.
+func (r *term) viewJob(sj *sched.Job, j *ledger.Job, waiting []int, resume, claims int) {
 	c := r.c
-	sj := schedJob(j)
+	describe(sj, j)
 	sj.Waiting, sj.Resume = waiting, resume
 	sj.AimS = r.aimOf(j.Spec.Class)
 	sj.Plain = sj.IsPlain(c.types)
@@ -145,7 +159,6 @@
 	sj.Avoid = j.Failures.Avoid(c.now, c.cfg.Cancel())
 	sj.Starved = j.WaitingSince > 0 && c.now > j.WaitingSince+seconds(c.bootS())
 	sj.Claims = min(claims, len(sj.Waiting))
-	return sj
 }
 
 // machineView is a machine as the scheduler sees it, without what is on it.
--- a/internal/coordination/standing.go
+++ b/internal/coordination/standing.go
@@ -24,7 +24,9 @@
 	machines []*standingMachine // in the order of listed
 	known    map[*ledger.Machine]*standingMachine
 	waiting  map[*ledger.Job]*standingJob
-	teams    map[string]*sched.Team
+	// ordered are the same jobs, in the order in which they came to wait.
+	ordered []*ledger.Job
+	teams   map[string]*sched.Team
 	// Memory of the last snapshot, for the next.
 	machineViews []*sched.Machine
 	jobViews     []*sched.Job
@@ -48,19 +50,20 @@
 
 // standingJob is a job with tasks that wait.
 type standingJob struct {
-	view     *sched.Job
+	view     sched.Job
 	revision uint64
-	types    int
 	waiting  []int
 	resume   int
 	drawn    bool
+	// zonesRevision is the job's when its places by zone were last counted.
+	zonesRevision uint64
 }
 
 func newStanding(r *term) *standing {
 	s := &standing{term: r, teams: map[string]*sched.Team{}, waiting: map[*ledger.Job]*standingJob{}}
 	s.rebuild()
 	for _, j := range r.Jobs {
-		s.waiting[j] = &standingJob{}
+		s.await(j)
 	}
 	return s
 }
@@ -106,32 +109,40 @@
 func (s *standing) jobs(claims map[string]int) []*sched.Job {
 	r := s.term
 	for _, j := range r.TakeOpened() {
-		if s.waiting[j] == nil {
-			s.waiting[j] = &standingJob{}
-		}
+		s.await(j)
 	}
-	list := s.jobViews[:0]
-	for j, kept := range s.waiting {
+	list, ordered := s.jobViews[:0], s.ordered[:0]
+	for _, j := range s.ordered {
+		kept := s.waiting[j]
 		if r.Jobs[j.Spec.UID] != j {
 			delete(s.waiting, j)
 			continue
 		}
-		if !j.Stored {
-			continue
+		waiting, resume := []int(nil), 0
+		if j.Stored {
+			waiting, resume = s.waitingTasks(j, kept)
 		}
-		waiting, resume := s.waitingTasks(j, kept)
-		if len(waiting) == 0 {
-			if j.HeldTotal > 0 && j.Open() == 0 {
-				delete(s.waiting, j) // until it loses a task
-			}
+		if j.Stored && len(waiting) == 0 && j.HeldTotal > 0 && j.Open() == 0 {
+			delete(s.waiting, j) // until it loses a task
 			continue
 		}
-		list = append(list, s.view(j, kept, waiting, resume, claims[j.Spec.UID]))
+		ordered = append(ordered, j)
+		if len(waiting) > 0 {
+			list = append(list, s.view(j, kept, waiting, resume, claims[j.Spec.UID]))
+		}
 	}
-	s.jobViews = list
+	s.jobViews, s.ordered = list, ordered
 	return list
 }
 
+// await has a job be looked at by each fill.
+func (s *standing) await(j *ledger.Job) {
+	if s.waiting[j] == nil {
+		s.waiting[j] = &standingJob{}
+		s.ordered = append(s.ordered, j)
+	}
+}
+
 // waitingTasks is the term's, from memory if nothing has changed.
 func (s *standing) waitingTasks(j *ledger.Job, kept *standingJob) ([]int, int) {
 	if j.Gang != nil || !kept.drawn || kept.revision != j.Revision() {
@@ -142,16 +153,16 @@
 }
 
 // view is a job as the scheduler sees it now. Amounts that change by themselves are always
-// taken from the ledger; its places by zone only change with its tasks.
+// taken from the ledger; its places by zone change with its tasks, and those of a gang in a
+// fill that finds no room for all of it.
 func (s *standing) view(j *ledger.Job, kept *standingJob, waiting []int, resume, claims int) *sched.Job {
-	fresh := s.term.jobView(j, waiting, resume, claims)
-	if kept.view == nil {
-		kept.view = fresh
-	} else {
-		*kept.view = *fresh
+	inZone := kept.view.InZone
+	if inZone == nil || j.Gang != nil || kept.zonesRevision != j.Revision() {
+		inZone, kept.zonesRevision = j.InZone(), j.Revision()
 	}
-	kept.view.InZone = j.InZone()
-	return kept.view
+	s.term.viewJob(&kept.view, j, waiting, resume, claims)
+	kept.view.InZone = inZone
+	return &kept.view
 }
 
 // placeGap leaves room for machines that come between others.
--- a/internal/sched/fill.go
+++ b/internal/sched/fill.go
@@ -1,8 +1,9 @@
 package sched
 
 import (
+	"cmp"
 	"math"
-	"sort"
+	"slices"
 )
 
 // Placement is a task to start.
@@ -87,15 +88,14 @@
 // have left, and those that can't meet theirs go last: least attained service spreads a
 // full team's limit over all its jobs, and then all of them are late.
 func orderBeyondSlots(jobs []*Job) {
-	sort.SliceStable(jobs, func(a, b int) bool {
-		x, y := jobs[a], jobs[b]
+	slices.SortStableFunc(jobs, func(x, y *Job) int {
 		if x.Late != y.Late {
-			return y.Late
-		}
-		if x.LeftS != y.LeftS {
-			return x.LeftS < y.LeftS
+			if x.Late {
+				return 1
+			}
+			return -1
 		}
-		return x.Rank() < y.Rank()
+		return cmp.Or(cmp.Compare(x.LeftS, y.LeftS), cmp.Compare(x.Rank(), y.Rank()))
 	})
 }
 
--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -1,7 +1,9 @@
 package sched
 
 import (
-	"sort"
+	"cmp"
+	"slices"
+	"strings"
 )
 
 // Job is a job with the tasks that wait.
@@ -59,37 +61,49 @@
 // Rank is attained service over degradation: the least goes first.
 func (j *Job) Rank() float64 { return j.Attained / j.Degradation }
 
+// Classes of jobs in the order of ranks.
+const (
+	rankService = iota
+	rankExpected
+	rankUpper
+	rankLower
+)
+
+func (j *Job) rankClass() int {
+	switch {
+	case j.Service && !j.Phantom:
+		return rankService
+	case j.Phantom:
+		return rankExpected
+	case j.Upper:
+		return rankUpper
+	}
+	return rankLower
+}
+
 // Order sorts by rank: services first (by priority, then age), then the room
 // kept for expected ones, then the upper queue first come first served, then
-// the lower queue by Rank.
-func Order(jobs []*Job) {
-	class := func(j *Job) int {
-		switch {
-		case j.Service && !j.Phantom:
-			return 0
-		case j.Phantom:
-			return 1
-		case j.Upper:
-			return 2
-		}
-		return 3
+// the lower queue by Rank. Jobs that are in order already cost little.
+func Order(jobs []*Job) { slices.SortFunc(jobs, compareRanks) }
+
+// compareRanks is total, as names differ.
+func compareRanks(x, y *Job) int {
+	class := x.rankClass()
+	if c := cmp.Compare(class, y.rankClass()); c != 0 {
+		return c
 	}
-	sort.SliceStable(jobs, func(a, b int) bool {
-		x, y := jobs[a], jobs[b]
-		if cx, cy := class(x), class(y); cx != cy {
-			return cx < cy
-		}
-		if x.Service && x.Priority != y.Priority {
-			return x.Priority > y.Priority
-		}
-		if !x.Service && !x.Upper && x.Rank() != y.Rank() {
-			return x.Rank() < y.Rank()
-		}
-		if x.Submitted != y.Submitted {
-			return x.Submitted < y.Submitted
+	if x.Service && x.Priority != y.Priority {
+		return cmp.Compare(y.Priority, x.Priority)
+	}
+	if class == rankLower {
+		if c := cmp.Compare(x.Rank(), y.Rank()); c != 0 {
+			return c
 		}
-		return x.ID < y.ID
-	})
+	}
+	if c := cmp.Compare(x.Submitted, y.Submitted); c != 0 {
+		return c
+	}
+	return strings.Compare(x.ID, y.ID)
 }
 
 // AllowedOn says whether the job's own words allow this type, zone and kind.
