Rounds and plans decide from the standing view too

Cause: a plan drew machines and jobs anew three times in two of the leader's leases, and a round's tasks were sorted by machine each time; what a plan may rent was worked out by a look at the whole fleet for each job. Change: plans, rounds and the emptying of machines take the standing view; attempts are sorted once for each change of a machine; a round that needs no stops draws up no victims.

--- a/internal/coordination/commands.go
+++ b/internal/coordination/commands.go
@@ -51,7 +51,7 @@
 			return false
 		}
 	}
-	for _, a := range m.Attempts {
+	for _, a := range m.Sorted() {
 		if a.Halt && (a.HaltSent == 0 || a.HaltSent <= again) || !a.Halt && a.Durable && !a.Acked && !a.Loaded {
 			return false
 		}
--- a/internal/coordination/emptying.go
+++ b/internal/coordination/emptying.go
@@ -23,7 +23,7 @@
 	if c.now < r.drainAt || !r.certain() || r.manyLate() {
 		return
 	}
-	s := r.snapshot(false, false)
+	s := r.standing.whole()
 	s.Fill()
 	for _, j := range s.Jobs {
 		if len(j.Waiting) > 0 && j.Service && s.Teams[j.Team].InLimit(j.Need) {
--- a/internal/coordination/review.go
+++ b/internal/coordination/review.go
@@ -108,7 +108,7 @@
 		return false // nothing is gained
 	}
 	if s.left == nil {
-		s.left = s.term.snapshot(false, false)
+		s.left = s.term.standing.whole()
 		s.left.Fill()
 	}
 	var jobs []*sched.Job
--- a/internal/coordination/schedule.go
+++ b/internal/coordination/schedule.go
@@ -48,7 +48,7 @@
 	if !r.certain() || len(r.c.types) == 0 {
 		return
 	}
-	s := r.standing.snapshot()
+	s := r.standing.forFill()
 	if s == nil {
 		return
 	}
@@ -125,7 +125,8 @@
 	if !r.certain() {
 		return
 	}
-	s := r.snapshot(true, false)
+	s := r.standing.forRound()
+	defer r.standing.endRound()
 	// Room that a fill keeps from what waits is no room here either: a gang was once
 	// taken to fit into it, round after round, and waited for a boot.
 	s.Jobs = append(s.Jobs, r.expected()...)
@@ -181,7 +182,7 @@
 	if len(c.types) == 0 || !r.listed || !r.certain() {
 		return
 	}
-	s := r.snapshot(false, true)
+	s := r.standing.forPlan()
 	s.Jobs = append(s.Jobs, r.expected()...)
 	s.Jobs = append(s.Jobs, r.doubles()...)
 	inFlight := map[sched.Pool]int{}
@@ -191,8 +192,7 @@
 		inFlight[p] += q.Count
 		if t := c.typeOf(q.Type); t != nil {
 			for range q.Count {
-				s.Machines = append(s.Machines, &sched.Machine{Type: t, Zone: q.Zone, Spot: q.Spot, Free: t.Size,
-					Room: 1 << 20, Booting: true})
+				s.Bring(&sched.Machine{Type: t, Zone: q.Zone, Spot: q.Spot, Free: t.Size, Room: 1 << 20, Booting: true})
 			}
 		}
 	}
@@ -208,5 +208,6 @@
 	for _, m := range s.Machines {
 		needed[m.ID] = m.Used
 	}
+	r.standing.endPlan(s)
 	r.review(needed)
 }
--- a/internal/coordination/snapshot.go
+++ b/internal/coordination/snapshot.go
@@ -47,58 +47,6 @@
 	}
 }
 
-// snapshot renders the ledger for the scheduler. Waiting tasks are listed only
-// as far as they could matter now.
-func (r *term) snapshot(running, booting bool) *sched.Snapshot {
-	c := r.c
-	s := &sched.Snapshot{Teams: map[string]*sched.Team{}, UpperCap: c.cfg.Operator.Green.UpperCap, Capacity: r.capacity()}
-	for name, t := range r.Teams {
-		clone := *t
-		s.Teams[name] = &clone
-	}
-	r.keepLimits(s.Teams)
-	jobs := map[*ledger.Job]*sched.Job{}
-	claims := r.liveClaims()
-	for _, j := range r.SortedJobs() {
-		if !j.Stored {
-			continue
-		}
-		waiting, resume := r.waitingTasks(j)
-		if len(waiting) == 0 && !running {
-			continue
-		}
-		sj := r.jobView(j, waiting, resume, claims[j.Spec.UID])
-		sj.InZone = j.InZone()
-		jobs[j] = sj
-		s.Jobs = append(s.Jobs, sj)
-	}
-	views := make([]sched.Machine, 0, len(r.Machines)) // one allocation for all
-	for _, m := range r.machines() {
-		t := c.typeOf(m.Type)
-		if t == nil {
-			continue
-		}
-		if c.now < m.DrainUntil {
-			s.Moving = s.Moving || movesReplicas(m)
-		}
-		views = append(views, r.machineView(m, t))
-		sm := &views[len(views)-1]
-		switch {
-		case r.usable(m):
-			showImages(sm, m)
-			if running {
-				sm.Running = r.runningOn(m, jobs)
-			}
-		case booting && !m.Up && !m.Returning && !r.isPartitioned(m.Zone) && c.now < m.Rented+seconds(t.BootS*usualBoots):
-			sm.Booting = true
-		default:
-			continue
-		}
-		s.Machines = append(s.Machines, sm)
-	}
-	return s
-}
-
 // mostWaiting bounds how many waiting tasks of a job are looked at in one go.
 const mostWaiting = 512
 
@@ -140,13 +88,6 @@
 	return claims
 }
 
-// jobView is a job as the scheduler sees it, with what waits of it now.
-func (r *term) jobView(j *ledger.Job, waiting []int, resume, claims int) *sched.Job {
-	sj := &sched.Job{}
-	r.viewJob(sj, j, waiting, resume, claims)
-	return sj
-}
-
 // viewJob has a view be of a job as it is now, but for its places by zone.
 func (r *term) viewJob(sj *sched.Job, j *ledger.Job, waiting []int, resume, claims int) {
 	c := r.c
@@ -161,6 +102,17 @@
 	sj.Claims = min(claims, len(sj.Waiting))
 }
 
+// boots is the type of a machine that will most probably be up soon; nil: it won't.
+func (r *term) boots(m *ledger.Machine) *sched.Type {
+	if m.Up || m.Returning || r.isPartitioned(m.Zone) {
+		return nil
+	}
+	if t := r.c.typeOf(m.Type); t != nil && r.c.now < m.Rented+seconds(t.BootS*usualBoots) {
+		return t
+	}
+	return nil
+}
+
 // machineView is a machine as the scheduler sees it, without what is on it.
 func (r *term) machineView(m *ledger.Machine, t *sched.Type) sched.Machine {
 	entries := r.c.cfg.ValueBytes() / ledger.EntryBytes
@@ -174,7 +126,7 @@
 	if !m.Starting() {
 		return
 	}
-	for _, a := range m.Attempts {
+	for _, a := range m.Sorted() {
 		image := a.Job.Spec.Image
 		if a.State != "" && a.State != protocol.Pulling || m.Images[image] {
 			continue
@@ -188,8 +140,12 @@
 
 // runningOn lists a machine's tasks that may be stopped for others.
 func (r *term) runningOn(m *ledger.Machine, jobs map[*ledger.Job]*sched.Job) []sched.Held {
-	var out []sched.Held
-	for _, a := range m.Sorted() {
+	attempts := m.Sorted()
+	if len(attempts) == 0 {
+		return nil
+	}
+	out := make([]sched.Held, 0, len(attempts))
+	for _, a := range attempts {
 		if sj := jobs[a.Job]; sj != nil && !a.Halt {
 			out = append(out, sched.Held{Job: sj, Index: a.Index, SinceS: (r.c.now - a.Since).Seconds()})
 		}
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -36,7 +36,7 @@
 // Put notes that an attempt may be on the machine.
 func (b *Ledger) Put(m *Machine, j *Job, index int, try uint64, now time.Duration) *Attempt {
 	a := &Attempt{Job: j, Index: index, Try: try, Machine: m, Since: now}
-	m.Attempts[a.Key()] = a
+	m.Attempts[a.Key()], m.sorted = a, nil
 	m.Used = m.Used.Plus(j.Need)
 	j.held[index]++
 	j.heldBits[index/64] |= 1 << (index % 64)
@@ -62,6 +62,7 @@
 		return
 	}
 	delete(m.Attempts, a.Key())
+	m.sorted = nil
 	m.Used = m.Used.Minus(j.Need)
 	if j.held[a.Index]--; j.held[a.Index] <= 0 {
 		delete(j.held, a.Index)
--- a/internal/ledger/machine.go
+++ b/internal/ledger/machine.go
@@ -1,6 +1,7 @@
 package ledger
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"strings"
@@ -15,6 +16,7 @@
 	Spot                 bool
 	Size                 sched.Need
 	Attempts             map[Key]*Attempt
+	sorted               []*Attempt // kept by Sorted
 	Exited               map[Key]*ExitedTask
 	Used                 sched.Need
 	// starting counts the attempts that may still need their image.
@@ -113,14 +115,15 @@
 	return b.sorted
 }
 
-// Sorted lists the machine's attempts in a fixed order, so runs replay.
+// Sorted lists the machine's attempts in a fixed order, so runs replay. The list is kept until
+// an attempt comes or goes, and is never changed: who goes through it may drop attempts
+// meanwhile.
 func (m *Machine) Sorted() []*Attempt {
-	out := slices.Collect(maps.Values(m.Attempts))
-	slices.SortFunc(out, func(x, y *Attempt) int {
-		if x.Try < y.Try {
-			return -1
-		}
-		return 1
-	})
-	return out
+	if m.sorted == nil && len(m.Attempts) > 0 {
+		m.sorted = slices.Collect(maps.Values(m.Attempts))
+		slices.SortFunc(m.sorted, func(x, y *Attempt) int {
+			return cmp.Or(cmp.Compare(x.Try, y.Try), cmp.Compare(x.Index, y.Index)) // a gang's have one number
+		})
+	}
+	return m.sorted
 }
--- a/internal/sched/fill.go
+++ b/internal/sched/fill.go
@@ -187,7 +187,7 @@
 		}
 		rest.take(j, m)
 	}
-	s.Machines, s.spare, s.index = rest.Machines, [2][]*Machine{}, nil
+	s.Machines, s.spare, s.index, s.Fleet = rest.Machines, [2][]*Machine{}, nil, nil
 	return true
 }
 
--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -25,6 +25,7 @@
 	s.useIndex()
 	Order(s.Jobs)
 	s.sparingCores = true
+	s.countZones()
 	want := map[Pool]int{}
 	var order []Pool
 	created := 0
@@ -61,7 +62,7 @@
 					break
 				}
 				m = &Machine{Type: typ, Zone: p.Zone, Spot: p.Spot, Free: typ.Size, Room: 1 << 20, Booting: true}
-				s.add(m)
+				s.Bring(m)
 				choice.add(m, len(s.Machines))
 				if want[p] == 0 {
 					order = append(order, p)
@@ -80,14 +81,26 @@
 	return out
 }
 
-// add brings in a machine that was not there before.
-func (s *Snapshot) add(m *Machine) {
-	m.place = len(s.Machines)
+// Bring adds a machine that was not there before.
+func (s *Snapshot) Bring(m *Machine) {
+	s.useIndex()
+	m.place = math.MaxInt/2 + len(s.Machines) // after all that were there
 	s.Machines = append(s.Machines, m)
+	if s.inZone != nil {
+		s.inZone[m.Zone]++
+	}
 	s.spare = [2][]*Machine{}
 	s.changed(m)
 }
 
+// countZones counts the machines by zone.
+func (s *Snapshot) countZones() {
+	s.inZone = map[string]int{}
+	for _, m := range s.Machines {
+		s.inZone[m.Zone]++
+	}
+}
+
 // mayUse says whether a task of the job fits the type and is allowed on it.
 func (j *Job) mayUse(t *Type) bool {
 	return j.Need.Fits(t.Size) && (j.Types == nil || j.Types[t.Name])
@@ -100,6 +113,8 @@
 		slices.ContainsFunc(types, func(t *Type) bool { return t.Size.Accel == 0 && j.mayUse(t) })
 }
 
+// cheapestPool is where a machine for a task of the job costs least; later are the job and
+// those that rank after it, which may use the rest of the machine.
 func (s *Snapshot) cheapestPool(j *Job, later []*Job, types []*Type, blocked func(Pool) bool) (Pool, *Type) {
 	var pick Pool
 	var typ *Type
@@ -109,34 +124,26 @@
 			continue
 		}
 		fit := perMachine(j.Need, t.Size)
-		alike := 0
-		for _, o := range later {
-			if (o.Need.Accel > 0) == (j.Need.Accel > 0) && (o.Types == nil || o.Types[t.Name]) && o.Need.Fits(t.Size) {
-				alike += len(o.Waiting)
-			}
-		}
+		alike := -1 // to be counted if any pool of the type is open
 		for _, zone := range t.Zones {
 			if !j.ZoneOpen(zone) {
 				continue
 			}
-			inZone := 0
-			for _, m := range s.Machines {
-				if m.Zone == zone {
-					inZone++
-				}
-			}
 			for _, spot := range []bool{false, true} {
 				p := Pool{t.Name, zone, spot}
 				if !j.AllowedOn(t.Name, zone, spot) || blocked(p) {
 					continue
 				}
+				if alike < 0 {
+					alike = tasksAlike(j, later, t)
+				}
 				price := t.Price
 				if spot {
 					price = t.SpotPrice
 				}
 				cost := price / math.Min(fit, math.Max(1, float64(alike)))
 				// Equal prices go to the zone with fewer machines.
-				cost *= 1 + 0.001*float64(inZone)
+				cost *= 1 + 0.001*float64(s.inZone[zone])
 				if cost < best {
 					pick, typ, best = p, t, cost
 				}
@@ -145,3 +152,14 @@
 	}
 	return pick, typ
 }
+
+// tasksAlike counts the waiting tasks that could share a machine of the type with the job's.
+func tasksAlike(j *Job, later []*Job, t *Type) int {
+	alike := 0
+	for _, o := range later {
+		if (o.Need.Accel > 0) == (j.Need.Accel > 0) && (o.Types == nil || o.Types[t.Name]) && o.Need.Fits(t.Size) {
+			alike += len(o.Waiting)
+		}
+	}
+	return alike
+}
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -68,6 +68,7 @@
 	// index finds machines without looking at all; nil: all are looked at.
 	index   *machineIndex
 	byIndex indexChoice
+	inZone  map[string]int // machines by zone, for a plan
 	// victims are what a round may stop.
 	victims *victims
 	// kept is how much room for expected tasks there is, once Emptied asked.
--- a/internal/sched/stops.go
+++ b/internal/sched/stops.go
@@ -1,7 +1,8 @@
 package sched
 
 import (
-	"sort"
+	"cmp"
+	"slices"
 )
 
 // Stop is a task to stop, to make room for another job.
@@ -32,8 +33,11 @@
 	for i, j := range s.Jobs {
 		j.order = i
 	}
-	s.victims = newVictims(s)
 	var out Preemption
+	if !slices.ContainsFunc(s.Jobs, (*Job).wantsStops) {
+		return out
+	}
+	s.victims = newVictims(s)
 	none := hopeless{}
 	s.gangLooked = 0
 	for _, j := range s.Jobs {
@@ -50,6 +54,11 @@
 	return out
 }
 
+// wantsStops says whether any of its waiting tasks is worth a stop.
+func (j *Job) wantsStops() bool {
+	return len(j.Waiting) > 0 && !j.Phantom && j.Claims == 0 && (j.Service || j.Gang || j.Held < j.Slots)
+}
+
 // stopsForTasks makes room for the waiting tasks of a job that it has slots for, one
 // after the other.
 func (s *Snapshot) stopsForTasks(j *Job, out *Preemption, most int) {
@@ -154,14 +163,21 @@
 // sortVictims puts first what costs least to stop: replicas last, gangs before them as
 // they stop whole, and the youngest of each.
 func sortVictims(list []Held) {
-	sort.SliceStable(list, func(a, b int) bool {
-		x, y := list[a], list[b]
-		switch {
-		case x.Job.Service != y.Job.Service:
-			return !x.Job.Service
-		case x.Job.Gang != y.Job.Gang:
-			return !x.Job.Gang
-		}
-		return x.SinceS < y.SinceS
+	if len(list) < 2 {
+		return
+	}
+	slices.SortStableFunc(list, func(x, y Held) int {
+		return cmp.Or(compareBool(x.Job.Service, y.Job.Service), compareBool(x.Job.Gang, y.Job.Gang), cmp.Compare(x.SinceS, y.SinceS))
 	})
 }
+
+// compareBool puts false first.
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	}
+	return 1
+}
--- a/internal/sched/victims.go
+++ b/internal/sched/victims.go
@@ -14,7 +14,7 @@
 // the youngest first. They are drawn up once in a round and follow its stops.
 type victims struct {
 	snapshot *Snapshot
-	// byMachine has a machine's tasks as sortVictims puts them.
+	// byMachine has a machine's tasks as sortVictims puts them, once they were asked for.
 	byMachine map[*Machine][]Held
 	// byTeam is made when a team's own tasks are first asked for.
 	byTeam map[teamPriority][]teamTask
@@ -54,16 +54,10 @@
 }
 
 func newVictims(s *Snapshot) *victims {
-	v := &victims{snapshot: s, byMachine: make(map[*Machine][]Held, len(s.Machines)), gone: map[heldTask]bool{}, lowest: math.MaxInt,
+	v := &victims{snapshot: s, byMachine: map[*Machine][]Held{}, gone: map[heldTask]bool{}, lowest: math.MaxInt,
 		lent: map[string]bool{}, hopeless: map[stopShape][]Need{}}
 	for _, m := range s.Machines {
-		if len(m.Running) == 0 {
-			continue
-		}
-		list := slices.Clone(m.Running)
-		sortVictims(list)
-		v.byMachine[m] = list
-		for _, h := range list {
+		for _, h := range m.Running {
 			v.lowest = min(v.lowest, h.Job.Priority)
 		}
 	}
@@ -78,7 +72,7 @@
 // stopped follows a stop. Costs have to be worked out anew if other tasks may be stopped or
 // what they cost has changed; room elsewhere than where the job goes may help others.
 func (v *victims) stopped(m *Machine, h Held, j *Job, costsChanged bool) {
-	v.byMachine[m] = remove(v.byMachine[m], h)
+	delete(v.byMachine, m)
 	v.gone[heldTask{m, h.Job, h.Index}] = true
 	v.gangs = nil
 	if team := v.snapshot.Teams[h.Job.Team]; team != nil && !team.Beyond() {
@@ -109,6 +103,17 @@
 	}
 }
 
+// on lists a machine's tasks, what costs least to stop first.
+func (v *victims) on(m *Machine) []Held {
+	list, known := v.byMachine[m]
+	if !known {
+		list = slices.Clone(m.Running)
+		sortVictims(list)
+		v.byMachine[m] = list
+	}
+	return list
+}
+
 // possible says whether there may be any task to stop for a job.
 func (v *victims) possible(j *Job, guaranteed bool) bool {
 	if v.lowest < j.Priority {
@@ -306,7 +311,7 @@
 func (s *Snapshot) stopCandidatesFor(j *Job, guaranteed bool) *stopCandidates {
 	c := &stopCandidates{version: s.victims.version, guaranteed: guaranteed}
 	for _, m := range s.Machines {
-		if m.Booting || m.For != "" || len(s.victims.byMachine[m]) == 0 || !j.Need.Fits(m.Type.Size) || !j.MayRunOn(m) {
+		if m.Booting || m.For != "" || len(m.Running) == 0 || !j.Need.Fits(m.Type.Size) || !j.MayRunOn(m) {
 			continue
 		}
 		if _, cost, possible := s.stopsOn(j, m, guaranteed, false); possible {
@@ -323,7 +328,7 @@
 // is wanted, and its cost.
 func (s *Snapshot) stopsOn(j *Job, m *Machine, guaranteed, wantSet bool) (set []Held, cost float64, possible bool) {
 	free, stops := m.Free, 0
-	for _, h := range s.victims.byMachine[m] {
+	for _, h := range s.victims.on(m) {
 		if j.Need.Fits(free) {
 			break
 		}
