--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -203,7 +203,17 @@
 	return c, nil
 }
 
+// check names the first setting that is wrong.
 func (c *Config) check() error {
+	for _, part := range []func() error{c.checkAddresses, c.checkSiblings, c.checkTeams, c.Cluster.State.Next.check, c.checkNumbers} {
+		if err := part(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (c *Config) checkAddresses() error {
 	for _, a := range []struct{ field, value string }{
 		{"client_listen", c.ClientListen}, {"peer_listen", c.PeerListen},
 		{"services.cloud", c.Services.Cloud}, {"services.state", c.Services.State},
@@ -212,6 +222,10 @@
 			return fmt.Errorf("settings: %s: %w", a.field, err)
 		}
 	}
+	return nil
+}
+
+func (c *Config) checkSiblings() error {
 	if c.Label == "" {
 		return fmt.Errorf("settings: label: missing")
 	}
@@ -225,6 +239,10 @@
 			return fmt.Errorf("settings: siblings[%d].peer_addr: %w", i, err)
 		}
 	}
+	return nil
+}
+
+func (c *Config) checkTeams() error {
 	names := map[string]bool{}
 	for i, t := range c.Cluster.Teams {
 		if t.Name == "" || names[t.Name] {
@@ -237,10 +255,12 @@
 			}
 		}
 	}
+	return nil
+}
+
+// checkNumbers compares amounts with what makes sense.
+func (c *Config) checkNumbers() error {
 	w, s, cl, r := c.Cluster.Workers, c.Cluster.State, c.Cluster.Cloud, c.Cluster.Resources
-	if err := s.Next.check(); err != nil {
-		return err
-	}
 	both := s.Both()
 	g, f := c.Operator.Green, c.Operator.Fleet
 	for _, n := range []struct {
--- a/internal/coordination/emptying.go
+++ b/internal/coordination/emptying.go
@@ -25,74 +25,104 @@
 	}
 	s := r.standing.whole()
 	s.Fill()
-	for _, j := range s.Jobs {
-		if len(j.Waiting) > 0 && j.Service && s.Teams[j.Team].InLimit(j.Need) {
-			return // somebody waits for room
-		}
-	}
-	// Types and kinds that more than a few are coming of are wanted.
-	type kind struct {
-		typ  string
-		spot bool
-	}
-	coming, up := map[kind]int{}, map[kind]int{}
-	for _, q := range r.renting {
-		coming[kind{q.req.Type, q.req.Spot}] += q.req.Count
-	}
-	for _, m := range r.Machines {
-		switch {
-		case m.Returning || r.isPartitioned(m.Zone):
-		case m.Up:
-			up[kind{m.Type, m.Spot}]++
-		default:
-			coming[kind{m.Type, m.Spot}]++
-		}
-	}
-	type candidate struct {
-		id    string
-		gain  float64
-		tasks []*sched.Job
-	}
-	var list []candidate
-	for _, sm := range s.Machines {
-		m := r.Machines[sm.ID]
-		price := sm.Type.Price
-		if sm.Spot {
-			price = sm.Type.SpotPrice
-		}
-		free := sched.Share(m.Size.Minus(m.Used), m.Size)
-		if len(m.Attempts) == 0 || free < 0.25 || !s.Costly(sm) || coming[kind{m.Type, m.Spot}]*20 > up[kind{m.Type, m.Spot}] || sm.For != "" || sm.Free != m.Size.Minus(m.Used) {
-			continue
-		}
-		if jobs := r.movable(m, free); jobs != nil {
-			list = append(list, candidate{m.ID, price * free, jobs})
-		}
+	if replicaWaits(s) {
+		return
 	}
-	slices.SortStableFunc(list, func(a, b candidate) int { return cmp.Compare(b.gain, a.gain) })
 	most := 1 + len(s.Machines)/10
+	candidates := r.emptyingCandidates(s)
 	s.Looked = 0
-	for _, cand := range list[:min(len(list), 2*most)] {
+	for _, candidate := range candidates[:min(len(candidates), 2*most)] {
 		if s.Looked > emptyingWork {
 			break // what is left comes with the next time
 		}
-		rest := s.Emptied(cand.id, cand.tasks, r.expected)
+		rest := s.Emptied(candidate.id, candidate.tasks, r.expected)
 		if rest == nil {
 			continue
 		}
 		s = rest
-		pick := r.Machines[cand.id]
-		c.log.Info("emptying", "machine", pick.ID, "type", pick.Type, "tasks", len(cand.tasks))
-		r.drainAt = c.now + 3*c.cfg.Lease()
-		pick.DrainUntil = c.now + c.cfg.Lease()
-		for _, a := range pick.Sorted() {
-			r.halt(a, a.Job.Spec.SaveS, "moved")
-		}
+		r.empty(r.Machines[candidate.id], len(candidate.tasks))
 		if most--; most == 0 {
 			break
 		}
 	}
 }
 
+// replicaWaits says whether a replica waits for room that its team may use.
+func replicaWaits(s *sched.Snapshot) bool {
+	return slices.ContainsFunc(s.Jobs, func(j *sched.Job) bool {
+		return len(j.Waiting) > 0 && j.Service && s.Teams[j.Team].InLimit(j.Need)
+	})
+}
+
+// emptyingCandidate is a machine that might be emptied, with its tasks.
+type emptyingCandidate struct {
+	id    string
+	gain  float64
+	tasks []*sched.Job
+}
+
+// emptyingCandidates lists the dear machines with much free room, those where that costs most
+// first.
+func (r *term) emptyingCandidates(s *sched.Snapshot) []emptyingCandidate {
+	wanted := r.kindsWanted()
+	var list []emptyingCandidate
+	for _, sm := range s.Machines {
+		m := r.Machines[sm.ID]
+		free := sched.Share(m.Size.Minus(m.Used), m.Size)
+		if len(m.Attempts) == 0 || free < 0.25 || !s.Costly(sm) || wanted[machineKind{m.Type, m.Spot}] || sm.For != "" || sm.Free != m.Size.Minus(m.Used) {
+			continue
+		}
+		price := sm.Type.Price
+		if sm.Spot {
+			price = sm.Type.SpotPrice
+		}
+		if jobs := r.movable(m, free); jobs != nil {
+			list = append(list, emptyingCandidate{m.ID, price * free, jobs})
+		}
+	}
+	slices.SortStableFunc(list, func(a, b emptyingCandidate) int { return cmp.Compare(b.gain, a.gain) })
+	return list
+}
+
+// machineKind is a type, ordinary or spot.
+type machineKind struct {
+	typ  string
+	spot bool
+}
+
+// kindsWanted are those that more than a few are coming of.
+func (r *term) kindsWanted() map[machineKind]bool {
+	coming, up := map[machineKind]int{}, map[machineKind]int{}
+	for _, q := range r.renting {
+		coming[machineKind{q.req.Type, q.req.Spot}] += q.req.Count
+	}
+	for _, m := range r.Machines {
+		switch {
+		case m.Returning || r.isPartitioned(m.Zone):
+		case m.Up:
+			up[machineKind{m.Type, m.Spot}]++
+		default:
+			coming[machineKind{m.Type, m.Spot}]++
+		}
+	}
+	wanted := map[machineKind]bool{}
+	for kind, n := range coming {
+		wanted[kind] = n*20 > up[kind]
+	}
+	return wanted
+}
+
+// empty has all tasks of a machine move.
+func (r *term) empty(m *ledger.Machine, tasks int) {
+	c := r.c
+	c.log.Info("emptying", "machine", m.ID, "type", m.Type, "tasks", tasks)
+	r.drainAt = c.now + 3*c.cfg.Lease()
+	m.DrainUntil = c.now + c.cfg.Lease()
+	for _, a := range m.Sorted() {
+		r.halt(a, a.Job.Spec.SaveS, "moved")
+	}
+}
+
 // manyLate says whether more than one machine in fifty with tasks does not answer:
 // the room that others have to spare is about to be needed. Thirty machines were
 // once emptied while 54 hung, ten seconds before their leases were over.
--- a/internal/coordination/slopes_test.go
+++ b/internal/coordination/slopes_test.go
@@ -276,6 +276,31 @@
 	})
 }
 
+// BenchmarkSlopeEmptying looks for machines to empty, where replicas run and a third of the
+// machines has room.
+func BenchmarkSlopeEmptying(b *testing.B) {
+	eachSlopeSize(b, func(b *testing.B, workers int) {
+		f := newSlopeFleet(b, workers)
+		for _, j := range f.waiting {
+			f.term.RemoveJob(j.Spec.UID)
+		}
+		for _, j := range f.term.Jobs {
+			j.Spec.Service = true
+		}
+		b.ResetTimer()
+		for b.Loop() {
+			f.term.drainAt = 0
+			f.term.consolidate()
+			b.StopTimer()
+			for _, a := range f.tasks {
+				a.Halt, a.Machine.DrainUntil = false, 0
+			}
+			f.core.out = f.core.out[:0]
+			b.StartTimer()
+		}
+	})
+}
+
 // BenchmarkSlopeSweep is what a fill does for machines that have not changed.
 func BenchmarkSlopeSweep(b *testing.B) {
 	eachSlopeSize(b, func(b *testing.B, workers int) {
--- a/internal/sched/emptying.go
+++ b/internal/sched/emptying.go
@@ -8,11 +8,13 @@
 // average. Where all types cost the same all are dear: sums of like prices round
 // up or down, which once kept a fleet of one type from being emptied at all.
 func (s *Snapshot) Costly(m *Machine) bool {
-	total := 0.0
-	for _, o := range s.Machines {
-		total += o.Type.Price
+	if s.pricedMachines != len(s.Machines) {
+		s.price, s.pricedMachines = 0, len(s.Machines)
+		for _, o := range s.Machines {
+			s.price += o.Type.Price
+		}
 	}
-	return m.Type.Price*float64(len(s.Machines)) >= 0.999*total
+	return m.Type.Price*float64(len(s.Machines)) >= 0.999*s.price
 }
 
 // Emptied is the snapshot after a machine's tasks have been moved at next to no
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -71,6 +71,9 @@
 	index   *machineIndex
 	byIndex indexChoice
 	inZone  map[string]int // machines by zone, for a plan
+	// price is the sum over so many machines.
+	price          float64
+	pricedMachines int
 	// victims are what a round may stop.
 	victims *victims
 	// kept is how much room for expected tasks there is, once Emptied asked.
