A new leader of thousands of workers keeps its lease: the state service's answers go first

Change: answers of the state service have a queue of their own, looked at before all others; direct calls at once are bounded by the core too (1,024 for each; today's deployments are as before).

--- a/internal/coordination/commands.go
+++ b/internal/coordination/commands.go
@@ -165,13 +165,24 @@
 	return unheard || m.CallFails > 0 || overdue || r.probes(m)
 }
 
+// callsPerCore bounds the direct calls that are under way at once by what the processor can
+// take in a moment: each costs a tenth of a millisecond, and the lease's renewal waits in turn
+// with them.
+const callsPerCore = 1024
+
+// mostCalls is how many direct calls may be under way at once.
+func (c *Core) mostCalls() int {
+	r := c.cfg.Cluster.Resources
+	return min(r.FDs/8, int(callsPerCore*max(1, r.Cores)))
+}
+
 // mayCall says whether a call to the machine may leave now. Calls wait for one another
 // before anything is noted as sent: a take-over of hundreds of machines, or a
 // partitioned zone whose calls all hang, must not take the sockets, and what answers
 // must not wait for what hangs.
 func (r *term) mayCall(m *ledger.Machine) bool {
-	sockets := r.c.cfg.Cluster.Resources.FDs
-	return r.calling < sockets/8 && !(r.mayHang(m) && r.hanging >= sockets/12)
+	most := r.c.mostCalls()
+	return r.calling < most && !(r.mayHang(m) && r.hanging >= most*2/3)
 }
 
 // dispatch sends what there is to send directly, one request at a time.
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -31,10 +31,14 @@
 
 // Node runs the core's goroutine and the transport actors round it.
 type Node struct {
-	cfg     *config.Config
-	core    Core
-	log     *slog.Logger
-	inbox   chan coordination.Event
+	cfg   *config.Config
+	core  Core
+	log   *slog.Logger
+	inbox chan coordination.Event
+	// state takes the state service's answers, which go before all others: after a change of
+	// leader thousands of workers answer at once, and the lease's renewal once waited behind
+	// them until the new leader had lost it.
+	state   chan coordination.Event
 	asks    chan ask // users, other controllers, the load balancer
 	reports chan ask // workers
 	users   *connLimiter
@@ -65,6 +69,7 @@
 	}
 	return &Node{cfg: cfg, core: core, log: log,
 		inbox: make(chan coordination.Event, fds),
+		state: make(chan coordination.Event, stateAnswers),
 		// What waits here is answered within a second or so even by a slow
 		// share of a core; more than that is refused at once.
 		asks: make(chan ask, max(16, fds/4)),
@@ -127,27 +132,9 @@
 		return a.req
 	}
 	for {
-		// Time, answers and workers go first: a flood of users must cost
-		// neither the leadership nor the workers' leases.
-		var ev coordination.Event
-		select {
-		case ev = <-n.inbox:
-		case a := <-n.reports:
-			ev = ask(a)
-		case <-ticker.C:
-			ev = coordination.Tick{}
-		default:
-			select {
-			case <-ctx.Done():
-				return
-			case ev = <-n.inbox:
-			case a := <-n.reports:
-				ev = ask(a)
-			case <-ticker.C:
-				ev = coordination.Tick{}
-			case a := <-n.asks:
-				ev = ask(a)
-			}
+		ev := n.next(ctx, ticker.C, ask)
+		if ev == nil {
+			return
 		}
 		if _, tick := ev.(coordination.Tick); tick {
 			n.away.look(n.now().Steady, n.cfg.Lease(), n.log)
@@ -166,6 +153,40 @@
 	}
 }
 
+// next is the next event; nil: the context has ended. Time and the state service go first,
+// then answers and workers: a flood of users must cost neither the leadership nor the workers'
+// leases, and a flood of workers not the leadership.
+func (n *Node) next(ctx context.Context, ticks <-chan time.Time, asked func(ask) coordination.Event) coordination.Event {
+	select {
+	case ev := <-n.state:
+		return ev
+	case <-ticks:
+		return coordination.Tick{}
+	default:
+	}
+	select {
+	case ev := <-n.inbox:
+		return ev
+	case a := <-n.reports:
+		return asked(a)
+	default:
+	}
+	select {
+	case <-ctx.Done():
+		return nil
+	case ev := <-n.state:
+		return ev
+	case ev := <-n.inbox:
+		return ev
+	case a := <-n.reports:
+		return asked(a)
+	case <-ticks:
+		return coordination.Tick{}
+	case a := <-n.asks:
+		return asked(a)
+	}
+}
+
 func (n *Node) now() coordination.Clock {
 	t := time.Now()
 	return coordination.Clock{Steady: t.Sub(n.start), Wall: t.UnixMilli()}
@@ -178,8 +199,12 @@
 	if err != nil {
 		n.log.Debug("no response", "addr", c.Addr, "path", c.Path, "err", err)
 	}
+	answers := n.inbox
+	if c.Target == coordination.ToState {
+		answers = n.state
+	}
 	select {
-	case n.inbox <- coordination.Result{ID: c.ID, Status: status, Body: body, NoConn: !connected}:
+	case answers <- coordination.Result{ID: c.ID, Status: status, Body: body, NoConn: !connected}:
 	case <-ctx.Done():
 	}
 }
@@ -252,6 +277,10 @@
 	workersGo = 85
 )
 
+// stateAnswers bounds the answers of the state service that wait for the core: it has a few
+// requests under way at a time.
+const stateAnswers = 64
+
 // dialWithin bounds the making of a connection however long the workers' lease.
 const dialWithin = 2 * time.Second
 
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -185,3 +185,50 @@
 		t.Errorf("%d counted as open after one more has gone", d.open)
 	}
 }
+
+// The state service's answers and the time go before what thousands of workers answer, and all
+// of these before users: a new leader of 5,500 workers once lost its lease while the answer to its
+// renewal waited behind theirs, and the next one after it (scale run, four leaders in four seconds).
+func TestStateServiceGoesFirst(t *testing.T) {
+	n := &Node{inbox: make(chan coordination.Event, 8), state: make(chan coordination.Event, 8), asks: make(chan ask, 8), reports: make(chan ask, 8)}
+	ticks := make(chan time.Time, 1)
+	asked := func(a ask) coordination.Event { return a.req }
+	for id := range uint64(4) {
+		n.inbox <- coordination.Result{ID: 100 + id}
+		n.reports <- ask{req: coordination.Request{ID: 200 + id}}
+		n.asks <- ask{req: coordination.Request{ID: 300 + id}}
+	}
+	n.state <- coordination.Result{ID: 1}
+	n.state <- coordination.Result{ID: 2}
+	ticks <- time.Time{}
+	answers, time := 0, 0
+	for range 3 {
+		switch ev := n.next(context.Background(), ticks, asked).(type) {
+		case coordination.Result:
+			if ev.ID < 100 {
+				answers++
+			}
+		case coordination.Tick:
+			time++
+		}
+	}
+	if answers != 2 || time != 1 {
+		t.Errorf("first came %d answers of the state service and %d ticks", answers, time)
+	}
+	for range 8 {
+		if q, is := n.next(context.Background(), ticks, asked).(coordination.Request); is && q.ID >= 300 {
+			t.Error("a user went before workers")
+		}
+	}
+	if q, is := n.next(context.Background(), ticks, asked).(coordination.Request); !is || q.ID < 300 {
+		t.Error("users' turn does not come")
+	}
+	ctx, end := context.WithCancel(context.Background())
+	end()
+	for range 3 {
+		n.next(context.Background(), ticks, asked)
+	}
+	if ev := n.next(ctx, ticks, asked); ev != nil {
+		t.Errorf("%v after the end", ev)
+	}
+}
