A new leader asks its machines at a rate that leaves the processor to its lease

Change: direct calls are paced, 4,000 a second for each core with bursts of 128; less than a core counts as one, so today's deployments are bounded by their sockets as before.

--- a/internal/coordination/calls_test.go
+++ b/internal/coordination/calls_test.go
@@ -1,6 +1,10 @@
 package coordination
 
-import "testing"
+import (
+	"fmt"
+	"testing"
+	"time"
+)
 
 // Direct calls are bounded by what a core can take in a moment, however many sockets there are;
 // with the sockets of today's deployments the bounds are as they were.
@@ -17,3 +21,42 @@
 		}
 	}
 }
+
+// A new leader asks all machines whether they are there. It does so at a rate that leaves the
+// processor to its lease, and goes on as time passes.
+func TestManyCallsAreSpreadOverTime(t *testing.T) {
+	w := newWorld(t, 58)
+	c := w.nodes[w.awaitLeader()].core
+	c.cfg.Cluster.Resources.FDs = 1 << 16
+	r := c.term
+	c.out = nil
+	for i := range 3000 {
+		m := r.AddMachine(fmt.Sprintf("i-9%05d", i))
+		m.Type, m.Zone, m.Addr, m.Listed, m.Up = "m8", "a", fmt.Sprintf("10.2.0.%d:1", i), true, true
+		m.Exists, m.Rented = c.now, c.now
+	}
+	ask := func() int {
+		c.out = nil
+		for _, m := range r.machines() {
+			r.dispatch(m)
+		}
+		for _, m := range r.machines() {
+			if m.Calling { // as if it had answered
+				m.Calling, m.Fresh, m.Probed = false, true, true
+				r.calling, r.hanging = 0, 0
+			}
+		}
+		return len(c.out)
+	}
+	if n := ask(); n == 0 || n > callsPerCoreBurst {
+		t.Errorf("%d calls at once", n)
+	}
+	asked := 0
+	for range 20 {
+		c.now += 100 * time.Millisecond
+		asked += ask()
+	}
+	if asked < 2000 {
+		t.Errorf("%d calls in two seconds", asked)
+	}
+}
--- a/internal/coordination/commands.go
+++ b/internal/coordination/commands.go
@@ -165,24 +165,31 @@
 	return unheard || m.CallFails > 0 || overdue || r.probes(m)
 }
 
-// callsPerCore bounds the direct calls that are under way at once by what the processor can
-// take in a moment: each costs a tenth of a millisecond, and the lease's renewal waits in turn
-// with them.
-const callsPerCore = 1024
+// Direct calls are bounded by what the processor can take beside the sockets: each costs a
+// tenth of a millisecond of a core, and the lease's renewal waits in turn with them. A new leader of
+// 5,500 workers, which asks all of them at once, lost its lease that way.
+const (
+	callsPerCore       = 1024
+	callsPerCoreSecond = 4000
+	callsPerCoreBurst  = 128
+)
 
 // mostCalls is how many direct calls may be under way at once.
 func (c *Core) mostCalls() int {
-	r := c.cfg.Cluster.Resources
-	return min(r.FDs/8, int(callsPerCore*max(1, r.Cores)))
+	return min(c.cfg.Cluster.Resources.FDs/8, int(callsPerCore*c.wholeCores()))
 }
 
+// wholeCores is the processor's share, and a core at the least: what is bounded by it is for
+// fleets that need one.
+func (c *Core) wholeCores() float64 { return max(1, c.cfg.Cluster.Resources.Cores) }
+
 // mayCall says whether a call to the machine may leave now. Calls wait for one another
 // before anything is noted as sent: a take-over of hundreds of machines, or a
 // partitioned zone whose calls all hang, must not take the sockets, and what answers
 // must not wait for what hangs.
 func (r *term) mayCall(m *ledger.Machine) bool {
 	most := r.c.mostCalls()
-	return r.calling < most && !(r.mayHang(m) && r.hanging >= most*2/3)
+	return r.calling < most && !(r.mayHang(m) && r.hanging >= most*2/3) && r.callBudget.has(r.c.now, 1)
 }
 
 // dispatch sends what there is to send directly, one request at a time.
@@ -206,6 +213,7 @@
 		}
 	}
 	r.calling++
+	r.callBudget.take(c.now, 1)
 	if call.mayHang {
 		r.hanging++
 	}
--- a/internal/coordination/term.go
+++ b/internal/coordination/term.go
@@ -36,6 +36,7 @@
 	lastTry uint64
 	// Direct calls under way, and those of them that may well hang.
 	calling, hanging int
+	callBudget       bucket
 	timers           []timer
 
 	reach
@@ -88,6 +89,7 @@
 		cancels:    map[string][]requester{},
 		arrivals:   map[string]*arrivals{},
 		claims:     map[string]claim{},
+		callBudget: newBucket(callsPerCoreSecond*c.wholeCores(), callsPerCoreBurst*c.wholeCores()),
 		searched:   map[string]bool{},
 		peers:      map[string]*peer{},
 		healedAt:   map[string]time.Duration{},
