--- a/internal/scalerun/rules.go
+++ b/internal/scalerun/rules.go
@@ -182,12 +182,23 @@
 // over says whether its user has been told that the job has ended.
 func (j *job) over() bool { return j.told == protocol.Done || j.told == protocol.Cancelled }
 
-// lookForForgotten finds jobs about which no question was answered for long.
+// lookForForgotten finds jobs about which no question was answered for long, while most other
+// jobs' were. A region that answers nobody forgets nobody: it is down.
 func (r *rules) lookForForgotten() {
 	const most = 90 * time.Second
+	var silent *job
+	unanswered, answered := 0, 0
 	for _, j := range r.jobs {
-		if j.accepted > 0 && !j.over() && r.agenda.Now() > max(j.answered, j.accepted)+most {
-			r.breaks(j, "forgotten", "no question about %s was answered for %v", j.uid, most)
+		switch {
+		case j.accepted == 0 || j.over():
+		case r.agenda.Now() > max(j.answered, j.accepted)+most:
+			silent = j
+			unanswered++
+		default:
+			answered++
 		}
 	}
+	if silent != nil && answered > unanswered {
+		r.breaks(silent, "forgotten", "no question about %s was answered for %v", silent.uid, most)
+	}
 }
--- a/internal/scalerun/rules_test.go
+++ b/internal/scalerun/rules_test.go
@@ -77,6 +77,14 @@
 		{"forgotten", func(b *bench) {
 			b.job.accepted = 1
 			b.agenda.RunUntil(2 * time.Minute)
+			b.jobs["j-2"] = &job{uid: "j-2", accepted: 1, answered: time.Minute}
+			b.jobs["j-3"] = &job{uid: "j-3", accepted: 1, answered: time.Minute}
+			b.lookForForgotten()
+		}},
+		{"", func(b *bench) { // nobody is answered
+			b.job.accepted = 1
+			b.agenda.RunUntil(2 * time.Minute)
+			b.jobs["j-2"] = &job{uid: "j-2", accepted: 1}
 			b.lookForForgotten()
 		}},
 		{"", func(b *bench) {
