--- a/internal/scalerun/run.go
+++ b/internal/scalerun/run.go
@@ -9,6 +9,7 @@
 	"io"
 	"os"
 	"os/exec"
+	"path/filepath"
 	"strconv"
 	"strings"
 	"syscall"
@@ -65,7 +66,9 @@
 	if _, err := os.Stat(plan.Run.Program); err != nil {
 		return nil, planError("run.program", "%v", err)
 	}
-	result := &Result{Plan: plan, Version: programVersion(ctx, plan.Run.Program), Regions: make([]*RegionResult, plan.Fleet.Regions)}
+	played := *plan
+	played.Run.Program = filepath.Base(plan.Run.Program) // its folder says nothing to others
+	result := &Result{Plan: &played, Version: programVersion(ctx, plan.Run.Program), Regions: make([]*RegionResult, plan.Fleet.Regions)}
 	group, ctx := errgroup.WithContext(ctx)
 	for number := range plan.Fleet.Regions {
 		group.Go(func() error {
--- a/internal/sched/fleet.go
+++ b/internal/sched/fleet.go
@@ -22,9 +22,6 @@
 // Remove takes a machine out.
 func (f *Fleet) Remove(m *Machine) { f.index.remove(m) }
 
-// Len is how many machines there are.
-func (f *Fleet) Len() int { return len(f.index.slots) }
-
 // Follows says whether the fleet has the machine as it is now.
 func (f *Fleet) Follows(m *Machine) bool {
 	s := f.index.slots[m]
