About 4,000 machines: attempt numbers, arrivals, rentals and the leader's lease follow the size

Cause: a term gave out 2^24 attempt numbers and then went on in the next leader's block (eleven hours at 420 starts a second); of a class's arrivals the last 200 counted (1,300 in four boots at 4,000 machines); a plan rented 64 machines whatever the fleet; the leader's lease was drawn from the resources alone, and half a second did not outlast a take-over of 5,500.

Change: a leader reserves the next block through the counter of tokens in time; arrivals are added up by the second; a plan rents a thirty-second of the fleet, 64 at the least; the lease is at least a take-over of the fleet that the guarantees (or fleet.machines) describe, 250 µs a machine and core; check warns where sockets, memory, cores and rates can't carry that fleet.

--- a/cmd/claybarrow/main.go
+++ b/cmd/claybarrow/main.go
@@ -54,9 +54,13 @@
 }
 
 func (c checkCmd) Run() error {
-	if _, err := config.Load(c.Config, c.Operator); err != nil {
+	cfg, err := config.Load(c.Config, c.Operator)
+	if err != nil {
 		return err
 	}
+	for _, warning := range cfg.Warnings() {
+		fmt.Fprintln(os.Stderr, "claybarrow: warning:", warning)
+	}
 	if _, err := logLevel(); err != nil {
 		return err
 	}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -157,6 +157,8 @@
 		Headroom float64 `toml:"headroom"`
 		// IdleRatio times a type's boot time is how long an idle machine is kept.
 		IdleRatio float64 `toml:"idle_ratio"`
+		// Machines is the size that the fleet is meant for; 0: derived from the teams' guarantees.
+		Machines int `toml:"machines"`
 	} `toml:"fleet"`
 }
 
@@ -292,6 +294,7 @@
 		{"operators' settings: green.counters_s", g.CountersS, 1, 86400},
 		{"operators' settings: fleet.headroom", f.Headroom, 0, 100},
 		{"operators' settings: fleet.idle_ratio", f.IdleRatio, 0, 1000},
+		{"operators' settings: fleet.machines", float64(f.Machines), 0, 1e6},
 	} {
 		if !(n.value >= n.min && n.value <= n.max) {
 			return fmt.Errorf("%s: %v is not between %v and %v", n.field, n.value, n.min, n.max)
@@ -316,11 +319,12 @@
 // lease, so that a successor stands well before that runs out, or less where
 // that costs nothing. Larger fleets have longer leases of their workers, which
 // is no reason to leave users without a leader for longer. What bounds it from
-// below is the work that may keep a leader from renewing, half a second of a
-// whole core, and its five renewals, which may take a hundredth of the state
-// service's requests.
+// below is the work that may keep a leader from renewing: half a second of a
+// whole core, and a take-over of the whole fleet; and its five renewals, which
+// may take a hundredth of the state service's requests.
 func (c *Config) LeaderTTL() time.Duration {
-	least := seconds(max(0.5/c.Cluster.Resources.Cores, 500/c.Cluster.State.RPS))
+	cores, rps := c.Cluster.Resources.Cores, c.Cluster.State.RPS
+	least := seconds(max(0.5/cores, 500/rps, c.TakeOver().Seconds()))
 	return max(min(c.Lease()*3/20, least), 500*time.Millisecond)
 }
 
--- /dev/null
+++ b/internal/coordination/attempt_numbers_test.go
@@ -0,0 +1,74 @@
+package coordination
+
+import (
+	"testing"
+
+	"claybarrow/internal/protocol"
+)
+
+// nearlyUse leaves the leader as many numbers of its block.
+func (w *world) nearlyUse(left uint64) {
+	n := &w.term().attempts
+	n.used = 1<<attemptBlockBits - 1 - left
+}
+
+// A term that starts more tasks than a block has numbers gave out those of the next leader's
+// block, so that two attempts of a task had one number, and a run was taken for an earlier one.
+func TestAttemptNumbersBeyondABlock(t *testing.T) {
+	w := newWorld(t, 71)
+	w.awaitLeader()
+	token := w.term().token
+	w.nearlyUse(leastLeft + 3)
+	w.run(2 * second)
+	w.nearlyUse(3)
+	w.submit("j-1", map[string]any{"shards": 6})
+	w.until(90*second, "tasks run", func() bool { return w.running("j-1") == 6 })
+	tries := map[uint64]bool{}
+	for _, m := range w.term().Machines {
+		for _, a := range m.Attempts {
+			if tries[a.Try] {
+				t.Errorf("two attempts have the number %d", a.Try)
+			}
+			tries[a.Try] = true
+		}
+	}
+	var counter counterRecord
+	if err := protocol.Decode(w.state.Item(keyCounter).Value, &counter); err != nil {
+		t.Fatal(err)
+	}
+	for try := range tries {
+		if block := try >> attemptBlockBits; block != token && block > counter.Token {
+			t.Errorf("number %d is of a block that a later leader gets, the counter is %d", try, counter.Token)
+		}
+	}
+	if w.term().token != token {
+		t.Error("the leader changed")
+	}
+	// The next leader's token is beyond the block.
+	w.crash(w.leader())
+	w.awaitLeader()
+	if next := w.term().token; next <= counter.Token {
+		t.Errorf("the next leader has token %d, block %d was used", next, counter.Token)
+	}
+	w.awaitTold(90*second, "j-1", "done")
+	w.settle()
+}
+
+// Without the reservation being durable nothing is started from a block that is used up.
+func TestNoStartWithoutAttemptNumbers(t *testing.T) {
+	w := newWorld(t, 72)
+	lead := w.awaitLeader()
+	w.script = func(node int, c Call) fate {
+		return fate{lost: node == lead && c.Path == "/multi"}
+	}
+	w.nearlyUse(3)
+	w.run(second)
+	if r := w.term(); r.attempts.enough() {
+		t.Error("a fill may begin with three numbers left")
+	}
+	w.script = nil
+	w.run(5 * second)
+	w.submit("j-1", map[string]any{"shards": 6})
+	w.awaitTold(120*second, "j-1", "done")
+	w.settle()
+}
--- a/internal/coordination/expected.go
+++ b/internal/coordination/expected.go
@@ -1,32 +1,82 @@
 package coordination
 
 import (
+	"cmp"
+	"slices"
+
 	"claybarrow/internal/ledger"
 	"claybarrow/internal/sched"
 )
 
-// arrivals are a class's recent arrivals, for the room kept free.
+// arrivals are a class's recent arrivals, for the room kept free: added up by the second,
+// oldest first.
 type arrivals struct {
-	last []arrival
+	seconds []arrivalSecond
 }
 
-type arrival struct {
-	at  int64 // ms, time of day
-	job *ledger.Job
+// arrivalSecond is what arrived within a second of the time of day.
+type arrivalSecond struct {
+	at     int64 // s
+	tasks  int
+	images map[string]int // tasks by image
+	sample *ledger.Job    // the last one
+	// services is what the replicas among them need, by team.
+	services map[string]sched.Need
 }
 
+// mostArrivalSeconds bounds what is kept of a class. Room is kept for four boots' worth.
+const mostArrivalSeconds = 3600
+
 func (r *term) noteArrival(j *ledger.Job) {
 	a := r.arrivals[j.Spec.Class]
 	if a == nil {
 		a = &arrivals{}
 		r.arrivals[j.Spec.Class] = a
 	}
-	a.last = append(a.last, arrival{j.Submitted, j})
-	if len(a.last) > 200 {
-		a.last = a.last[1:]
+	a.add(j)
+}
+
+// add notes a job's arrival. After a take-over they come in no order.
+func (a *arrivals) add(j *ledger.Job) {
+	at := j.Submitted / 1000
+	i, found := slices.BinarySearchFunc(a.seconds, at, func(s arrivalSecond, at int64) int { return cmp.Compare(s.at, at) })
+	if !found {
+		a.seconds = slices.Insert(a.seconds, i, arrivalSecond{at: at, images: map[string]int{}, services: map[string]sched.Need{}})
+		if len(a.seconds) > mostArrivalSeconds {
+			a.seconds = a.seconds[1:]
+			if i--; i < 0 {
+				return // older than all that is kept
+			}
+		}
+	}
+	s := &a.seconds[i]
+	s.tasks += j.Spec.Tasks
+	s.images[j.Spec.Image] += j.Spec.Tasks
+	s.sample = j
+	if j.Spec.Service {
+		s.services[j.Spec.Team] = s.services[j.Spec.Team].Plus(j.Need.Times(float64(j.Spec.Tasks)))
 	}
 }
 
+// recent is what arrived from a second of the time of day on.
+func (a *arrivals) recent(from int64) []arrivalSecond {
+	i, _ := slices.BinarySearchFunc(a.seconds, from, func(s arrivalSecond, from int64) int { return cmp.Compare(s.at, from) })
+	return a.seconds[i:]
+}
+
+// since adds up what arrived from a moment on.
+func (a *arrivals) since(from int64) (tasks int, images map[string]float64, sample *ledger.Job) {
+	images = map[string]float64{}
+	for _, s := range a.recent(from) {
+		tasks += s.tasks
+		for image, n := range s.images {
+			images[image] += float64(n)
+		}
+		sample = s.sample
+	}
+	return tasks, images, sample
+}
+
 // doubles stand for the replicas on machines that are overdue, so that their
 // next machines boot while the proof that they are gone is still awaited.
 func (r *term) doubles() []*sched.Job {
@@ -59,18 +109,7 @@
 		if aim <= 0 || aim > 2*boot {
 			continue
 		}
-		a := r.arrivals[class]
-		tasks := 0
-		images := map[string]float64{}
-		var sample *ledger.Job
-		from := c.wall - int64(window*1000)
-		for _, x := range a.last {
-			if x.at >= from {
-				tasks += x.job.Spec.Tasks
-				images[x.job.Spec.Image] += float64(x.job.Spec.Tasks)
-				sample = x.job
-			}
-		}
+		tasks, images, sample := r.arrivals[class].since((c.wall - int64(window*1000)) / 1000)
 		if sample == nil || !sample.Spec.Service {
 			continue
 		}
--- a/internal/coordination/schedule.go
+++ b/internal/coordination/schedule.go
@@ -45,7 +45,7 @@
 // are in the ledger of the state service.
 func (r *term) fill() {
 	r.fillDirty = false
-	if !r.certain() || len(r.c.types) == 0 {
+	if !r.certain() || len(r.c.types) == 0 || !r.attempts.enough() {
 		return
 	}
 	s := r.standing.forFill()
@@ -176,6 +176,17 @@
 	}
 }
 
+// One plan rents a few machines at a time, so that what comes up meanwhile is used first: 64, or
+// a thirty-second of the fleet. A fleet of any size is rented within 32 plans.
+const (
+	leastNewMachines   = 64
+	fleetShareOfRental = 32
+)
+
+func (r *term) mostNewMachines() int {
+	return max(leastNewMachines, r.c.cfg.FleetSize()/fleetShareOfRental)
+}
+
 // plan rents what waiting and expected work needs, and returns what it doesn't.
 func (r *term) plan() {
 	c := r.c
@@ -198,7 +209,7 @@
 	}
 	// What boots in a zone that is cut off can't be heard, and costs all the same.
 	blocked := func(p sched.Pool) bool { return r.isPartitioned(p.Zone) || c.now < r.short[p].until || inFlight[p] > 0 }
-	for _, want := range s.Plan(c.types, blocked, 64) {
+	for _, want := range s.Plan(c.types, blocked, r.mostNewMachines()) {
 		if !c.cloud.has(c.now, 1) {
 			break
 		}
--- a/internal/coordination/slopes_test.go
+++ b/internal/coordination/slopes_test.go
@@ -216,10 +216,10 @@
 			b.StopTimer()
 			f := newSlopeFleet(b, workers)
 			runtime.GC()
-			before := f.term.lastTry
+			before := f.term.attempts.used
 			b.StartTimer()
 			f.term.fill()
-			placed = int(f.term.lastTry - before)
+			placed = int(f.term.attempts.used - before)
 		}
 		b.ReportMetric(float64(placed), "placed")
 	})
--- a/internal/coordination/snapshot.go
+++ b/internal/coordination/snapshot.go
@@ -156,11 +156,14 @@
 	if window == 0 {
 		return
 	}
-	from := r.c.wall - int64(window*1000)
+	from := (r.c.wall - int64(window*1000)) / 1000
+	rounds := 3 * r.c.cfg.Operator.Green.RoundS / window
 	for _, a := range r.arrivals {
-		for _, x := range a.last {
-			if t := teams[x.job.Spec.Team]; t != nil && x.job.Spec.Service && x.at >= from {
-				t.Kept = t.Kept.Plus(x.job.Need.Times(float64(x.job.Spec.Tasks) * 3 * r.c.cfg.Operator.Green.RoundS / window))
+		for _, second := range a.recent(from) {
+			for team, need := range second.services {
+				if t := teams[team]; t != nil {
+					t.Kept = t.Kept.Plus(need.Times(rounds))
+				}
 			}
 		}
 	}
--- a/internal/coordination/term.go
+++ b/internal/coordination/term.go
@@ -33,7 +33,7 @@
 	proposals map[string]*proposal
 	cancels   map[string][]requester
 
-	lastTry uint64
+	attempts attemptNumbers
 	// Direct calls under way, and those of them that may well hang.
 	calling, hanging int
 	callBudget       bucket
@@ -99,7 +99,10 @@
 		accrueAt:   c.now,
 		cloudState: newCloudState(),
 		store:      newStore(),
+		attempts:   attemptNumbers{block: token},
 	}
+	// The election wrote the counter and the leader key in one transaction.
+	r.versions[keyCounter] = version
 	for _, t := range c.cfg.Cluster.Teams {
 		r.Teams[t.Name] = &sched.Team{
 			Guarantee: sched.Need{Cores: t.Cores, Accel: t.Accelerators},
@@ -275,6 +278,7 @@
 		r.stepDown()
 		return
 	}
+	r.reserveAttempts()
 	r.keepCloud()
 	r.schedule()
 }
@@ -292,12 +296,6 @@
 	r.flush()
 }
 
-func (r *term) nextTry() uint64 {
-	// The token in the high bits makes attempts unique for ever.
-	r.lastTry++
-	return r.token<<24 | r.lastTry
-}
-
 func (r *term) sizeOf(typ string) sched.Need {
 	if t, ok := r.c.typeInfo[typ]; ok {
 		return sched.Need{Cores: t.Cores, Accel: t.Accelerators, Mem: t.MemoryGB}
