Noticing failed controllers: detector, assignment, succession and detours behind membership.enabled

Need: a controller that stalls or dies is noticed by nobody but through the leader's lease and the workers' waits.

Change: internal/membership is a deterministic detector (probes, witnesses, suspicion with refutation, local health) with typed CBOR messages; the core sends them over the peers' listener, gives machines to the live controllers of their zone by rendezvous hashing, prepares a successor while the leader is suspected, takes one hop round a bad link, tries a refused connection once more, and takes part in nothing after a standstill before it has heard of somebody. All of it is off unless operators turn it on; then probes are answered 404.

Not yet measured with it on.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -160,6 +160,25 @@
 		// Machines is the size that the fleet is meant for; 0: derived from the teams' guarantees.
 		Machines int `toml:"machines"`
 	} `toml:"fleet"`
+	// Membership is how failed controllers are noticed.
+	Membership struct {
+		Enabled bool `toml:"enabled"`
+		// Probe is the time between two probes of a peer, Timeout how long its answer may take
+		// before others are asked, Suspicion the least time from suspicion to death: in
+		// leader's leases.
+		Probe     float64 `toml:"probe"`
+		Timeout   float64 `toml:"timeout"`
+		Suspicion float64 `toml:"suspicion"`
+		// Steady is how long a controller that came back must have been alive before it serves
+		// machines again, in workers' leases.
+		Steady float64 `toml:"steady"`
+	} `toml:"membership"`
+	Telemetry struct {
+		// Metrics turns on GET /metrics at the peers' listener.
+		Metrics bool `toml:"metrics"`
+		// TraceFile takes the spans of handovers, a JSON object each; empty: none.
+		TraceFile string `toml:"trace_file"`
+	} `toml:"telemetry"`
 }
 
 // Config is what the rest of the program sees.
@@ -192,6 +211,8 @@
 	g := &c.Operator.Green
 	g.Gamma, g.UpperCap, g.RoundS, g.FillS, g.CountersS = 0.9, 0.3, 5, 60, 60
 	c.Operator.Fleet.Headroom, c.Operator.Fleet.IdleRatio = 1.0, 0.3
+	m := &c.Operator.Membership
+	m.Probe, m.Timeout, m.Suspicion, m.Steady = 0.2, 0.1, 2, 2
 	meta, err := toml.Decode(string(operator), &c.Operator)
 	if err != nil {
 		return nil, fmt.Errorf("operators' settings: %w", err)
@@ -207,7 +228,7 @@
 
 // check names the first setting that is wrong.
 func (c *Config) check() error {
-	for _, part := range []func() error{c.checkAddresses, c.checkSiblings, c.checkTeams, c.Cluster.State.Next.check, c.checkNumbers} {
+	for _, part := range []func() error{c.checkAddresses, c.checkSiblings, c.checkTeams, c.Cluster.State.Next.check, c.checkNumbers, c.checkMembership} {
 		if err := part(); err != nil {
 			return err
 		}
--- /dev/null
+++ b/internal/coordination/assignment.go
@@ -0,0 +1,101 @@
+package coordination
+
+import (
+	"slices"
+
+	"claybarrow/internal/ledger"
+	"claybarrow/internal/membership"
+	"claybarrow/internal/protocol"
+)
+
+// Which controller serves a machine's reports is a function of the live controllers of its
+// zone, the leader among them: rendezvous hashing, so that a controller's end moves its machines
+// alone, each to one of the others. The leader tells a worker where to report, as nobody
+// else's view counts. It sends none to a controller that is suspected, out of touch, or back for
+// too short a time, and takes none from one that is only suspected.
+
+// assignments are the owners of machines by zone, in the detector's view.
+type assignments struct {
+	zones map[string]*membership.Assignment
+	// moves is how many machines may be sent elsewhere now: all of a fleet's within a lease.
+	moves bucket
+}
+
+func newAssignments(c *Core) assignments {
+	rate := float64(c.cfg.FleetSize()) / c.cfg.Lease().Seconds()
+	return assignments{zones: map[string]*membership.Assignment{}, moves: newBucket(rate, rate*c.cfg.Report().Seconds())}
+}
+
+// servers are the controllers of a zone that may serve machines, sorted.
+func (r *term) servers(zone string) []string {
+	c := r.c
+	var out []string
+	if c.cfg.Zone == zone {
+		out = append(out, c.cfg.Label)
+	}
+	for _, s := range c.cfg.Siblings {
+		if s.Zone == zone && c.membership.detector.Serves(s.Label, c.now) {
+			out = append(out, s.Label)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// ownerOf is the controller that a machine's reports fall to; "": its zone has none.
+func (r *term) ownerOf(m *ledger.Machine) string {
+	a := r.assignments.zones[m.Zone]
+	if a == nil {
+		a = &membership.Assignment{}
+		r.assignments.zones[m.Zone] = a
+	}
+	return a.Owner(m.ID, r.servers(m.Zone))
+}
+
+// assignedTarget names the controller that the worker is to report to instead of the one that
+// its report came by, or none.
+func (r *term) assignedTarget(m *ledger.Machine, msg *protocol.Report, from requester) string {
+	c := r.c
+	by := c.cfg.Label
+	if from.relay {
+		by = from.by
+	}
+	if by == "" || m.Zone == "" || msg.Token != r.token || c.now < r.since+c.cfg.Lease()/2 {
+		return ""
+	}
+	owner := r.ownerOf(m)
+	if owner == "" || owner == by {
+		return ""
+	}
+	if owner != c.cfg.Label && !r.takesWorker(m, owner) || c.now < m.DirectUntil || !r.assignments.moves.has(c.now, 1) {
+		return ""
+	}
+	if p := r.peers[owner]; p != nil {
+		if !p.route.takes(c.now, c.cfg.Report()) {
+			return ""
+		}
+		m.SentTo = p.incarnation
+	}
+	r.assignments.moves.take(c.now, 1)
+	m.SentAway, m.SentLabel = c.now, owner
+	c.observer.MachineSent(owner)
+	return owner
+}
+
+// takesWorker says whether a machine may be sent to a sibling now. One that came back from there
+// can't reach it, and is left alone for a while; that the sibling's process has ended since is
+// no reason.
+func (r *term) takesWorker(m *ledger.Machine, label string) bool {
+	c, p := r.c, r.peers[label]
+	if p == nil || p.asked == 0 || c.now >= p.asked+c.cfg.Lease()/8 || !c.membership.detector.TakesWork(label, c.now) {
+		return false
+	}
+	if m.SentLabel == label && m.SentTo == p.incarnation && m.SentAway > 0 {
+		r.returned(m, p)
+		return false
+	}
+	if m.SentTo != p.incarnation {
+		m.Bounces = 0
+	}
+	return true
+}
--- a/internal/coordination/commands.go
+++ b/internal/coordination/commands.go
@@ -222,7 +222,12 @@
 	if body.Commands == nil {
 		body.Commands = []protocol.Command{}
 	}
-	c.call(ToWorker, m.Addr, "POST", "/commands", body, min(c.cfg.Lease()/10, callWithin), func(res Result) {
+	until := time.Duration(0)
+	if len(call.runs) > 0 {
+		until = r.certainUntil()
+		r.notePlaced()
+	}
+	c.callUntil(ToWorker, m.Addr, "POST", "/commands", body, min(c.cfg.Lease()/10, callWithin), until, func(res Result) {
 		if c.term == r {
 			r.onDirectAnswer(call, res)
 		}
--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -45,6 +45,14 @@
 
 	// standBackUntil: until then, others are given the chance to lead.
 	standBackUntil time.Duration
+
+	membership membershipView
+	succession succession
+	// resuming: the process stood still and has heard of nobody since; until when at most.
+	resuming time.Duration
+	wokeAt   time.Duration // when it last went on after that
+	retries  []retry
+	observer Observer
 }
 
 // pendingRequest is somebody whose answer needs something that is under way.
@@ -63,7 +71,7 @@
 // New makes a core. Random numbers are injected so that failures replay.
 func New(cfg *config.Config, rng *rand.Rand, log *slog.Logger) *Core {
 	st := cfg.Cluster.State.Both()
-	return &Core{cfg: cfg, rng: rng, log: log, calls: map[uint64]func(Result){},
+	c := &Core{cfg: cfg, rng: rng, log: log, calls: map[uint64]func(Result){}, observer: noObserver{},
 		incarnation: fmt.Sprintf("%016x", rng.Uint64()),
 		// Until it hears of a leader, a new process renews leases for it: one that
 		// waited for its first request to fail turned away the workers of a cut
@@ -77,8 +85,14 @@
 		cloud:           newBucket(cfg.Cluster.Cloud.RPS*0.8, cfg.Cluster.Cloud.RPS),
 		pendingRequests: map[uint64]*pendingRequest{},
 	}
+	c.membership = newMembershipView(cfg, rng)
+	return c
 }
 
+// Observe has somebody told of what operators count and trace. It is called before anything is
+// handled.
+func (c *Core) Observe(observer Observer) { c.observer = observer }
+
 // Handle takes one message and returns what is to be done.
 func (c *Core) Handle(at Clock, ev Event) []Effect {
 	woke := c.wake(at.Steady - c.now)
@@ -96,6 +110,8 @@
 		}
 	case Request:
 		c.request(ev)
+	case Shutdown:
+		c.shutDown()
 	}
 	if c.term != nil {
 		c.term.settle()
@@ -105,7 +121,10 @@
 
 func (c *Core) tick() {
 	c.expirePending()
+	c.runRetries()
 	c.keepTypes()
+	c.keepMembership()
+	c.keepSuccession()
 	c.keepView()
 	c.keepFollowing()
 	if c.term != nil {
@@ -114,9 +133,14 @@
 }
 
 func (c *Core) call(t Target, addr, method, path string, body any, timeout time.Duration, then func(Result)) {
+	c.callUntil(t, addr, method, path, body, timeout, 0, then)
+}
+
+// callUntil is a call that must not leave after a moment.
+func (c *Core) callUntil(t Target, addr, method, path string, body any, timeout, until time.Duration, then func(Result)) {
 	c.lastCall++
 	c.calls[c.lastCall] = then
-	e := Call{ID: c.lastCall, Target: t, Addr: addr, Method: method, Path: path, Timeout: timeout}
+	e := Call{ID: c.lastCall, Target: t, Addr: addr, Method: method, Path: path, Timeout: timeout, Until: until}
 	if b, ok := body.([]byte); ok {
 		e.Body = b
 	} else if body != nil {
@@ -127,7 +151,11 @@
 
 func (c *Core) stateCall(method, path string, body any, timeout time.Duration, then func(Result)) {
 	c.requests.take(c.now, 1)
-	c.call(ToState, c.cfg.Services.State, method, path, body, timeout, then)
+	sent := c.now
+	c.call(ToState, c.cfg.Services.State, method, path, body, timeout, func(r Result) {
+		c.resumed(sent, r.Status != 0)
+		then(r)
+	})
 }
 
 func (c *Core) cloudCall(method, path string, body any, timeout time.Duration, then func(Result)) {
--- a/internal/coordination/follower.go
+++ b/internal/coordination/follower.go
@@ -87,14 +87,15 @@
 	}
 	d.busy = true
 	sent := c.now
-	ask := protocol.Heartbeat{From: c.cfg.Label, Incarnation: c.incarnation, Token: d.highest, ServedMS: -1, UptimeMS: c.now.Milliseconds()}
-	if d.token == d.highest {
-		ask.LeaderClock = d.leaderClock
-	}
-	if d.served > 0 {
-		ask.ServedMS = (c.now - d.served).Milliseconds()
-	}
-	c.call(ToPeer, addr, "POST", "/heartbeat", protocol.EncodePeer(ask), c.cfg.Lease()/10, func(res Result) {
+	c.call(ToPeer, addr, "POST", "/heartbeat", protocol.EncodePeer(c.heartbeat()), c.cfg.Lease()/10, func(res Result) {
+		if sent < c.wokeAt {
+			d.busy = false // from before a standstill: it tells nothing of now
+			return
+		}
+		c.resumed(sent, res.Status != 0)
+		if res.Status == 200 {
+			c.heardPeer(asked, sent)
+		}
 		if c.term != nil {
 			return
 		}
@@ -121,6 +122,19 @@
 	})
 }
 
+// heartbeat is what this controller tells a leader.
+func (c *Core) heartbeat() protocol.Heartbeat {
+	d := &c.follower
+	ask := protocol.Heartbeat{From: c.cfg.Label, Incarnation: c.incarnation, Token: d.highest, ServedMS: -1, UptimeMS: c.now.Milliseconds()}
+	if d.token == d.highest {
+		ask.LeaderClock = d.leaderClock
+	}
+	if d.served > 0 {
+		ask.ServedMS = (c.now - d.served).Milliseconds()
+	}
+	return ask
+}
+
 // renewsLease says whether this controller answers the worker for the leader: it reaches neither a leader nor the state service that would name one,
 // and the worker is of its own zone and has had a leader. For a moment it does so too while the
 // state service still names a leader that does not answer: that one has most probably ended or
@@ -176,15 +190,17 @@
 const forwardWithin = reportWait / 2
 
 func (c *Core) forward(from requester, msg *protocol.Report, body []byte) {
-	d := &c.follower
-	leader := d.leader
-	relay := protocol.EncodePeer(protocol.Relay{Op: string(OpReport), Body: body, From: c.cfg.Label})
-	c.call(ToPeer, c.addrOf(leader), "POST", "/forward", relay, min(c.cfg.Lease()/8, forwardWithin), func(res Result) {
-		var reply protocol.RelayReply
+	leader := c.follower.leader
+	within := min(c.cfg.Lease()/8, forwardWithin)
+	deadline := c.now + within
+	relay := protocol.Relay{Op: string(OpReport), Body: body, From: c.cfg.Label}
+	c.send(&leaderRequest{from: from, leader: leader, path: "/forward", relay: relay, deadline: deadline, then: func(res Result) {
+		reply, ok := readRelayReply(res)
+		d := &c.follower
 		switch {
 		case c.term != nil:
 			c.term.takeOverReport(from, msg, body)
-		case res.Status == 200 && protocol.DecodePeer(res.Body, &reply) == nil && reply.Status >= 200 && reply.Status <= 599:
+		case ok:
 			c.reply(from, reply.Status, reply.Body, reply.RetryAfter)
 		default:
 			if leader == d.leader {
@@ -196,7 +212,7 @@
 			}
 			c.reply(from, 421, protocol.Encode(protocol.Elsewhere{Leader: c.leaderLabel()}), 0)
 		}
-	})
+	}})
 }
 
 // peer is what a leader knows of another controller.
@@ -224,6 +240,10 @@
 		r = nil
 	}
 	g := protocol.HeartbeatReply{Token: c.follower.highest}
+	if r != nil && r.suspended() && c.membership.enabled() {
+		c.reply(from, 200, protocol.EncodePeer(g), 0) // it may have been replaced
+		return
+	}
 	if r == nil {
 		if label := c.leaderLabel(); label != c.cfg.Label {
 			g.Leader = label // our own is that of an earlier process
--- a/internal/coordination/leader.go
+++ b/internal/coordination/leader.go
@@ -75,7 +75,7 @@
 // keepView keeps the leadership keys in sight: a list, then a watch after it.
 func (c *Core) keepView() {
 	v := &c.view
-	if c.term == nil && v.known && v.leader == nil && !c.standsBack() {
+	if c.term == nil && v.known && v.leader == nil && !c.standsBack() && c.mayCampaign() {
 		c.campaign()
 	}
 	if v.busy || c.now < v.next || c.term != nil || !c.requests.has(c.now, 1) {
@@ -205,16 +205,7 @@
 	}
 	ttl := c.cfg.LeaderTTL()
 	if h.lease == 0 || c.now > h.sent+ttl/2 {
-		h.busy = true
-		sent := c.now
-		c.stateCall("POST", "/leases", protocol.LeaseRequest{TTLMillis: ttl.Milliseconds()}, ttl/2, func(r Result) {
-			h.busy = false
-			var lease protocol.LeaseReply
-			if r.Status != 200 || protocol.Decode(r.Body, &lease) != nil {
-				h.next = c.now + c.pause()
-				return
-			}
-			h.lease, h.sent = lease.Lease, sent
+		c.openLease(h, func() {
 			if c.view.known && c.view.leader == nil && c.term == nil {
 				c.campaign()
 			}
@@ -259,6 +250,8 @@
 	c.candidacy = nil
 	c.log.Info("leader", "token", rec.Token, "lease", rec.Lease)
 	c.term = newTerm(c, rec.Token, rec.Lease, version, h.sent)
+	c.term.handover, c.term.ahead = c.startHandover(rec.Token), c.succession.ahead
+	c.succession.ahead = nil
 	c.term.load()
 }
 
@@ -331,12 +324,11 @@
 		r.begin()
 		return
 	}
-	prefix := loadOrder[step]
-	path := "/store?under=" + prefix + "&limit=1000"
-	if after != "" {
-		path += "&after=" + url.QueryEscape(after)
+	if ahead := r.ahead.step(step); ahead != nil && after == "" {
+		r.loadAhead(step, ahead)
+		return
 	}
-	c.stateCall("GET", path, nil, c.cfg.LeaderTTL(), func(res Result) {
+	c.stateCall("GET", listPath(loadOrder[step], after), nil, c.cfg.LeaderTTL(), func(res Result) {
 		if c.term != r {
 			return
 		}
@@ -345,12 +337,7 @@
 			r.later(c.now+c.pause(), func() { r.loadPage(step, after) })
 			return
 		}
-		for _, it := range items.Items {
-			r.versions[it.Key] = it.Version
-			if err := r.loadItem(it); err != nil {
-				c.log.Error("a record can't be read", "key", it.Key, "err", err)
-			}
-		}
+		r.loadItems(items.Items)
 		if items.More && len(items.Items) > 0 {
 			r.loadPage(step, items.Items[len(items.Items)-1].Key)
 			return
@@ -359,6 +346,25 @@
 	})
 }
 
+// listPath is the path of the page of records after a key.
+func listPath(prefix, after string) string {
+	path := "/store?under=" + prefix + "&limit=1000"
+	if after != "" {
+		path += "&after=" + url.QueryEscape(after)
+	}
+	return path
+}
+
+// loadItems takes records that were read.
+func (r *term) loadItems(items []protocol.Item) {
+	for _, it := range items {
+		r.versions[it.Key] = it.Version
+		if err := r.loadItem(it); err != nil {
+			r.c.log.Error("a record can't be read", "key", it.Key, "err", err)
+		}
+	}
+}
+
 // addrOf is the leader's peer address as far as we know one.
 func (c *Core) addrOf(label string) string {
 	i := slices.IndexFunc(c.cfg.Siblings, func(p config.Peer) bool { return p.Label == label })
--- a/internal/coordination/messages.go
+++ b/internal/coordination/messages.go
@@ -27,6 +27,7 @@
 	OpRelay     Op = "relay"     // a user's request passed on by another controller
 	OpForward   Op = "forward"   // a worker's report passed on by its zone's controller
 	OpHeartbeat Op = "heartbeat" // another controller stays in touch with the leader
+	OpProbe     Op = "probe"     // another controller asks for a sign of life
 )
 
 // Request is a message that wants a Reply with its ID.
@@ -49,7 +50,11 @@
 // Tick lets time pass.
 type Tick struct{}
 
-// Event is a Request, a Result or a Tick.
+// Shutdown tells the controller to end in good order: what it says goodbye with are its last
+// effects.
+type Shutdown struct{}
+
+// Event is a Request, a Result, a Tick or a Shutdown.
 type Event any
 
 // Reply answers a Request.
@@ -83,6 +88,9 @@
 	Path    string
 	Body    []byte
 	Timeout time.Duration
+	// Until is when the request must not leave any more, by the steady clock; 0: never. A process
+	// that stood still after the decision must not act on it.
+	Until time.Duration
 }
 
 // Effect is a Reply or a Call.
--- /dev/null
+++ b/internal/coordination/observer.go
@@ -0,0 +1,53 @@
+package coordination
+
+import (
+	"time"
+
+	"claybarrow/internal/membership"
+)
+
+// Observer takes what operators count and trace. It answers nothing, so that it can't change
+// what the core decides.
+type Observer interface {
+	// Detector takes the state of the detector of failed controllers, now and then.
+	Detector(health int, counters membership.Counters)
+	MemberChanged(membership.Change)
+	Dropped(membership.Drop)
+	HandedOver(Handover)
+	// MachineSent counts a machine that was sent to another controller.
+	MachineSent(to string)
+	// Detoured and Retried count requests that went to the leader by another controller, and
+	// once more.
+	Detoured()
+	Retried()
+	// Resumed takes how long the process stood still.
+	Resumed(stoodStill time.Duration, led bool)
+}
+
+// Handover is a change of leader as its successor saw it. Times are of the steady clock; 0: it did
+// not happen.
+type Handover struct {
+	Token     uint64
+	Former    string
+	Suspected time.Duration // when the former leader was suspected
+	Gone      time.Duration // when its key was gone
+	Elected   time.Duration
+	Loaded    time.Duration // when the records were read
+	Placed    time.Duration // when the first task was started
+	Jobs      int
+	Machines  int
+	// ReadAhead counts the records that had been read before the election.
+	ReadAhead int
+}
+
+// noObserver observes nothing.
+type noObserver struct{}
+
+func (noObserver) Detector(int, membership.Counters) {}
+func (noObserver) MemberChanged(membership.Change)   {}
+func (noObserver) Dropped(membership.Drop)           {}
+func (noObserver) HandedOver(Handover)               {}
+func (noObserver) MachineSent(string)                {}
+func (noObserver) Detoured()                         {}
+func (noObserver) Retried()                          {}
+func (noObserver) Resumed(time.Duration, bool)       {}
--- a/internal/coordination/reach.go
+++ b/internal/coordination/reach.go
@@ -69,7 +69,12 @@
 	c.standBackUntil = c.now + 4*c.cfg.Lease()
 	c.view.ended = r.lease
 	c.endTerm("it can't reach the workers")
-	c.stateCall("DELETE", fmt.Sprintf("/leases/%d", r.lease), nil, c.cfg.LeaderTTL()/2, func(Result) {})
+	c.endLease(r.lease)
+}
+
+// endLease gives a lease back, if that can be done.
+func (c *Core) endLease(lease uint64) {
+	c.stateCall("DELETE", fmt.Sprintf("/leases/%d", lease), nil, c.cfg.LeaderTTL()/2, func(Result) {})
 }
 
 // standsBack says whether this controller leaves the leadership to others.
--- a/internal/coordination/reports.go
+++ b/internal/coordination/reports.go
@@ -15,6 +15,10 @@
 		return
 	}
 	r := c.term
+	if c.isResuming() {
+		c.refuse(from) // it knows nothing yet, not even whether it leads
+		return
+	}
 	if r == nil {
 		if c.renewsLease(&msg) {
 			c.renewLease(from, &msg)
@@ -49,11 +53,12 @@
 	}
 	if from.relay {
 		r.forwardedBy(from.by, m.Zone)
-	} else {
-		if label := r.reportTarget(m, &msg); label != "" {
-			c.reply(from, 421, protocol.Encode(protocol.Elsewhere{Leader: label}), 0)
-			return
-		}
+	}
+	if label := r.reportTarget(m, &msg, from); label != "" {
+		c.reply(from, 421, protocol.Encode(protocol.Elsewhere{Leader: label}), 0)
+		return
+	}
+	if !from.relay {
 		r.reached(c.now)
 	}
 	m.Answered = c.now
--- a/internal/coordination/routes.go
+++ b/internal/coordination/routes.go
@@ -68,9 +68,12 @@
 // reportTarget names the controller that the worker is to report to: one of its own
 // zone that is in touch with us, or none. A worker that comes back from there
 // can't reach it, and is left alone for a while.
-func (r *term) reportTarget(m *ledger.Machine, msg *protocol.Report) string {
+func (r *term) reportTarget(m *ledger.Machine, msg *protocol.Report, from requester) string {
 	c := r.c
-	if m.Zone == c.cfg.Zone || m.Zone == "" || msg.Token != r.token || c.now < r.since+c.cfg.Lease()/2 {
+	if c.membership.enabled() {
+		return r.assignedTarget(m, msg, from)
+	}
+	if from.relay || m.Zone == c.cfg.Zone || m.Zone == "" || msg.Token != r.token || c.now < r.since+c.cfg.Lease()/2 {
 		return ""
 	}
 	to := r.nearest(m.Zone)
--- a/internal/coordination/term.go
+++ b/internal/coordination/term.go
@@ -61,11 +61,17 @@
 	partitioned map[string]time.Duration
 	healedAt    map[string]time.Duration // when a zone was last found to be so no longer
 
+	// handover is what is noted of the take-over until its end, ahead the records that were read
+	// before the election.
+	handover *Handover
+	ahead    *readAhead
+
 	// orphans are records of completions whose job is over: an earlier leader, or a
 	// version that does not know them, has left them.
 	orphans []string
 
 	cloudState
+	assignments assignments
 }
 
 type timer struct {
@@ -73,6 +79,19 @@
 	do func()
 }
 
+// runDue runs what is due, and returns what is not.
+func runDue(timers []timer, now time.Duration) []timer {
+	var left []timer
+	for _, t := range timers {
+		if t.at <= now {
+			t.do()
+		} else {
+			left = append(left, t)
+		}
+	}
+	return left
+}
+
 // proposal is a submission whose record is being written.
 type proposal struct {
 	job   *ledger.Job
@@ -83,23 +102,25 @@
 
 func newTerm(c *Core, token, lease, version uint64, confirmed time.Duration) *term {
 	r := &term{c: c, token: token, lease: lease, version: version, confirmed: confirmed, since: c.now,
-		renewAt:    c.now + c.cfg.LeaderTTL()/8,
-		Ledger:     ledger.New(c.cfg.LayoutBytes(), c.cfg.ValueBytes()),
-		proposals:  map[string]*proposal{},
-		cancels:    map[string][]requester{},
-		arrivals:   map[string]*arrivals{},
-		claims:     map[string]claim{},
-		callBudget: newBucket(callsPerCoreSecond*c.wholeCores(), callsPerCoreBurst*c.wholeCores()),
-		searched:   map[string]bool{},
-		peers:      map[string]*peer{},
-		healedAt:   map[string]time.Duration{},
-		roundAt:    c.now + seconds(c.cfg.Operator.Green.RoundS),
-		fillAt:     c.now + seconds(c.cfg.Operator.Green.FillS),
-		countersAt: c.now + seconds(c.cfg.Operator.Green.CountersS),
-		accrueAt:   c.now,
-		cloudState: newCloudState(),
-		store:      newStore(),
-		attempts:   attemptNumbers{block: token},
+		renewAt:     c.now + c.cfg.LeaderTTL()/8,
+		Ledger:      ledger.New(c.cfg.LayoutBytes(), c.cfg.ValueBytes()),
+		proposals:   map[string]*proposal{},
+		cancels:     map[string][]requester{},
+		arrivals:    map[string]*arrivals{},
+		claims:      map[string]claim{},
+		callBudget:  newBucket(callsPerCoreSecond*c.wholeCores(), callsPerCoreBurst*c.wholeCores()),
+		searched:    map[string]bool{},
+		peers:       map[string]*peer{},
+		healedAt:    map[string]time.Duration{},
+		roundAt:     c.now + seconds(c.cfg.Operator.Green.RoundS),
+		fillAt:      c.now + seconds(c.cfg.Operator.Green.FillS),
+		countersAt:  c.now + seconds(c.cfg.Operator.Green.CountersS),
+		accrueAt:    c.now,
+		cloudState:  newCloudState(),
+		store:       newStore(),
+		assignments: newAssignments(c),
+		attempts:    attemptNumbers{block: token},
+		handover:    &Handover{Token: token, Elected: c.now},
 	}
 	// The election wrote the counter and the leader key in one transaction.
 	r.versions[keyCounter] = version
@@ -236,6 +257,7 @@
 	r.orphans = nil
 	c.log.Info("ledger read", "token", r.token, "jobs", len(r.Jobs), "terminal", len(r.Terminal), "machines", len(r.Machines))
 	r.fillDirty = true
+	r.noteLoaded()
 }
 
 // newerElsewhere says whether the ledger has a later attempt of the same task.
@@ -259,17 +281,9 @@
 	if c.term != r {
 		return
 	}
-	if len(r.timers) > 0 {
-		due := r.timers
-		r.timers = nil
-		for _, t := range due {
-			if t.at <= c.now {
-				t.do()
-			} else {
-				r.timers = append(r.timers, t)
-			}
-		}
-	}
+	due := r.timers
+	r.timers = nil
+	r.timers = append(runDue(due, c.now), r.timers...)
 	if !r.ready || r.suspended() {
 		return
 	}
@@ -278,6 +292,7 @@
 		r.stepDown()
 		return
 	}
+	r.keepHandover()
 	r.reserveAttempts()
 	r.keepCloud()
 	r.schedule()
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -1,7 +1,6 @@
 package coordination
 
 import (
-	"maps"
 	"slices"
 	"time"
 
@@ -45,6 +44,11 @@
 
 func (c *Core) request(q Request) {
 	from := requester{id: q.ID}
+	if c.isResuming() && q.Op.needsLeader() {
+		from.relay = q.Op == OpRelay || q.Op == OpForward
+		c.refuse(from)
+		return
+	}
 	switch q.Op {
 	case OpReady:
 		if c.isReady() {
@@ -57,14 +61,20 @@
 	case OpForward:
 		var relay protocol.Relay
 		from.relay = true
-		if c.term == nil || protocol.DecodePeer(q.Body, &relay) != nil {
+		if protocol.DecodePeer(q.Body, &relay) != nil {
 			c.refuse(from)
 			return
 		}
+		if c.term == nil {
+			c.passOn(from, q, relay)
+			return
+		}
 		from.by = relay.From
 		c.onReport(from, relay.Body)
 	case OpHeartbeat:
 		c.onHeartbeat(from, q.Body)
+	case OpProbe:
+		c.onProbe(from, q.Body)
 	case OpRelay:
 		var relay protocol.Relay
 		if protocol.DecodePeer(q.Body, &relay) != nil {
@@ -73,7 +83,7 @@
 		}
 		from.relay = true
 		if c.term == nil {
-			c.refuse(from)
+			c.passOn(from, q, relay)
 			return
 		}
 		c.term.user(from, Op(relay.Op), relay.UID, relay.Body)
@@ -119,30 +129,12 @@
 			return
 		}
 	}
-	addr := c.addrOf(c.leaderLabel())
-	if addr == "" || len(c.pendingRequests) >= c.cfg.Cluster.Resources.FDs/2 {
-		c.refuse(from)
-		return
-	}
-	c.pendingRequests[from.id] = &pendingRequest{from: from, deadline: c.now + decideWithin}
-	body := protocol.EncodePeer(protocol.Relay{Op: string(q.Op), UID: q.UID, Body: q.Body})
-	c.call(ToPeer, addr, "POST", "/relay", body, relayWithin, func(r Result) {
-		if c.pendingRequests[from.id] == nil {
-			return
-		}
-		delete(c.pendingRequests, from.id)
-		var reply protocol.RelayReply
-		if r.Status != 200 || protocol.DecodePeer(r.Body, &reply) != nil || reply.Status < 200 || reply.Status > 599 {
-			c.refuse(from)
-			return
-		}
-		c.reply(from, reply.Status, reply.Body, reply.RetryAfter)
-	})
+	c.relayToLeader(from, c.leaderLabel(), "/relay", protocol.Relay{Op: string(q.Op), UID: q.UID, Body: q.Body})
 }
 
 // expirePending answers what was given up, at once and finally.
 func (c *Core) expirePending() {
-	for _, id := range slices.Sorted(maps.Keys(c.pendingRequests)) {
+	for _, id := range sortedRequests(c.pendingRequests) {
 		if w := c.pendingRequests[id]; c.now >= w.deadline {
 			delete(c.pendingRequests, id)
 			c.refuse(w.from)
@@ -162,7 +154,7 @@
 
 // refusePending answers all that wait, at once and with when to come back.
 func (r *term) refusePending() {
-	for _, id := range slices.Sorted(maps.Keys(r.c.pendingRequests)) {
+	for _, id := range sortedRequests(r.c.pendingRequests) {
 		w := r.c.pendingRequests[id]
 		delete(r.c.pendingRequests, id)
 		r.c.refuse(w.from)
--- a/internal/ledger/machine.go
+++ b/internal/ledger/machine.go
@@ -45,6 +45,7 @@
 	// longer with each time that it came back from there.
 	SentAway, DirectUntil time.Duration
 	SentTo                string
+	SentLabel             string // and its label
 	Bounces               int
 
 	Notice   bool
--- /dev/null
+++ b/internal/membership/suspicion.go
@@ -0,0 +1,46 @@
+package membership
+
+import (
+	"math"
+	"time"
+)
+
+// suspicion is how long a member has been suspected, and by whom. The more accuse it, the
+// sooner it is dead (Lifeguard: from the longest time without confirmation down to the
+// least with enough, by the logarithm of their number).
+type suspicion struct {
+	since    time.Duration
+	accusers map[string]bool // others that hold it suspect or dead
+}
+
+// enoughAccusers is how many confirmations bring the timeout down to the least; in small
+// groups all there can be.
+const enoughAccusers = 3
+
+// timeout is the time from suspicion to death.
+func (s *suspicion) timeout(least time.Duration, factor float64, others int) time.Duration {
+	enough := min(enoughAccusers, others)
+	if enough <= 0 {
+		return time.Duration(float64(least) * factor)
+	}
+	confirmed := min(len(s.accusers), enough)
+	share := math.Log(float64(confirmed)+1) / math.Log(float64(enough)+1)
+	return time.Duration(float64(least) * (factor - (factor-1)*share))
+}
+
+// health is how far an observer trusts its own silence: 0 is full trust. It grows when
+// there are signs that the observer itself is slow or cut off, and times grow with it.
+type health struct{ score int }
+
+// mostHealth bounds the score (as in Lifeguard).
+const mostHealth = 8
+
+func (h *health) worse() { h.score = min(h.score+1, mostHealth) }
+
+func (h *health) better() { h.score = max(h.score-1, 0) }
+
+// worst is after a standstill.
+func (h *health) worst() { h.score = mostHealth }
+
+// stretch makes a time longer by the score.
+func (h *health) stretch(d time.Duration) time.Duration { return d * time.Duration(1+h.score) }
--- a/internal/protocol/wire.go
+++ b/internal/protocol/wire.go
@@ -238,6 +238,9 @@
 	Body []byte `cbor:"3,keyasint,omitempty"`
 	// From is the controller that forwards a worker's report.
 	From string `cbor:"4,keyasint,omitempty"`
+	// To is the leader that the sender can't reach: who gets this passes it on, once. Versions
+	// that don't know it refuse, as they do not lead.
+	To string `cbor:"5,keyasint,omitempty"`
 }
 
 // RelayReply is the leader's answer.
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -13,10 +13,12 @@
 	"net/http"
 	"net/http/httptrace"
 	"strconv"
+	"sync"
 	"time"
 
 	"claybarrow/internal/config"
 	"claybarrow/internal/coordination"
+	"claybarrow/internal/membership"
 	"claybarrow/internal/protocol"
 )
 
@@ -45,6 +47,10 @@
 	away    turnedAway
 	clients map[coordination.Target]*http.Client
 	start   time.Time
+	// metrics serves what operators count; nil: nobody asked for it.
+	metrics http.Handler
+	// ending counts the requests that say goodbye, once the process is told to end.
+	ending sync.WaitGroup
 }
 
 type ask struct {
@@ -85,6 +91,9 @@
 		}}
 }
 
+// ServeMetrics has the peers' listener answer GET /metrics. It is called before Run.
+func (n *Node) ServeMetrics(handler http.Handler) { n.metrics = handler }
+
 // Run serves until the context ends.
 func (n *Node) Run(ctx context.Context) error {
 	ctx, stop := context.WithCancel(ctx)
@@ -110,17 +119,38 @@
 		go func() { failed <- server.Serve(s.l) }()
 		defer server.Close()
 	}
-	go n.loop(ctx)
+	calls, stopCalls := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopCalls()
+	ended := make(chan struct{})
+	go n.loop(ctx, calls, ended)
 	select {
 	case <-ctx.Done():
+		n.awaitGoodbye(ended)
 		return nil
 	case err := <-failed:
 		return err
 	}
 }
 
-// loop is the one goroutine that owns all state.
-func (n *Node) loop(ctx context.Context) {
+// awaitGoodbye waits for the last requests of a process that ends in good order, a tenth of a
+// lease at the most.
+func (n *Node) awaitGoodbye(ended <-chan struct{}) {
+	done := make(chan struct{})
+	go func() {
+		<-ended
+		n.ending.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-time.After(n.cfg.Lease() / 10):
+	}
+}
+
+// loop is the one goroutine that owns all state. Requests to others go on until their own
+// context ends.
+func (n *Node) loop(ctx, calls context.Context, ended chan<- struct{}) {
+	defer close(ended)
 	ticker := time.NewTicker(n.cfg.Tick())
 	defer ticker.Stop()
 	waiting := map[uint64]chan coordination.Reply{}
@@ -134,6 +164,7 @@
 	for {
 		ev := n.next(ctx, ticker.C, ask)
 		if ev == nil {
+			n.sayGoodbye(calls)
 			return
 		}
 		if _, tick := ev.(coordination.Tick); tick {
@@ -147,12 +178,29 @@
 					delete(waiting, e.ID)
 				}
 			case coordination.Call:
-				go n.call(ctx, e)
+				go n.call(calls, e)
 			}
 		}
 	}
 }
 
+// sayGoodbye sends what the core has to say at its end. Nobody waits for the answers.
+func (n *Node) sayGoodbye(calls context.Context) {
+	for _, e := range n.core.Handle(n.now(), coordination.Shutdown{}) {
+		call, isCall := e.(coordination.Call)
+		if !isCall {
+			continue
+		}
+		n.ending.Add(1)
+		go func() {
+			defer n.ending.Done()
+			if _, _, err := n.exchange(calls, call); err != nil {
+				n.log.Debug("no response", "addr", call.Addr, "path", call.Path, "err", err)
+			}
+		}()
+	}
+}
+
 // next is the next event; nil: the context has ended. Time and the state service go first,
 // then answers and workers: a flood of users must cost neither the leadership nor the workers'
 // leases, and a flood of workers not the leadership.
@@ -209,7 +257,13 @@
 	}
 }
 
+// errTooLate is of a request that must not leave any more.
+var errTooLate = errors.New("the process stood still since the request was decided")
+
 func (n *Node) exchange(ctx context.Context, c coordination.Call) (int, []byte, error) {
+	if c.Until > 0 && n.now().Steady > c.Until {
+		return 0, nil, errTooLate
+	}
 	ctx, cancel := context.WithTimeout(ctx, c.Timeout)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, c.Method, "http://"+c.Addr+c.Path, bytes.NewReader(c.Body))
@@ -253,6 +307,10 @@
 	mux.HandleFunc("POST /relay", n.handler(coordination.OpRelay, true))
 	mux.HandleFunc("POST /heartbeat", n.handler(coordination.OpHeartbeat, true))
 	mux.HandleFunc("POST /forward", n.handler(coordination.OpForward, true))
+	mux.HandleFunc("POST /probe", n.handler(coordination.OpProbe, true))
+	if n.metrics != nil {
+		mux.Handle("GET /metrics", n.metrics)
+	}
 	return mux
 }
 
@@ -290,8 +348,11 @@
 		if wantBody {
 			// A relayed submission is wrapped: a little more than a user's.
 			limit := int64(protocol.MaxBody)
-			if op == coordination.OpRelay || op == coordination.OpForward {
+			switch op {
+			case coordination.OpRelay, coordination.OpForward:
 				limit += 1 << 10
+			case coordination.OpProbe:
+				limit = membership.MostBytes
 			}
 			body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
 			if err != nil {
@@ -307,7 +368,7 @@
 		queue := n.asks
 		leaveAt := usersGo
 		switch op {
-		case coordination.OpForward, coordination.OpHeartbeat:
+		case coordination.OpForward, coordination.OpHeartbeat, coordination.OpProbe:
 			queue, leaveAt = n.reports, 100
 		case coordination.OpReport:
 			queue, leaveAt = n.reports, workersGo
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -45,7 +45,7 @@
 	n := node(t)
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
-	go n.loop(ctx)
+	go n.loop(ctx, ctx, make(chan struct{}))
 	users, peers := n.userRoutes(), n.peerRoutes()
 	for _, tc := range []struct {
 		h            http.Handler
@@ -91,13 +91,13 @@
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
 	n.core = fixed{coordination.Reply{Status: 404, Until: 30 * time.Second}}
-	go n.loop(ctx)
+	go n.loop(ctx, ctx, make(chan struct{}))
 	if w := send(n.userRoutes(), "GET", "/api/jobs/j-1", nil); w.Code != 503 || w.Header().Get("Retry-After") == "" {
 		t.Errorf("too late: %d, Retry-After %q", w.Code, w.Header().Get("Retry-After"))
 	}
 	m := node(t)
 	m.core = fixed{coordination.Reply{Status: 404, Until: time.Minute}}
-	go m.loop(ctx)
+	go m.loop(ctx, ctx, make(chan struct{}))
 	if w := send(m.userRoutes(), "GET", "/api/jobs/j-1", nil); w.Code != 404 {
 		t.Errorf("in time: %d", w.Code)
 	}
