--- a/internal/coordination/assignment.go
+++ b/internal/coordination/assignment.go
@@ -17,15 +17,22 @@
 // assignments are the owners of machines by zone, in the detector's view.
 type assignments struct {
 	zones map[string]*membership.Assignment
-	// moves is how many machines may be sent elsewhere now: all of a fleet's within a lease.
+	// own is the way of workers to the leader itself.
+	own route
+	// moves is how many machines may be sent elsewhere now: all of a fleet's within a lease, and in
+	// small fleets a few with each report.
 	moves bucket
 }
 
 func newAssignments(c *Core) assignments {
-	rate := float64(c.cfg.FleetSize()) / c.cfg.Lease().Seconds()
-	return assignments{zones: map[string]*membership.Assignment{}, moves: newBucket(rate, rate*c.cfg.Report().Seconds())}
+	report := c.cfg.Report().Seconds()
+	rate := max(float64(c.cfg.FleetSize())/c.cfg.Lease().Seconds(), leastMoves/report)
+	return assignments{zones: map[string]*membership.Assignment{}, moves: newBucket(rate, rate*report)}
 }
 
+// leastMoves is how many machines may be sent elsewhere between two reports, however small the fleet.
+const leastMoves = 4
+
 // servers are the controllers of a zone that may serve machines, sorted.
 func (r *term) servers(zone string) []string {
 	c := r.c
@@ -64,38 +71,45 @@
 		return ""
 	}
 	owner := r.ownerOf(m)
-	if owner == "" || owner == by {
+	if by == c.cfg.Label {
+		r.assignments.own.noteForwarded(c.now)
+	}
+	if owner == "" || owner == by || !r.inTouch(owner) {
 		return ""
 	}
-	if owner != c.cfg.Label && !r.takesWorker(m, owner) || c.now < m.DirectUntil || !r.assignments.moves.has(c.now, 1) {
+	way, process := r.wayTo(owner)
+	if m.SentLabel == owner && m.SentTo == process && m.SentAway > 0 {
+		r.returned(m, way)
 		return ""
 	}
-	if p := r.peers[owner]; p != nil {
-		if !p.route.takes(c.now, c.cfg.Report()) {
-			return ""
-		}
-		m.SentTo = p.incarnation
+	if m.SentTo != process {
+		m.Bounces = 0
+	}
+	if c.now < m.DirectUntil || !r.assignments.moves.has(c.now, 1) || !way.takes(c.now, c.cfg.Report()) {
+		return ""
 	}
 	r.assignments.moves.take(c.now, 1)
-	m.SentAway, m.SentLabel = c.now, owner
+	m.SentAway, m.SentLabel, m.SentTo = c.now, owner, process
 	c.observer.MachineSent(owner)
 	return owner
 }
 
-// takesWorker says whether a machine may be sent to a sibling now. One that came back from there
-// can't reach it, and is left alone for a while; that the sibling's process has ended since is
-// no reason.
-func (r *term) takesWorker(m *ledger.Machine, label string) bool {
+// inTouch says whether machines may be sent to a controller now: it is not suspected, and what
+// it passes on reaches us.
+func (r *term) inTouch(label string) bool {
 	c, p := r.c, r.peers[label]
-	if p == nil || p.asked == 0 || c.now >= p.asked+c.cfg.Lease()/8 || !c.membership.detector.TakesWork(label, c.now) {
-		return false
-	}
-	if m.SentLabel == label && m.SentTo == p.incarnation && m.SentAway > 0 {
-		r.returned(m, p)
-		return false
+	if label == c.cfg.Label {
+		return true
 	}
-	if m.SentTo != p.incarnation {
-		m.Bounces = 0
+	return p != nil && p.asked > 0 && c.now < p.asked+c.cfg.Lease()/8 && c.membership.detector.TakesWork(label, c.now)
+}
+
+// wayTo is the way of workers to a controller, and which process that is. A machine that came
+// back from there can't reach it, and is left alone for a while; what an earlier process
+// of the same label did not take counts for nothing.
+func (r *term) wayTo(label string) (*route, string) {
+	if p := r.peers[label]; p != nil {
+		return &p.route, p.incarnation
 	}
-	return true
+	return &r.assignments.own, r.c.incarnation
 }
--- a/internal/coordination/reach.go
+++ b/internal/coordination/reach.go
@@ -22,6 +22,10 @@
 	reachedAt      time.Duration   // last direct sign of any worker
 	missedMachines map[string]bool // machines missed since
 	suspectAt      time.Duration   // when the first of them was
+	// sampledAt and samples count the machines that were asked for a sign of life lately though
+	// nobody was missed.
+	sampledAt time.Duration
+	samples   int
 }
 
 // reached notes a direct sign of life of a worker.
@@ -44,8 +48,25 @@
 // answer though they are there: one that lately reported by another controller.
 func (r *term) probes(m *ledger.Machine) bool {
 	c := r.c
-	return len(r.missedMachines) > 0 && !r.missedMachines[m.ID] && m.Fresh && c.now < m.Heard+2*c.cfg.Report() &&
-		c.now > r.reachedAt+c.cfg.Lease()/20
+	if r.missedMachines[m.ID] || !m.Fresh || c.now >= m.Heard+2*c.cfg.Report() {
+		return false
+	}
+	return len(r.missedMachines) > 0 && c.now > r.reachedAt+c.cfg.Lease()/20 || r.samplesReach()
+}
+
+// samplesReach says whether one more machine is asked for a sign of life because none has given
+// any directly for a while: a leader that had nothing to say to its workers did not notice that it
+// couldn't reach them, and those that reported to it lost their leases.
+func (r *term) samplesReach() bool {
+	c := r.c
+	if !c.membership.enabled() || c.now <= r.reachedAt+c.cfg.Lease()/10 {
+		return false
+	}
+	if c.now > r.sampledAt+c.cfg.Lease()/20 {
+		r.sampledAt, r.samples = c.now, 0
+	}
+	r.samples++
+	return r.samples <= leastMissed
 }
 
 // outOfReach says whether the workers are there for others and not for us.
--- a/internal/coordination/routes.go
+++ b/internal/coordination/routes.go
@@ -87,7 +87,7 @@
 	if m.SentTo != p.incarnation {
 		m.Bounces = 0
 	} else if m.SentAway > 0 {
-		r.returned(m, p)
+		r.returned(m, &p.route)
 		return ""
 	}
 	if c.now < m.DirectUntil || !p.route.takes(c.now, c.cfg.Report()) {
@@ -99,7 +99,7 @@
 
 // returned notes that a worker reports to us again though it was sent to another
 // controller.
-func (r *term) returned(m *ledger.Machine, p *peer) {
+func (r *term) returned(m *ledger.Machine, way *route) {
 	c := r.c
 	if c.now > m.SentAway+3*c.cfg.Lease() {
 		m.Bounces = 0 // it was there for long
@@ -107,7 +107,7 @@
 	m.DirectUntil = c.now + c.cfg.Lease()/2<<min(m.Bounces, mostTrialDelay)
 	m.Bounces++
 	m.SentAway = 0
-	p.route.noteReturn(c.now, c.cfg.Lease())
+	way.noteReturn(c.now, c.cfg.Lease())
 }
 
 // nearest is the controller of a zone that is in touch with us, if any: of several
