Metrics and traces of handovers, off unless operators ask for them

Need: operators see who is suspected, what was dropped and how a change of leader went, beside the log.

Change: internal/telemetry observes the core: GET /metrics at the peers' listener, and a span for each handover with its steps, in a file, by OpenTelemetry. Both are off by default; the core only calls an observer that does nothing then.

--- a/cmd/claybarrow/main.go
+++ b/cmd/claybarrow/main.go
@@ -11,11 +11,13 @@
 	"runtime"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"github.com/alecthomas/kong"
 
 	"claybarrow/internal/config"
 	"claybarrow/internal/coordination"
+	"claybarrow/internal/telemetry"
 	"claybarrow/internal/transport"
 )
 
@@ -88,7 +90,30 @@
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	core := coordination.New(cfg, random, log)
 	log.Info("starting", "version", version, "users", cfg.ClientListen, "peers", cfg.PeerListen)
-	return transport.New(cfg, core, log).Run(ctx)
+	node := transport.New(cfg, core, log)
+	if telemetry.Enabled(cfg) {
+		recorder, err := telemetry.New(cfg, node.Start())
+		if err != nil {
+			return err
+		}
+		defer closeTelemetry(recorder, log)
+		core.Observe(recorder)
+		if cfg.Operator.Telemetry.Metrics {
+			node.ServeMetrics(recorder)
+		}
+	}
+	return node.Run(ctx)
+}
+
+// telemetryCloses bounds the writing of the last spans.
+const telemetryCloses = 2 * time.Second
+
+func closeTelemetry(recorder *telemetry.Recorder, log *slog.Logger) {
+	ctx, stop := context.WithTimeout(context.Background(), telemetryCloses)
+	defer stop()
+	if err := recorder.Close(ctx); err != nil {
+		log.Error("spans were lost", "err", err)
+	}
 }
 
 func logLevel() (slog.Level, error) {
--- a/internal/coordination/observer.go
+++ b/internal/coordination/observer.go
@@ -40,6 +40,32 @@
 	ReadAhead int
 }
 
+// HandoverStep is a part of a handover.
+type HandoverStep struct {
+	Name     string
+	From, To time.Duration
+}
+
+// Steps are the parts that happened, in order; there is at least the election.
+func (h *Handover) Steps() []HandoverStep {
+	var out []HandoverStep
+	if h.Suspected > 0 && h.Gone >= h.Suspected {
+		out = append(out, HandoverStep{"suspicion", h.Suspected, h.Gone})
+	}
+	gone := h.Gone
+	if gone == 0 || gone > h.Elected {
+		gone = h.Elected
+	}
+	out = append(out, HandoverStep{"election", gone, h.Elected})
+	if h.Loaded > 0 {
+		out = append(out, HandoverStep{"load", h.Elected, h.Loaded})
+	}
+	if h.Placed > 0 {
+		out = append(out, HandoverStep{"placement", h.Loaded, h.Placed})
+	}
+	return out
+}
+
 // noObserver observes nothing.
 type noObserver struct{}
 
--- /dev/null
+++ b/internal/telemetry/telemetry_test.go
@@ -0,0 +1,101 @@
+package telemetry
+
+import (
+	"context"
+	"encoding/json"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"claybarrow/internal/config"
+	"claybarrow/internal/coordination"
+	"claybarrow/internal/membership"
+)
+
+func settings(t *testing.T, trace string) *config.Config {
+	t.Helper()
+	cfg := &config.Config{}
+	cfg.Label = "n0"
+	cfg.Siblings = []config.Peer{{Label: "n1"}, {Label: "n2"}}
+	cfg.Operator.Telemetry.Metrics = true
+	cfg.Operator.Telemetry.TraceFile = trace
+	return cfg
+}
+
+func TestMetrics(t *testing.T) {
+	r, err := New(settings(t, ""), time.Now())
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Detector(2, membership.Counters{Probes: 7, FalseSuspicions: 1})
+	r.MemberChanged(membership.Change{Label: "n1", From: membership.Alive, To: membership.Suspect})
+	r.MemberChanged(membership.Change{Label: "unheard-of", To: membership.Dead})
+	r.Dropped(membership.Drop{Label: "n1", Reason: membership.DropSequence})
+	r.MachineSent("n2")
+	r.Detoured()
+	r.Retried()
+	r.Resumed(2*time.Second, true)
+	r.HandedOver(coordination.Handover{Token: 3, Gone: time.Second, Elected: 2 * time.Second, Loaded: 3 * time.Second})
+	w := httptest.NewRecorder()
+	r.ServeHTTP(w, httptest.NewRequest("GET", "/metrics", nil))
+	for _, line := range []string{
+		"claybarrow_observer_health 2", "claybarrow_membership_probes_total 7", "claybarrow_membership_false_suspicions_total 1",
+		`claybarrow_member_state{controller="n1"} 1`, `claybarrow_member_state{controller="n2"} 0`,
+		`claybarrow_messages_dropped_total{reason="sequence_went_backwards"} 1`, `claybarrow_machines_sent_total{to="n2"} 1`,
+		"claybarrow_requests_detoured_total 1", "claybarrow_requests_retried_total 1", `claybarrow_standstills_total{led="true"} 1`,
+		"claybarrow_handovers_total 1",
+	} {
+		if !strings.Contains(w.Body.String(), line) {
+			t.Errorf("no line %s in:\n%s", line, w.Body.String())
+		}
+	}
+	if err := r.Close(context.Background()); err != nil {
+		t.Error(err)
+	}
+}
+
+// A handover is a span from the suspicion to the first placement, with a child for each step.
+func TestTraceOfAHandover(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "trace.json")
+	start := time.Date(2026, 12, 1, 8, 0, 0, 0, time.UTC)
+	r, err := New(settings(t, file), start)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.HandedOver(coordination.Handover{Token: 3, Former: "n1", Suspected: 10 * time.Second, Gone: 11 * time.Second,
+		Elected: 11*time.Second + 20*time.Millisecond, Loaded: 11*time.Second + 90*time.Millisecond, Placed: 12 * time.Second, Jobs: 5, Machines: 7})
+	if err := r.Close(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	raw, err := os.ReadFile(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	seen := map[string]time.Duration{}
+	decoder := json.NewDecoder(strings.NewReader(string(raw)))
+	for decoder.More() {
+		var span struct {
+			Name               string
+			StartTime, EndTime time.Time
+		}
+		if err := decoder.Decode(&span); err != nil {
+			t.Fatal(err)
+		}
+		seen[span.Name] = span.EndTime.Sub(span.StartTime)
+	}
+	for name, want := range map[string]time.Duration{"handover": 2 * time.Second, "suspicion": time.Second, "election": 20 * time.Millisecond,
+		"load": 70 * time.Millisecond, "placement": 910 * time.Millisecond} {
+		if seen[name] != want {
+			t.Errorf("span %s takes %v, not %v", name, seen[name], want)
+		}
+	}
+}
+
+func TestTraceFileThatCantBeOpened(t *testing.T) {
+	if _, err := New(settings(t, filepath.Join(t.TempDir(), "no", "such", "folder")), time.Now()); err == nil || !strings.Contains(err.Error(), "telemetry.trace_file") {
+		t.Errorf("the error is %v", err)
+	}
+}
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -91,6 +91,9 @@
 		}}
 }
 
+// Start is the zero of the core's steady clock.
+func (n *Node) Start() time.Time { return n.start }
+
 // ServeMetrics has the peers' listener answer GET /metrics. It is called before Run.
 func (n *Node) ServeMetrics(handler http.Handler) { n.metrics = handler }
 
