Tests that cause failures of controllers, with the detector on

Need: each step of placing a replica, stalls, cuts, loss, drift, versions side by side and second deaths are caused, not waited for.

--- a/internal/coordination/assignment.go
+++ b/internal/coordination/assignment.go
@@ -90,7 +90,7 @@
 	}
 	r.assignments.moves.take(c.now, 1)
 	m.SentAway, m.SentLabel, m.SentTo = c.now, owner, process
-	c.observer.MachineSent(owner)
+	c.observer.MachineSent(m.ID, owner)
 	return owner
 }
 
--- /dev/null
+++ b/internal/coordination/membership_test.go
@@ -0,0 +1,720 @@
+package coordination
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"claybarrow/internal/emulator"
+	"claybarrow/internal/membership"
+	"claybarrow/internal/protocol"
+)
+
+// worldObserver keeps what a controller of the world told its operators.
+type worldObserver struct {
+	noObserver
+	w         *world
+	node      int
+	changes   []memberChange
+	sent      map[string][]time.Duration // machines that were sent elsewhere, and when
+	handovers []Handover
+	detours   int
+	retries   int
+}
+
+type memberChange struct {
+	at time.Duration
+	membership.Change
+}
+
+func (o *worldObserver) MemberChanged(c membership.Change) {
+	o.changes = append(o.changes, memberChange{o.w.Now(), c})
+}
+
+func (o *worldObserver) MachineSent(machine, _ string) {
+	if o.sent == nil {
+		o.sent = map[string][]time.Duration{}
+	}
+	o.sent[machine] = append(o.sent[machine], o.w.Now())
+}
+
+func (o *worldObserver) HandedOver(h Handover) { o.handovers = append(o.handovers, h) }
+func (o *worldObserver) Detoured()             { o.detours++ }
+func (o *worldObserver) Retried()              { o.retries++ }
+
+// became says when a controller's view of another one first came to be a state since a time; 0: never.
+func (o *worldObserver) became(label string, state membership.State, since time.Duration) time.Duration {
+	for _, c := range o.changes {
+		if c.at >= since && c.Label == label && c.To == state {
+			return c.at
+		}
+	}
+	return 0
+}
+
+func newMembershipWorld(t *testing.T, seed uint64) *world {
+	return newWorldWith(t, seed, []byte(membershipOn))
+}
+
+func label(i int) string { return fmt.Sprintf("n%d", i) }
+
+// replicas has services running in both zones.
+func (w *world) replicas() {
+	w.t.Helper()
+	w.submit("j-1", map[string]any{"shape": "service", "shards": 4, "apart": true, "cores": 4.0})
+	w.submit("j-2", map[string]any{"shape": "service", "shards": 2, "owner": "blue"})
+	w.until(90*second, "replicas run", func() bool { return w.running("j-1") == 4 && w.running("j-2") == 2 })
+	w.run(20 * second)
+}
+
+// With nothing wrong nobody is suspected, whatever the load of the start.
+func TestNobodySuspectedInPeace(t *testing.T) {
+	w := newMembershipWorld(t, 901)
+	w.replicas()
+	for _, n := range w.nodes {
+		for _, c := range n.observer.changes {
+			t.Errorf("n%d: %+v", n.observer.node, c)
+		}
+	}
+	w.settle()
+}
+
+// placingStep is a moment of placing a replica at which the leader ends.
+type placingStep struct {
+	name string
+	// here says whether a call of the leader is the moment; carried whether the call still arrives.
+	here    func(c Call) bool
+	carried bool
+}
+
+func carriesVerb(c Call, verb string) bool {
+	var body protocol.Commands
+	if c.Target != ToWorker || protocol.Decode(c.Body, &body) != nil {
+		return false
+	}
+	for _, command := range body.Commands {
+		if command.Verb == verb {
+			return true
+		}
+	}
+	return false
+}
+
+// writesUnder says whether a transaction puts a key with the prefix.
+func writesUnder(c Call, prefix string) bool {
+	var body struct {
+		Then []protocol.Change `msgpack:"apply"`
+	}
+	if c.Target != ToState || c.Path != "/multi" || protocol.Decode(c.Body, &body) != nil {
+		return false
+	}
+	for _, change := range body.Then {
+		if strings.HasPrefix(change.Put, prefix) {
+			return true
+		}
+	}
+	return false
+}
+
+var placingSteps = []placingStep{
+	{"before the job's write", func(c Call) bool { return writesUnder(c, "j/") }, false},
+	{"after the job's write without its answer", func(c Call) bool { return writesUnder(c, "j/") }, true},
+	{"before the write of the place", func(c Call) bool { return writesUnder(c, "m/") }, false},
+	{"after the write without its answer", func(c Call) bool { return writesUnder(c, "m/") }, true},
+	{"before the run", func(c Call) bool { return carriesVerb(c, protocol.VerbRun) }, false},
+	{"after the run without its answer", func(c Call) bool { return carriesVerb(c, protocol.VerbRun) }, true},
+	{"before the completion's write", func(c Call) bool { return writesUnder(c, "d/") }, false},
+	{"after the completion's write", func(c Call) bool { return writesUnder(c, "d/") }, true},
+	{"before the clear", func(c Call) bool { return carriesVerb(c, protocol.VerbClear) }, false},
+	{"after the clear", func(c Call) bool { return carriesVerb(c, protocol.VerbClear) }, true},
+}
+
+// placingTrouble is what else goes on while the leader ends.
+type placingTrouble struct {
+	name string
+	// also changes the fate of a call; second has the next leader end, too, while it reads.
+	also   func(w *world, c Call) fate
+	second bool
+}
+
+var placingTroubles = []placingTrouble{
+	{name: "alone"},
+	{name: "the state service slow", also: func(w *world, c Call) fate {
+		if c.Target == ToState {
+			return fate{hold: time.Duration(w.rng.Int64N(int64(400 * time.Millisecond)))}
+		}
+		return fate{}
+	}},
+	{name: "a second death in the take-over", second: true},
+}
+
+// A leader that dies at each single step of placing: nothing runs twice, no job is without an
+// owner, whatever else goes on.
+func TestLeaderDiesAtEachStepOfPlacing(t *testing.T) {
+	for s, step := range placingSteps {
+		for k, trouble := range placingTroubles {
+			t.Run(step.name+", "+trouble.name, func(t *testing.T) {
+				w := newMembershipWorld(t, uint64(910+100*s+k))
+				dieWhilePlacing(w, step, trouble)
+			})
+		}
+	}
+}
+
+func dieWhilePlacing(w *world, step placingStep, trouble placingTrouble) {
+	w.runs = func(string) time.Duration { return 6 * second }
+	w.submit("j-1", map[string]any{"shape": "service", "shards": 3})
+	w.until(90*second, "replicas run", func() bool { return w.running("j-1") == 3 })
+	w.run(10 * second)
+	died, again := false, false
+	w.script = func(node int, c Call) fate {
+		f := fate{}
+		if trouble.also != nil {
+			f = trouble.also(w, c)
+		}
+		switch {
+		case !died && step.here(c):
+			died = true
+			w.restart(node, 3*second)
+			w.crash(node)
+			f.lost, f.answerLost = !step.carried, true
+		case died && trouble.second && !again && c.Target == ToState && strings.HasPrefix(c.Path, "/store?under=j/"):
+			again = true
+			w.restart(node, 3*second)
+			w.crash(node)
+			f.lost = true
+		}
+		return f
+	}
+	w.submit("j-2", map[string]any{"shards": 2})
+	w.submit("j-3", map[string]any{"shape": "service", "shards": 2, "owner": "blue"})
+	w.until(60*second, "the leader ends at "+step.name, func() bool { return died })
+	w.until(120*second, "all runs", func() bool { return w.running("j-1") == 3 && w.running("j-3") == 2 })
+	w.awaitTold(120*second, "j-2", protocol.Done)
+	if trouble.second && !again {
+		w.t.Error("the second leader did not end")
+	}
+	w.settle()
+}
+
+// A late transaction of the former leader changes nothing, at whatever step it ended.
+func TestLateTransactionOfALeaderThatDied(t *testing.T) {
+	for _, prefix := range []string{"j/", "m/", "d/"} {
+		w := newMembershipWorld(t, 931)
+		w.runs = func(string) time.Duration { return 6 * second }
+		w.replicas()
+		died := false
+		w.script = func(node int, c Call) fate {
+			if !died && writesUnder(c, prefix) {
+				died = true
+				w.restart(node, 2*second)
+				w.crash(node)
+				return fate{hold: 15 * second, answerLost: true}
+			}
+			return fate{}
+		}
+		w.submit("j-3", map[string]any{"shards": 2})
+		w.until(60*second, "the leader ends", func() bool { return died })
+		w.awaitTold(120*second, "j-3", protocol.Done)
+		w.run(20 * second)
+		w.settle()
+	}
+}
+
+// Stalls of half, one and several leases, as leader, as a zone's relay, and both at once: no task
+// on two machines, and nothing moves for less than the workers' leases.
+func TestStallsAndResumes(t *testing.T) {
+	lease := 1500 * time.Millisecond
+	for k, stall := range []time.Duration{lease / 2, lease, 3 * lease, 6 * lease} {
+		for _, who := range []string{"leader", "relay", "both"} {
+			t.Run(fmt.Sprintf("%s for %v", who, stall), func(t *testing.T) {
+				w := newMembershipWorld(t, uint64(940+k))
+				w.replicas()
+				lead := w.awaitLeader()
+				relay := 2
+				if lead == 2 {
+					relay = 0
+				}
+				began := w.Now()
+				if who != "relay" {
+					w.standStill(lead, stall)
+				}
+				if who != "leader" {
+					w.standStill(relay, stall)
+				}
+				w.run(stall + 30*second)
+				if stall < lease {
+					for i, n := range w.nodes {
+						for _, c := range n.observer.changes {
+							if c.at >= began && c.To == membership.Dead {
+								t.Errorf("n%d: %+v", i, c)
+							}
+						}
+					}
+				}
+				if stall <= 6*lease {
+					for task, n := range w.starts {
+						if n > 1 && who != "both" {
+							t.Errorf("%s was moved", task)
+						}
+					}
+				}
+				w.settle()
+			})
+		}
+	}
+}
+
+// A controller that resumes is refused nothing and refuses all before it has heard of somebody:
+// no answer, no command, no write comes of what it believed before.
+func TestResumedLeaderDoesNothingFirst(t *testing.T) {
+	w := newMembershipWorld(t, 951)
+	w.replicas()
+	lead := w.awaitLeader()
+	n := w.nodes[lead]
+	w.standStill(lead, 8*second)
+	w.run(8*second - time.Millisecond)
+	early := []string{}
+	w.script = func(node int, c Call) fate {
+		if node == lead && n.core.isResuming() {
+			switch {
+			case c.Target == ToWorker, c.Path == "/multi", c.Path == "/relay", c.Path == "/forward":
+				early = append(early, c.Path)
+			}
+		}
+		return fate{}
+	}
+	n.still = false
+	w.feed(lead, Tick{}) // it goes on
+	if !n.core.isResuming() {
+		t.Fatal("it does not notice that it stood still")
+	}
+	for _, op := range []Op{OpPoll, OpCancel} {
+		w.ask(lead, Request{Op: op, UID: "j-1"}, func(r Reply) {
+			if r.Status != 503 || r.RetryAfter == 0 {
+				t.Errorf("%s is answered %d, come back in %d", op, r.Status, r.RetryAfter)
+			}
+		})
+	}
+	var report []byte
+	for _, k := range w.fleet() {
+		if k.Up && !k.Gone {
+			report = protocol.Encode(k.Message())
+		}
+	}
+	w.ask(lead, Request{Op: OpReport, Body: report}, func(r Reply) {
+		if r.Status == 200 {
+			t.Error("a worker's lease is renewed")
+		}
+	})
+	w.run(5 * second)
+	if len(early) > 0 {
+		t.Errorf("it sent %v first", early)
+	}
+	if n.core.isResuming() {
+		t.Error("it has heard of nobody")
+	}
+	w.settle()
+}
+
+// A cut in one direction only, between a follower and the leader: its users' requests go round by
+// the third controller, and nobody is suspected.
+func TestDetourRoundABadLink(t *testing.T) {
+	for _, toLeader := range []bool{true, false} {
+		w := newMembershipWorld(t, 952)
+		w.replicas()
+		lead := w.awaitLeader()
+		from := (lead + 1) % 3
+		began := w.Now()
+		w.script = func(node int, c Call) fate {
+			if node == from && c.Target == ToPeer && c.Addr == w.cfgs[lead].PeerListen {
+				return fate{lost: toLeader, answerLost: true}
+			}
+			return fate{}
+		}
+		w.run(5 * second)
+		answered := 0
+		for range 5 {
+			w.user(from, OpPoll, "j-1", func(status int, _ protocol.Standing) {
+				if status == 200 {
+					answered++
+				}
+			})
+			w.run(second)
+		}
+		if answered < 5 {
+			t.Errorf("requests lost %v: %d of 5 questions are answered", toLeader, answered)
+		}
+		if w.nodes[from].observer.detours == 0 {
+			t.Error("no request went round")
+		}
+		for i, n := range w.nodes {
+			if at := n.observer.became(label(lead), membership.Suspect, began); at > 0 {
+				t.Errorf("n%d suspects the leader", i)
+			}
+		}
+		w.settle()
+	}
+}
+
+// A link that flaps every few seconds, and a share of the peers' messages lost: nobody is dead, no
+// leader changes and no lease runs out; up to one in twenty, nothing moves.
+func TestFlappingLinkAndLoss(t *testing.T) {
+	for k, loss := range []float64{0, 0.05, 0.10, 0.20} {
+		w := newMembershipWorld(t, uint64(960+k))
+		w.replicas()
+		lead := w.awaitLeader()
+		token := w.term().token
+		began := w.Now()
+		w.script = func(node int, c Call) fate {
+			if c.Target != ToPeer {
+				return fate{}
+			}
+			if loss > 0 {
+				return fate{lost: w.rng.Float64() < loss, answerLost: w.rng.Float64() < loss}
+			}
+			between := node == lead || c.Addr == w.cfgs[lead].PeerListen
+			return fate{lost: between && int(w.Now()/second)%5 < 2}
+		}
+		w.run(60 * second)
+		if w.awaitLeader() != lead || w.term().token != token {
+			t.Errorf("loss %v: the leader changed", loss)
+		}
+		for i, n := range w.nodes {
+			for _, c := range n.observer.changes {
+				if c.at >= began && c.To == membership.Dead {
+					t.Errorf("loss %v: n%d: %+v", loss, i, c)
+				}
+			}
+		}
+		for _, k := range w.fleet() {
+			if k.Up && !k.Gone && k.Session > 1 {
+				t.Errorf("loss %v: the lease of %s ran out", loss, k.ID)
+			}
+		}
+		for task, n := range w.starts {
+			if n > 1 && loss <= 0.05 {
+				t.Errorf("loss %v: %s was moved", loss, task)
+			}
+		}
+		w.settle()
+	}
+}
+
+// Steady clocks that drift apart by the bound.
+func TestDriftingClocks(t *testing.T) {
+	w := newMembershipWorld(t, 965)
+	w.nodes[0].drift, w.nodes[1].drift = 0.0005, 0.0002
+	w.replicas()
+	w.crash(w.awaitLeader())
+	w.run(60 * second)
+	w.settle()
+}
+
+// sameZone moves all controllers into the first zone, for machines to be divided between them.
+func (w *world) sameZone() {
+	for i, cfg := range w.cfgs {
+		cfg.Zone = "a"
+		for k := range cfg.Siblings {
+			cfg.Siblings[k].Zone = "a"
+		}
+		w.boot(i)
+	}
+}
+
+func (w *world) controllersOf(zone string) map[string]int {
+	out := map[string]int{}
+	for _, k := range w.fleet() {
+		if k.Up && !k.Gone && k.Zone == zone {
+			out[k.ID] = k.Controller
+		}
+	}
+	return out
+}
+
+func (w *world) byID(id string) *emulator.Worker {
+	for _, k := range w.fleet() {
+		if k.ID == id {
+			return k
+		}
+	}
+	return nil
+}
+
+// Machines of a controller that died go to the others once each; nobody else's move; they come back
+// once it has been steady, and not all at once. Suspicion alone moves none.
+func TestMachinesMoveOncePerDeath(t *testing.T) {
+	w := newMembershipWorld(t, 970)
+	w.sameZone()
+	w.submit("j-1", map[string]any{"shape": "service", "shards": 8, "cores": 4.0, "yard": "a"})
+	w.submit("j-2", map[string]any{"shape": "service", "shards": 4, "cores": 4.0, "yard": "a", "owner": "blue"})
+	w.until(90*second, "replicas run", func() bool { return w.running("j-1") == 8 && w.running("j-2") == 4 })
+	settled := func() bool {
+		r := w.term()
+		for _, m := range r.Machines {
+			k := w.byID(m.ID)
+			if k != nil && k.Up && !k.Gone && m.Zone == "a" && label(k.Controller) != r.ownerOf(m) {
+				return false
+			}
+		}
+		return true
+	}
+	w.until(60*second, "each machine reports to its owner", settled)
+	lead := w.awaitLeader()
+	before := w.controllersOf("a")
+	victim := -1
+	for _, c := range before {
+		if c != lead {
+			victim = c
+		}
+	}
+	if victim < 0 {
+		t.Fatalf("all machines report to the leader: %v", before)
+	}
+	// Suspicion alone: shorter than the timeout.
+	began := w.Now()
+	w.standStill(victim, 1200*time.Millisecond)
+	w.run(10 * second)
+	if n := len(w.nodes[lead].observer.sent); n > 0 && w.nodes[lead].observer.became(label(victim), membership.Dead, began) == 0 {
+		for id, c := range w.controllersOf("a") {
+			if c != before[id] {
+				t.Errorf("%s moved from %d to %d at a suspicion", id, before[id], c)
+			}
+		}
+	}
+	w.until(60*second, "each machine reports to its owner", settled)
+	w.nodes[lead].observer.sent = nil
+	before = w.controllersOf("a")
+	w.crash(victim)
+	w.run(30 * second)
+	if !settled() {
+		t.Errorf("not all machines report to their owners")
+	}
+	for id, c := range w.controllersOf("a") {
+		if before[id] != victim && c != before[id] {
+			t.Errorf("%s moved from %d to %d though %d died", id, before[id], c, victim)
+		}
+		if sent := len(w.nodes[lead].observer.sent[id]); sent > 1 {
+			t.Errorf("%s was sent elsewhere %d times for one death", id, sent)
+		}
+	}
+	w.boot(victim)
+	w.run(10 * second)
+	for id, c := range w.controllersOf("a") {
+		if c == victim {
+			t.Errorf("%s is back at a controller that is not steady yet", id)
+		}
+	}
+	w.until(60*second, "each machine is back", settled)
+	for _, k := range w.fleet() {
+		if k.Up && !k.Gone && k.Session > 1 {
+			t.Errorf("the lease of %s ran out", k.ID)
+		}
+	}
+	w.settle()
+}
+
+// An older version among them is judged by heartbeats, never suspected for its 404, and leads and
+// follows as before.
+func TestOlderVersionAmongThem(t *testing.T) {
+	for older := range 3 {
+		w := newMembershipWorld(t, uint64(980+older))
+		w.cfgs[older].Operator.Membership.Enabled = false
+		w.nodes[older].older = true
+		w.boot(older)
+		w.replicas()
+		for i, n := range w.nodes {
+			for _, c := range n.observer.changes {
+				if c.Label == label(older) {
+					t.Errorf("n%d: %+v", i, c)
+				}
+			}
+		}
+		began := w.Now()
+		w.crash(older)
+		w.run(20 * second)
+		for i, n := range w.nodes {
+			if i != older && n.observer.became(label(older), membership.Dead, began) == 0 {
+				t.Errorf("n%d does not hold n%d dead", i, older)
+			}
+		}
+		w.boot(older)
+		w.run(20 * second)
+		w.settle()
+	}
+}
+
+// Probes are answered 404 while the feature is off, as by a version that does not know them.
+func TestProbesAreUnknownWhileOff(t *testing.T) {
+	w := newWorldWith(t, 985, nil)
+	w.awaitLeader()
+	w.ask(0, Request{Op: OpProbe, Body: []byte{0xa0}}, func(r Reply) {
+		if r.Status != 404 {
+			t.Errorf("a probe is answered %d", r.Status)
+		}
+	})
+}
+
+// An orderly end of the leader hands over at once, and is no death.
+func TestOrderlyEnd(t *testing.T) {
+	w := newMembershipWorld(t, 986)
+	w.replicas()
+	lead := w.awaitLeader()
+	began := w.Now()
+	w.feed(lead, Shutdown{})
+	w.run(20 * time.Millisecond)
+	w.crash(lead)
+	w.until(second, "another leads", func() bool { l := w.leader(); return l >= 0 && l != lead })
+	w.run(20 * second)
+	for i, n := range w.nodes {
+		if i == lead {
+			continue
+		}
+		if n.observer.became(label(lead), membership.Left, began) == 0 {
+			t.Errorf("n%d does not know that it left: %+v", i, n.observer.changes)
+		}
+		if n.observer.became(label(lead), membership.Suspect, began) > 0 {
+			t.Errorf("n%d suspects it", i)
+		}
+	}
+	w.settle()
+}
+
+// storeMany puts records of jobs that are over, so that a take-over reads pages of them.
+func (w *world) storeMany(n int) {
+	for i := range n {
+		w.state.Change(fmt.Sprintf("j/j-9%06d", i), &emulator.Item{Value: protocol.Encode(map[string]any{"s": protocol.Done, "n": 1})})
+	}
+}
+
+// A successor reads ahead while the leader is suspected; what the leader wrote after that is known
+// all the same, and if too much has changed all is read anew.
+func TestSuccessorReadsAhead(t *testing.T) {
+	for _, tooMuch := range []bool{false, true} {
+		w := newMembershipWorld(t, 990)
+		w.storeMany(3500)
+		w.replicas()
+		lead := w.awaitLeader()
+		w.submit("j-5", map[string]any{"shape": "service", "owner": "blue"})
+		w.until(60*second, "it runs", func() bool { return w.running("j-5") == 1 })
+		// The leader's peers don't reach it, so that they suspect it while it works on.
+		w.script = func(node int, c Call) fate {
+			return fate{lost: c.Target == ToPeer && (node == lead || c.Addr == w.cfgs[lead].PeerListen)}
+		}
+		ahead := func() bool {
+			for i, n := range w.nodes {
+				if a := n.core.succession.ahead; i != lead && a != nil && a.over {
+					return true
+				}
+			}
+			return false
+		}
+		w.until(10*second, "records are read ahead", ahead)
+		// The last that it does: a job that nobody has read of.
+		w.ask(lead, Request{Op: OpSubmit, Body: protocol.Encode(w.spec("j-6", map[string]any{"shape": "service", "owner": "blue"}))}, func(r Reply) {
+			if r.Status != 201 {
+				t.Errorf("the submission is answered %d", r.Status)
+			}
+			w.tell("j-6", protocol.Standing{UID: "j-6", State: protocol.Pending}, w.Now())
+			w.noteAnswer("j-6")
+		})
+		w.cancelRequested["j-5"] = true
+		w.ask(lead, Request{Op: OpCancel, UID: "j-5"}, func(Reply) {})
+		w.run(300 * time.Millisecond)
+		w.crash(lead)
+		w.script = func(_ int, c Call) fate {
+			if tooMuch && writesUnder(c, keyLeader) {
+				w.storeMany(25_000) // more than the state service keeps, just before the election
+			}
+			return fate{}
+		}
+		next := w.awaitLeader()
+		w.script = nil
+		w.run(15 * second)
+		h := w.nodes[next].observer.handovers
+		if len(h) == 0 {
+			t.Fatal("no handover is told")
+		}
+		if got := h[len(h)-1].ReadAhead; (got >= 3500) == tooMuch {
+			t.Errorf("too much %v: %d records were read ahead", tooMuch, got)
+		}
+		w.until(60*second, "the last job runs", func() bool { return w.running("j-6") == 1 })
+		if w.running("j-5") > 0 {
+			t.Error("the cancelled job runs")
+		}
+		w.settle()
+	}
+}
+
+// Not all candidates campaign in the same instant.
+func TestCandidatesTakeTurns(t *testing.T) {
+	w := newMembershipWorld(t, 995)
+	w.replicas()
+	lead := w.awaitLeader()
+	campaigns := map[int]time.Duration{}
+	w.script = func(node int, c Call) fate {
+		if c.Path == "/multi" && w.nodes[node].core.term == nil && campaigns[node] == 0 {
+			campaigns[node] = w.Now()
+		}
+		return fate{lost: c.Path == "/multi"} // nobody wins, for them all to try
+	}
+	w.crash(lead)
+	w.run(4 * second)
+	if len(campaigns) != 2 {
+		t.Fatalf("campaigns: %v", campaigns)
+	}
+	var first, last time.Duration
+	for _, at := range campaigns {
+		if first == 0 || at < first {
+			first = at
+		}
+		last = max(last, at)
+	}
+	if last-first < 50*time.Millisecond {
+		t.Errorf("they campaign %v apart", last-first)
+	}
+	w.settle()
+}
+
+// Random sequences of stalls, deaths, cuts, loss and outages, judged by the checker alone.
+func TestRandomFailuresOfControllers(t *testing.T) {
+	for seed := range uint64(8) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			w := newMembershipWorld(t, 1000+seed)
+			w.initialJobs()
+			loss := 0.0
+			cutFrom, cutTo := -1, -1
+			w.script = func(node int, c Call) fate {
+				if c.Target != ToPeer {
+					return fate{}
+				}
+				cut := node == cutFrom && c.Addr == w.cfgs[max(0, cutTo)].PeerListen
+				return fate{lost: cut || w.rng.Float64() < loss, answerLost: w.rng.Float64() < loss}
+			}
+			for step := range 12 {
+				node := w.rng.IntN(3)
+				switch w.rng.IntN(6) {
+				case 0:
+					if w.nodes[node].alive {
+						w.standStill(node, w.ms(200, 10_000))
+					}
+				case 1:
+					w.crash(node)
+					w.restart(node, w.ms(100, 8000))
+				case 2:
+					cutFrom, cutTo = node, (node+1)%3
+				case 3:
+					cutFrom, cutTo, loss = -1, -1, 0
+				case 4:
+					loss = w.rng.Float64() * 0.2
+				case 5:
+					w.state.Outage(w.ms(500, 6000))
+				}
+				w.submit(fmt.Sprintf("j-7%d", step), map[string]any{"shards": 1 + w.rng.IntN(3), "cores": 1.0})
+				w.run(w.ms(1000, 8000))
+			}
+			w.settle()
+		})
+	}
+}
--- a/internal/coordination/observer.go
+++ b/internal/coordination/observer.go
@@ -15,7 +15,7 @@
 	Dropped(membership.Drop)
 	HandedOver(Handover)
 	// MachineSent counts a machine that was sent to another controller.
-	MachineSent(to string)
+	MachineSent(machine, to string)
 	// Detoured and Retried count requests that went to the leader by another controller, and
 	// once more.
 	Detoured()
@@ -73,7 +73,7 @@
 func (noObserver) MemberChanged(membership.Change)   {}
 func (noObserver) Dropped(membership.Drop)           {}
 func (noObserver) HandedOver(Handover)               {}
-func (noObserver) MachineSent(string)                {}
+func (noObserver) MachineSent(string, string)        {}
 func (noObserver) Detoured()                         {}
 func (noObserver) Retried()                          {}
 func (noObserver) Resumed(time.Duration, bool)       {}
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -116,7 +116,7 @@
 }
 
 // MachineSent counts a machine that was sent to another controller.
-func (r *Recorder) MachineSent(to string) {
+func (r *Recorder) MachineSent(_, to string) {
 	r.set.GetOrCreateCounter(fmt.Sprintf(`claybarrow_machines_sent_total{to=%q}`, to)).Inc()
 }
 
