Scale run: controllers that are frozen, who owns what, and when it was noticed

Need: one controller frozen and another killed in the midst of placing, with real processes, counted by machine and job.

Change: faults freeze_leader, freeze_other (SIGSTOP, SIGCONT) and kill_other; operators' settings of a plan's controllers; owners and handovers by machine and job, a run fails on a job owned twice or orphaned; times to suspect, declare dead, elect, load and place from the logs.

--- a/internal/scalerun/controllers.go
+++ b/internal/scalerun/controllers.go
@@ -28,6 +28,7 @@
 	starts  int
 	stopped bool // it is not to be started again
 	killed  bool
+	frozen  bool
 	healthy bool
 }
 
@@ -37,7 +38,7 @@
 // prepareControllers writes the settings of the region's controllers.
 func (r *region) prepareControllers() error {
 	operator := filepath.Join(r.dir, "operator.toml")
-	if err := os.WriteFile(operator, []byte(operatorSettings), 0o600); err != nil {
+	if err := os.WriteFile(operator, []byte(operatorSettings+r.plan.Control.Operator), 0o600); err != nil {
 		return err
 	}
 	r.operator = operator
@@ -179,6 +180,41 @@
 	})
 }
 
+// freeze has a controller stand still for a while: the process is stopped, with its sockets open
+// and its clocks running on.
+func (r *region) freeze(c *controller, d time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.command == nil || c.frozen || c.stopped {
+		return
+	}
+	process := c.command.Process
+	if err := process.Signal(syscall.SIGSTOP); err != nil {
+		return // it has ended
+	}
+	c.frozen = true
+	time.AfterFunc(d, func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.frozen = false
+		_ = process.Signal(syscall.SIGCONT) // it may have ended
+	})
+}
+
+// other is a controller that neither leads nor stands still.
+func (r *region) other() *controller {
+	leader, _ := r.leader()
+	for _, c := range r.controllers {
+		c.mu.Lock()
+		able := c.label != leader.Label && !c.frozen && !c.killed
+		c.mu.Unlock()
+		if able {
+			return c
+		}
+	}
+	return nil
+}
+
 // stopControllers ends all of them for good and waits for it.
 func (r *region) stopControllers() {
 	for _, c := range r.controllers {
--- a/internal/scalerun/faults.go
+++ b/internal/scalerun/faults.go
@@ -13,8 +13,22 @@
 	case FaultKillLeader:
 		if leader, some := r.leader(); some {
 			r.loseLeader()
+			r.detection.failed(leader.Label, f.Kind, 0, r.leaderToken)
 			r.killLabel(ctx, leader.Label)
 		}
+	case FaultKillOther:
+		if c := r.other(); c != nil {
+			r.detection.failed(c.label, f.Kind, 0, r.leaderToken)
+			r.kill(ctx, c)
+		}
+	case FaultFreezeLeader:
+		if leader, some := r.leader(); some {
+			r.freezeLabel(leader.Label, f)
+		}
+	case FaultFreezeOther:
+		if c := r.other(); c != nil {
+			r.freezeLabel(c.label, f)
+		}
 	case FaultRack:
 		for _, k := range r.rack(f.Share) {
 			k.Die()
@@ -41,6 +55,15 @@
 	}
 }
 
+func (r *region) freezeLabel(label string, f FaultPlan) {
+	r.detection.failed(label, f.Kind, seconds(f.ForS), r.leaderToken)
+	for _, c := range r.controllers {
+		if c.label == label {
+			r.freeze(c, seconds(f.ForS))
+		}
+	}
+}
+
 // rack chooses a share of the workers that are up.
 func (r *region) rack(share float64) []*emulator.Worker {
 	var up []*emulator.Worker
--- /dev/null
+++ b/internal/scalerun/ownership_test.go
@@ -0,0 +1,55 @@
+package scalerun
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+)
+
+// A start under an earlier token after one under a later is a job that two leaders own.
+func TestOwnership(t *testing.T) {
+	o := newOwnership()
+	const first, second = uint64(3 << attemptBlockBits), uint64(4 << attemptBlockBits)
+	if o.began("j-1", first|1, 0) || o.began("j-1", second|1, 0) || !o.began("j-1", first|2, 0) {
+		t.Error("a job that is started by an earlier leader again is not found")
+	}
+	o.answered("i-1", 0, 0)
+	o.reset()
+	o.answered("i-1", 0, 0)
+	o.answered("i-1", 2, 0)
+	o.answered("i-1", 1, 0)
+	o.answered("i-2", 1, 0)
+	if s := o.sum(); s.Machines != 2 || s.MachineMoves != 2 || s.MostMoves != 2 || s.Jobs != 1 {
+		t.Errorf("%+v", s)
+	}
+}
+
+// Times of detection come from the controllers' logs.
+func TestDetectionFromLogs(t *testing.T) {
+	at := time.Date(2026, 12, 2, 10, 0, 0, 0, time.UTC)
+	log := filepath.Join(t.TempDir(), "log")
+	text := `time=2026-12-02T09:59:59.000Z level=INFO msg="controller is suspect" node=c1 controller=c0 was=alive
+time=2026-12-02T10:00:00.500Z level=INFO msg="controller is suspect" node=c1 controller=c0 was=alive why="neither we nor others reach it"
+time=2026-12-02T10:00:00.700Z level=INFO msg="controller is suspect" node=c2 controller=c0 was=alive
+time=2026-12-02T10:00:01.250Z level=INFO msg=leader node=c2 token=2 lease=3
+time=2026-12-02T10:00:01.300Z level=INFO msg="ledger read" node=c2 token=2
+not a line of a log
+time=2026-12-02T10:00:03.000Z level=INFO msg="controller is dead" node=c1 controller=c0 was=suspect
+`
+	if err := os.WriteFile(log, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	d := newDetection()
+	now := at
+	d.now = func() time.Time { return now }
+	d.failed("c0", FaultKillLeader, 0, 1)
+	now = at.Add(1400 * time.Millisecond)
+	d.began(1)
+	d.began(2)
+	got := d.results([]string{log, filepath.Join(t.TempDir(), "missing")})
+	want := Detection{Kind: FaultKillLeader, SuspectMS: 500, SuspectAll: 700, DeadMS: 3000, DeadAll: 3000, ElectedMS: 1250, LoadedMS: 1300, PlacedMS: 1400}
+	if len(got) != 1 || got[0] != want {
+		t.Errorf("%+v", got)
+	}
+}
--- a/internal/scalerun/plan.go
+++ b/internal/scalerun/plan.go
@@ -68,6 +68,8 @@
 	MemoryMB    float64 `toml:"memory_mb"`
 	Sockets     int     `toml:"sockets"`
 	RestartS    float64 `toml:"restart_s"` // until a killed one is started again
+	// Operator is added to the operators' settings of the controllers (TOML).
+	Operator string `toml:"operator"`
 }
 
 // StatePlan is each region's state service.
@@ -134,6 +136,9 @@
 // Kinds of faults.
 const (
 	FaultKillLeader   = "kill_leader"   // the leader of each region is killed
+	FaultKillOther    = "kill_other"    // a controller that does not lead and is not frozen is killed
+	FaultFreezeLeader = "freeze_leader" // the leader stands still for for_s (SIGSTOP, SIGCONT)
+	FaultFreezeOther  = "freeze_other"  // a controller that does not lead stands still for for_s
 	FaultRack         = "rack"          // a share of the workers is gone at once
 	FaultRollRestart  = "roll_restart"  // all controllers are killed one after the other, for_s apart
 	FaultStateOutage  = "state_outage"  // the state service is away for for_s
@@ -326,7 +331,7 @@
 	for i, f := range p.Faults {
 		field := fmt.Sprintf("faults[%d]", i)
 		switch f.Kind {
-		case FaultKillLeader, FaultRollRestart, FaultStateOutage, FaultRack, FaultMachineChurn:
+		case FaultKillLeader, FaultKillOther, FaultFreezeLeader, FaultFreezeOther, FaultRollRestart, FaultStateOutage, FaultRack, FaultMachineChurn:
 		default:
 			return planError(field+".kind", "%q is not known", f.Kind)
 		}
@@ -336,13 +341,22 @@
 		if needsShare := f.Kind == FaultRack || f.Kind == FaultMachineChurn; needsShare && !(f.Share > 0 && f.Share <= 1) {
 			return planError(field+".share", "%v is not between 0 and 1", f.Share)
 		}
-		if needsTime := f.Kind == FaultStateOutage || f.Kind == FaultMachineChurn || f.Kind == FaultRollRestart; needsTime && !(f.ForS > 0) {
+		if f.needsTime() && !(f.ForS > 0) {
 			return planError(field+".for_s", "%v is not more than 0", f.ForS)
 		}
 	}
 	return nil
 }
 
+// needsTime says whether the fault lasts.
+func (f *FaultPlan) needsTime() bool {
+	switch f.Kind {
+	case FaultStateOutage, FaultMachineChurn, FaultRollRestart, FaultFreezeLeader, FaultFreezeOther:
+		return true
+	}
+	return false
+}
+
 // leastTeams is how many teams a plan is scaled down to at the least.
 const leastTeams = 6
 
--- a/internal/scalerun/plan_test.go
+++ b/internal/scalerun/plan_test.go
@@ -41,6 +41,7 @@
 		{smallPlan("", "", "[limits]\nprocesses = 1000"), "limits.processes"},
 		{smallPlan("", "", "[[faults]]\nkind = \"flood\""), "faults[0].kind"},
 		{smallPlan("", "", "[[faults]]\nkind = \"rack\"\nshare = 2.0"), "faults[0].share"},
+		{smallPlan("", "", "[[faults]]\nkind = \"freeze_leader\"\nat_s = 1.0"), "faults[0].for_s"},
 		{smallPlan("", "", "[[faults]]\nkind = \"kill_leader\"\nat_s = 1e6"), "faults[0].at_s"},
 		{strings.Replace(smallPlan("", "", ""), "share = 1.0", "share = 0.5", 1), "fleet.types"},
 		{strings.Replace(smallPlan("", "", ""), `shape = "batch"`, `shape = "cube"`, 1), "load[0].shape"},
--- a/internal/scalerun/region.go
+++ b/internal/scalerun/region.go
@@ -38,8 +38,11 @@
 	turn        int
 	random      *rand.Rand
 	// closing: the run is over, and nobody asks for anything new.
-	closing bool
+	closing    bool
+	ownedTwice int
 
+	ownership   *ownership
+	detection   *detection
 	leaderToken uint64
 	leaderLost  time.Duration // since when there is no leader; 0: there is one
 	stateBase   emulator.StateStats
@@ -88,11 +91,29 @@
 	r.measure.sample()
 	r.loop.ask(func() {
 		r.closing = true
+		orphans := 0
+		if err == nil {
+			orphans = r.lookForOrphans()
+		}
 		result = r.result(time.Since(started))
+		result.Ownership.JobsOrphaned = orphans
 	})
+	if err == nil {
+		err = r.lastBroken()
+	}
 	return result, err
 }
 
+// lastBroken is a rule that was found broken at the very end.
+func (r *region) lastBroken() error {
+	select {
+	case b := <-r.rules.broken:
+		return b
+	default:
+		return nil
+	}
+}
+
 func newRegion(plan *Plan, number int, dir string) *region {
 	l := newLoop()
 	agenda := l.agenda
@@ -104,6 +125,7 @@
 	wrong := func(what string) { r.fail(fmt.Errorf("a controller's message is wrong: %s", what)) }
 	r.state.Wrong = wrong
 	r.users = newUsers(r)
+	r.ownership, r.detection = newOwnership(), newDetection()
 	r.newCloud(wrong)
 	r.newFleet(wrong)
 	return r
@@ -152,6 +174,7 @@
 		addresses = append(addresses, r.userAddress(i))
 	}
 	r.carrier = newCarrier(r.loop, addresses, r.measure)
+	r.carrier.answered = func(machine string, controller int) { r.ownership.answered(machine, controller, r.loop.agenda.Now()) }
 	f.Carrier, f.Controllers = r.carrier.carry, len(addresses)
 	f.Label = func(name string) int {
 		for i := range addresses {
@@ -202,6 +225,11 @@
 func (r *region) taskBegins(k *emulator.Worker, task string, t *emulator.Task) {
 	r.rules.begins(k, task, t)
 	r.measure.running++
+	r.detection.began(t.Try >> attemptBlockBits)
+	if r.ownership.began(t.UID, t.Try, r.loop.agenda.Now()) {
+		r.ownedTwice++
+		r.rules.breaks(r.rules.jobs[t.UID], "owned_twice", "%s is started by attempt %d though a later leader had started some", task, t.Try)
+	}
 	j := r.rules.jobs[t.UID]
 	if j != nil && !j.startedOnce[task] {
 		j.startedOnce[task] = true
@@ -307,6 +335,7 @@
 
 func (r *region) beginMeasuring(ctx context.Context) {
 	r.measure.begin(r.loop.agenda.Now())
+	r.ownership.reset()
 	r.stateBase = r.state.Stats
 	r.measure.peakRunning = r.measure.running
 	for _, f := range r.plan.Faults {
--- a/internal/scalerun/reports.go
+++ b/internal/scalerun/reports.go
@@ -19,9 +19,11 @@
 	loop      *loop
 	addresses []string // of the controllers
 	measure   *measures
-	mu        sync.Mutex
-	links     map[string]*link
-	readers   sync.Pool
+	// answered is told, by the loop, of each answer that a worker takes.
+	answered func(machine string, controller int)
+	mu       sync.Mutex
+	links    map[string]*link
+	readers  sync.Pool
 }
 
 // link is a worker's connection. Only its one report in flight uses it.
@@ -55,6 +57,9 @@
 				c.loop.agenda.After(reportWait, func() { answer(0, nil) })
 				return
 			}
+			if status == http.StatusOK {
+				c.answered(id, controller)
+			}
 			answer(status, reply)
 		})
 	}()
--- a/internal/scalerun/result.go
+++ b/internal/scalerun/result.go
@@ -36,6 +36,8 @@
 	StateTooMany    int64                 `json:"state_429s"`
 	StateConflicts  int64                 `json:"state_409s"`
 	StateKeys       int                   `json:"state_keys"`
+	Ownership       Ownership             `json:"ownership"`
+	Detections      []Detection           `json:"detections,omitempty"`
 	Processes       map[string]ProcessUse `json:"processes"`
 	LoopLateS       float64               `json:"stand_in_latest_s"`
 }
@@ -53,6 +55,14 @@
 		StateRequests: per(float64(s.Requests - base.Requests)), StateChanges: per(float64(s.Changes - base.Changes)),
 		StateBytes: per(float64(s.Bytes - base.Bytes)), StateTooMany: s.TooMany - base.TooMany, StateConflicts: s.Conflicts - base.Conflicts,
 		StateKeys: len(r.state.Keys()), Processes: m.uses(measured), LoopLateS: r.loop.late.Seconds()}
+	out.Ownership = r.ownership.sum()
+	out.Ownership.JobsOwnedTwice = r.ownedTwice
+	out.Ownership.SessionsExpired = expiredSessions(r.fleet)
+	var logs []string
+	for _, c := range r.controllers {
+		logs = append(logs, c.log)
+	}
+	out.Detections = r.detection.results(logs)
 	for class, d := range m.timeToStart {
 		out.TimeToStart[class] = d.quantiles()
 	}
@@ -97,6 +107,13 @@
 	fmt.Fprintf(b, "  each worker       %.0f bytes/s\n", r.WorkerBytesPerS)
 	fmt.Fprintf(b, "  state service     %.0f requests/s, %.0f changes/s, %.0f bytes/s, 429s %d, 409s %d, %d keys\n", r.StateRequests, r.StateChanges, r.StateBytes, r.StateTooMany, r.StateConflicts, r.StateKeys)
 	fmt.Fprintf(b, "  leader changes    %d, without one %s\n", r.LeaderChanges, r.LeaderGaps)
+	o := r.Ownership
+	fmt.Fprintf(b, "  machines          %d, changed their controller %d times, one at most %d times; %d leases ran out\n", o.Machines, o.MachineMoves, o.MostMoves, o.SessionsExpired)
+	fmt.Fprintf(b, "  jobs              %d, handed over %d times, owned twice %d, orphaned %d\n", o.Jobs, o.JobHandovers, o.JobsOwnedTwice, o.JobsOrphaned)
+	for _, d := range r.Detections {
+		fmt.Fprintf(b, "  %-17s suspect %.0f to %.0f ms, dead %.0f to %.0f ms, alive %.0f ms; elected %.0f ms, loaded %.0f ms, placed %.0f ms\n",
+			d.Kind, d.SuspectMS, d.SuspectAll, d.DeadMS, d.DeadAll, d.AliveMS, d.ElectedMS, d.LoadedMS, d.PlacedMS)
+	}
 	for _, key := range slices.Sorted(maps.Keys(r.Statuses)) {
 		fmt.Fprintf(b, "  %-17s %d\n", key, r.Statuses[key])
 	}
--- a/internal/scalerun/run_test.go
+++ b/internal/scalerun/run_test.go
@@ -100,6 +100,35 @@
 	noChildren(t, program)
 }
 
+// One controller is frozen and another killed in the midst of placing, with failed controllers being
+// noticed: the third takes over, and no job is owned twice or orphaned, nor by the one that goes on.
+func TestFreezeAndKill(t *testing.T) {
+	program := buildProgram(t)
+	plan := planFile(t, program, `[control]
+operator = "[membership]\nenabled = true\n[telemetry]\nmetrics = true\n"
+[[faults]]
+kind = "freeze_leader"
+at_s = 1.0
+for_s = 5.0
+[[faults]]
+kind = "kill_other"
+at_s = 2.0`)
+	plan.Run.DurationS = 16
+	result, err := Run(context.Background(), plan, os.Args[0], nil)
+	if err != nil {
+		t.Fatalf("%v\n%s", err, result.Summary())
+	}
+	r := result.Regions[0]
+	if r.Ownership.JobsOwnedTwice+r.Ownership.JobsOrphaned+r.Ownership.SessionsExpired > 0 || r.LeaderChanges < 1 || r.Starts < 10 {
+		t.Errorf("%s", result.Summary())
+	}
+	if len(r.Detections) != 2 || r.Detections[0].SuspectMS <= 0 || r.Detections[0].ElectedMS <= r.Detections[0].SuspectMS ||
+		r.Detections[0].PlacedMS <= 0 || r.Detections[1].SuspectMS <= 0 {
+		t.Errorf("%+v\n%s", r.Detections, result.Summary())
+	}
+	noChildren(t, program)
+}
+
 // An interrupt in the middle ends all children.
 func TestInterruptLeavesNothingBehind(t *testing.T) {
 	program := buildProgram(t)
