--- a/internal/coordination/membership_test.go
+++ b/internal/coordination/membership_test.go
@@ -308,6 +308,13 @@
 			t.Error("a worker's lease is renewed")
 		}
 	})
+	beat := protocol.Heartbeat{From: label((lead + 1) % 3), Incarnation: n.core.incarnation, Token: n.core.term.token}
+	w.ask(lead, Request{Op: OpHeartbeat, Body: protocol.EncodePeer(beat)}, func(r Reply) {
+		var reply protocol.HeartbeatReply
+		if err := protocol.DecodePeer(r.Body, &reply); err != nil || reply.Leader != "" || reply.LeaderClock != 0 {
+			t.Errorf("it says that it leads: %+v, %v", reply, err)
+		}
+	})
 	w.run(5 * second)
 	if len(early) > 0 {
 		t.Errorf("it sent %v first", early)
@@ -478,6 +485,11 @@
 		return fate{lost: c.Path == probePath && (node == victim || c.Addr == w.cfgs[victim].PeerListen)}
 	}
 	w.run(2800 * time.Millisecond)
+	for id, c := range w.controllersOf("a") {
+		if c != before[id] {
+			t.Errorf("%s moved from %d to %d while it was suspected", id, before[id], c)
+		}
+	}
 	w.script = nil
 	w.run(10 * second)
 	if w.nodes[lead].observer.became(label(victim), membership.Suspect, began) == 0 || w.nodes[lead].observer.became(label(victim), membership.Dead, began) > 0 {
