The writing of records is a package of its own, and so is the budget of requests

Change: internal/statestore writes a leader's records (queues, transactions, unknown outcomes, fencing) behind a narrow interface of its leader; internal/budget is the bucket that was in the core. No behaviour changes; the benchmarks answer a transaction where they took the queues apart.

--- a/internal/coordination/assignment.go
+++ b/internal/coordination/assignment.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 
+	"claybarrow/internal/budget"
 	"claybarrow/internal/ledger"
 	"claybarrow/internal/membership"
 	"claybarrow/internal/protocol"
@@ -21,13 +22,13 @@
 	own route
 	// moves is how many machines may be sent elsewhere now: all of a fleet's within a lease, and in
 	// small fleets a few with each report.
-	moves bucket
+	moves budget.Bucket
 }
 
 func newAssignments(c *Core) assignments {
 	report := c.cfg.Report().Seconds()
 	rate := max(float64(c.cfg.FleetSize())/c.cfg.Lease().Seconds(), leastMoves/report)
-	return assignments{zones: map[string]*membership.Assignment{}, moves: newBucket(rate, rate*report)}
+	return assignments{zones: map[string]*membership.Assignment{}, moves: budget.New(rate, rate*report)}
 }
 
 // leastMoves is how many machines may be sent elsewhere between two reports, however small the fleet.
@@ -85,10 +86,10 @@
 	if m.SentTo != process {
 		m.Bounces = 0
 	}
-	if c.now < m.DirectUntil || !r.assignments.moves.has(c.now, 1) || !way.takes(c.now, c.cfg.Report()) {
+	if c.now < m.DirectUntil || !r.assignments.moves.Has(c.now, 1) || !way.takes(c.now, c.cfg.Report()) {
 		return ""
 	}
-	r.assignments.moves.take(c.now, 1)
+	r.assignments.moves.Take(c.now, 1)
 	m.SentAway, m.SentLabel, m.SentTo = c.now, owner, process
 	c.observer.MachineSent(m.ID, owner)
 	return owner
--- a/internal/coordination/attempt_numbers.go
+++ b/internal/coordination/attempt_numbers.go
@@ -1,5 +1,7 @@
 package coordination
 
+import "claybarrow/internal/statestore"
+
 // Attempt numbers are unique for ever and grow: a token in the high bits, a count in the low
 // ones. A term that starts more than a block of them, which 4,000 workers at 420 starts a
 // second do in eleven hours, reserves the next block: it raises the counter of tokens, so that no
@@ -44,7 +46,7 @@
 	}
 	n.reserving = true
 	reserved := n.block + 1
-	r.mark(keyCounter, writeUser, func() any { return counterRecord{Token: reserved} }, func() {
+	r.records.Mark(keyCounter, statestore.User, func() any { return counterRecord{Token: reserved} }, func() {
 		n.next, n.reserving = reserved, false
 		r.fillDirty = true
 		r.c.log.Info("a block of attempt numbers is reserved", "token", r.token, "block", reserved)
--- a/internal/coordination/cloud.go
+++ b/internal/coordination/cloud.go
@@ -7,6 +7,7 @@
 	"claybarrow/internal/ledger"
 	"claybarrow/internal/protocol"
 	"claybarrow/internal/sched"
+	"claybarrow/internal/statestore"
 )
 
 // cloudState is what the leader knows of its dealings with the cloud.
@@ -47,7 +48,7 @@
 		}
 	}
 	r.deletions()
-	if !r.listing && c.now >= r.listAt && c.cloud.has(c.now, 1) {
+	if !r.listing && c.now >= r.listAt && c.cloud.Has(c.now, 1) {
 		r.listing = true
 		r.listPage("", c.now, map[string]bool{})
 	}
@@ -136,7 +137,7 @@
 	}
 	r.RemoveMachine(m)
 	r.removed[m.ID] = r.c.now
-	r.record(m, writeLazy, nil)
+	r.record(m, statestore.Lazy, nil)
 }
 
 // giveBack returns a machine. The mark is durable before the deletion leaves,
@@ -147,12 +148,12 @@
 	}
 	r.c.log.Info("returning", "machine", m.ID, "type", m.Type, "zone", m.Zone, "spot", m.Spot, "why", why)
 	m.Returning = true
-	r.record(m, writeDone, func() { m.Returned = true })
+	r.record(m, statestore.Done, func() { m.Returned = true })
 }
 
 func (r *term) deletions() {
 	c := r.c
-	if r.deleting || c.now < r.deleteAt || !c.cloud.has(c.now, 1) {
+	if r.deleting || c.now < r.deleteAt || !c.cloud.Has(c.now, 1) {
 		return
 	}
 	var names []string
@@ -210,7 +211,7 @@
 				m.Type, m.Zone, m.Spot = p.Type, p.Zone, p.Spot
 				m.Size = r.sizeOf(m.Type)
 				m.Exists, m.Rented = c.now, q.sent
-				r.record(m, writeLazy, nil)
+				r.record(m, statestore.Lazy, nil)
 			}
 			if len(got.Machines) < q.req.Count {
 				r.runShort(p)
--- a/internal/coordination/commands.go
+++ b/internal/coordination/commands.go
@@ -189,7 +189,7 @@
 // must not wait for what hangs.
 func (r *term) mayCall(m *ledger.Machine) bool {
 	most := r.c.mostCalls()
-	return r.calling < most && !(r.mayHang(m) && r.hanging >= most*2/3) && r.callBudget.has(r.c.now, 1)
+	return r.calling < most && !(r.mayHang(m) && r.hanging >= most*2/3) && r.callBudget.Has(r.c.now, 1)
 }
 
 // dispatch sends what there is to send directly, one request at a time.
@@ -213,7 +213,7 @@
 		}
 	}
 	r.calling++
-	r.callBudget.take(c.now, 1)
+	r.callBudget.Take(c.now, 1)
 	if call.mayHang {
 		r.hanging++
 	}
--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"time"
 
+	"claybarrow/internal/budget"
 	"claybarrow/internal/config"
 	"claybarrow/internal/protocol"
 	"claybarrow/internal/sched"
@@ -34,7 +35,7 @@
 	// typesGeneration counts the lists of machine types.
 	typesGeneration int
 
-	requests, changes, cloud bucket
+	requests, changes, cloud budget.Bucket
 
 	view      view
 	term      *term
@@ -80,9 +81,9 @@
 		typeInfo: map[string]protocol.MachineType{},
 		// Most of the state service's limits is the leader's; the rest is left
 		// to the other controllers and to what we count wrongly.
-		requests:        newBucket(st.RPS*0.8, st.RPS*0.8),
-		changes:         newBucket(st.WriteRPS*0.9, st.WriteRPS*0.8),
-		cloud:           newBucket(cfg.Cluster.Cloud.RPS*0.8, cfg.Cluster.Cloud.RPS),
+		requests:        budget.New(st.RPS*0.8, st.RPS*0.8),
+		changes:         budget.New(st.WriteRPS*0.9, st.WriteRPS*0.8),
+		cloud:           budget.New(cfg.Cluster.Cloud.RPS*0.8, cfg.Cluster.Cloud.RPS),
 		pendingRequests: map[uint64]*pendingRequest{},
 	}
 	c.membership = newMembershipView(cfg, rng)
@@ -150,7 +151,7 @@
 }
 
 func (c *Core) stateCall(method, path string, body any, timeout time.Duration, then func(Result)) {
-	c.requests.take(c.now, 1)
+	c.requests.Take(c.now, 1)
 	sent := c.now
 	c.call(ToState, c.cfg.Services.State, method, path, body, timeout, func(r Result) {
 		c.resumed(sent, r.Status != 0)
@@ -159,7 +160,7 @@
 }
 
 func (c *Core) cloudCall(method, path string, body any, timeout time.Duration, then func(Result)) {
-	c.cloud.take(c.now, 1)
+	c.cloud.Take(c.now, 1)
 	c.call(ToCloud, c.cfg.Services.Cloud, method, path, body, timeout, then)
 }
 
@@ -173,7 +174,7 @@
 // keepTypes fetches the machine types, at the start and then now and then, as
 // the current prices come with them.
 func (c *Core) keepTypes() {
-	if c.typesBusy || c.now < c.typesAsk || !c.cloud.has(c.now, 1) {
+	if c.typesBusy || c.now < c.typesAsk || !c.cloud.Has(c.now, 1) {
 		return
 	}
 	c.typesBusy = true
@@ -204,22 +205,3 @@
 	}
 	return nil
 }
-
-// bucket is a budget of so many a second, with a burst.
-type bucket struct {
-	rate, burst, level float64
-	at                 time.Duration
-}
-
-func newBucket(rate, burst float64) bucket {
-	return bucket{rate: rate, burst: max(1, burst), level: max(1, burst)}
-}
-
-func (b *bucket) fill(now time.Duration) {
-	b.level = min(b.burst, b.level+b.rate*(now-b.at).Seconds())
-	b.at = now
-}
-
-func (b *bucket) has(now time.Duration, n float64) bool { b.fill(now); return b.level >= n }
-
-func (b *bucket) take(now time.Duration, n float64) { b.fill(now); b.level -= n }
--- a/internal/coordination/counters.go
+++ b/internal/coordination/counters.go
@@ -4,6 +4,7 @@
 	"strconv"
 
 	"claybarrow/internal/ledger"
+	"claybarrow/internal/statestore"
 )
 
 // accrue books the service attained since the last time.
@@ -41,11 +42,11 @@
 	at := r.c.wall
 	for i, jobs := range batch {
 		rec := ledger.Counters{At: at, Jobs: jobs}
-		r.mark(counterKey(i), writeCounters, func() any { return rec }, nil)
+		r.records.Mark(counterKey(i), statestore.Counters, func() any { return rec }, nil)
 	}
 	// Batches that are no longer needed.
-	for i := len(batch); r.versions[counterKey(i)] != 0; i++ {
-		r.mark(counterKey(i), writeCounters, func() any { return nil }, nil)
+	for i := len(batch); r.records.Version(counterKey(i)) != 0; i++ {
+		r.records.Mark(counterKey(i), statestore.Counters, func() any { return nil }, nil)
 	}
 }
 
@@ -96,7 +97,7 @@
 			held[j.Spec.Class] += j.HeldTotal
 		}
 	}
-	args := []any{"txns", r.took.TotalCount(), "txn_p99_ms", r.took.ValueAtQuantile(99), "jobs", len(r.Jobs), "busy", up, "idle", idle, "booting", booting, "renting", len(r.renting)}
+	args := []any{"txns", r.records.Took().TotalCount(), "txn_p99_ms", r.records.Took().ValueAtQuantile(99), "jobs", len(r.Jobs), "busy", up, "idle", idle, "booting", booting, "renting", len(r.renting)}
 	for _, class := range sortedKeys(waiting) {
 		args = append(args, class, strconv.Itoa(held[class])+"+"+strconv.Itoa(waiting[class]))
 	}
@@ -110,5 +111,5 @@
 		}
 	}
 	r.c.log.Info("fleet", args...)
-	r.took.Reset()
+	r.records.Took().Reset()
 }
--- a/internal/coordination/exits.go
+++ b/internal/coordination/exits.go
@@ -3,6 +3,7 @@
 import (
 	"claybarrow/internal/ledger"
 	"claybarrow/internal/protocol"
+	"claybarrow/internal/statestore"
 )
 
 // onExit takes the end of an attempt.
@@ -36,7 +37,7 @@
 			// If one task is done, all are; what tells so is kept until it is durable.
 			g.Ready = false
 			r.finishGang(j)
-			r.mark(ledger.JobPrefix+uid, writeUser, func() any { return j.Record() }, func() { g.Ready = true })
+			r.records.Mark(ledger.JobPrefix+uid, statestore.User, func() any { return j.Record() }, func() { g.Ready = true })
 			break
 		}
 		if j.MarkDone(index) || !j.Finishing {
@@ -44,9 +45,9 @@
 			ready := func() { g.Ready = true }
 			if j.Done == j.Spec.Tasks {
 				r.finish(j) // also if its cancellation was under way
-				r.mark(ledger.JobPrefix+uid, writeUser, func() any { return j.Record() }, ready)
+				r.records.Mark(ledger.JobPrefix+uid, statestore.User, func() any { return j.Record() }, ready)
 			} else {
-				r.mark(r.DoneKey(j, index), writeDone, func() any { return r.DoneChunk(j, index) }, ready)
+				r.records.Mark(r.DoneKey(j, index), statestore.Done, func() any { return r.DoneChunk(j, index) }, ready)
 			}
 		}
 	case protocol.CauseError:
@@ -100,7 +101,7 @@
 	r.settleCancel(j)
 	r.gangTaskGone(a, why)
 	if m.Recorded {
-		r.record(m, writeLazy, nil)
+		r.record(m, statestore.Lazy, nil)
 	}
 	r.fillDirty = true
 }
--- a/internal/coordination/leader.go
+++ b/internal/coordination/leader.go
@@ -78,7 +78,7 @@
 	if c.term == nil && v.known && v.leader == nil && !c.standsBack() && c.mayCampaign() {
 		c.campaign()
 	}
-	if v.busy || c.now < v.next || c.term != nil || !c.requests.has(c.now, 1) {
+	if v.busy || c.now < v.next || c.term != nil || !c.requests.Has(c.now, 1) {
 		return
 	}
 	v.busy = true
@@ -200,7 +200,7 @@
 		c.candidacy = &candidacy{}
 	}
 	h := c.candidacy
-	if h.busy || c.now < h.next || !c.requests.has(c.now, 1) {
+	if h.busy || c.now < h.next || !c.requests.Has(c.now, 1) {
 		return
 	}
 	ttl := c.cfg.LeaderTTL()
@@ -358,7 +358,7 @@
 // loadItems takes records that were read.
 func (r *term) loadItems(items []protocol.Item) {
 	for _, it := range items {
-		r.versions[it.Key] = it.Version
+		r.records.Loaded(it.Key, it.Version)
 		if err := r.loadItem(it); err != nil {
 			r.c.log.Error("a record can't be read", "key", it.Key, "err", err)
 		}
--- a/internal/coordination/reports.go
+++ b/internal/coordination/reports.go
@@ -5,6 +5,7 @@
 
 	"claybarrow/internal/ledger"
 	"claybarrow/internal/protocol"
+	"claybarrow/internal/statestore"
 )
 
 // onReport takes a worker's report.
@@ -256,6 +257,6 @@
 	a := r.Put(m, j, index, key.Try, r.c.now)
 	a.Durable, a.Loaded = true, true
 	r.halt(a, j.Spec.SaveS, "not in the ledger")
-	r.record(m, writeLazy, nil)
+	r.record(m, statestore.Lazy, nil)
 	return a
 }
--- a/internal/coordination/schedule.go
+++ b/internal/coordination/schedule.go
@@ -6,6 +6,7 @@
 
 	"claybarrow/internal/ledger"
 	"claybarrow/internal/sched"
+	"claybarrow/internal/statestore"
 )
 
 // schedule is called at every tick.
@@ -88,11 +89,11 @@
 	a := r.Put(m, j, index, try, c.now)
 	r.retried(j)
 	c.log.Debug("start", "task", a.Key().Task, "try", a.Try, "machine", m.ID)
-	kind := writeStart
+	priority := statestore.Start
 	if j.Spec.Service {
-		kind = writeReplica
+		priority = statestore.Replica
 	}
-	r.record(m, kind, func() {
+	r.record(m, priority, func() {
 		if m.Attempts[a.Key()] != a {
 			return
 		}
@@ -210,7 +211,7 @@
 	// What boots in a zone that is cut off can't be heard, and costs all the same.
 	blocked := func(p sched.Pool) bool { return r.isPartitioned(p.Zone) || c.now < r.short[p].until || inFlight[p] > 0 }
 	for _, want := range s.Plan(c.types, blocked, r.mostNewMachines()) {
-		if !c.cloud.has(c.now, 1) {
+		if !c.cloud.Has(c.now, 1) {
 			break
 		}
 		r.rent(want.Pool, want.Count)
--- a/internal/coordination/slopes_test.go
+++ b/internal/coordination/slopes_test.go
@@ -14,6 +14,7 @@
 	"claybarrow/internal/ledger"
 	"claybarrow/internal/protocol"
 	"claybarrow/internal/sched"
+	"claybarrow/internal/statestore"
 )
 
 // The benchmarks of this file measure what the leader's work costs as its fleet grows. They
@@ -40,6 +41,8 @@
 	tasks   []*ledger.Attempt
 	waiting []*ledger.Job
 	random  *rand.Rand
+	// revision is that of the last transaction that applied.
+	revision uint64
 }
 
 func slopeConfig(b *testing.B, workers int) *config.Config {
@@ -163,19 +166,37 @@
 // settleStarts takes what the last fill started for running, so that the next one finds
 // the fleet as it would be.
 func (f *slopeFleet) settleStarts() {
-	for _, w := range f.term.pending {
-		for _, then := range w.then {
-			then()
+	for {
+		f.core.out = f.core.out[:0]
+		f.core.changes.Refill()
+		f.core.requests.Refill()
+		f.term.flush()
+		if !f.answerTransaction() {
+			break
 		}
 	}
-	clear(f.term.pending)
-	for kind := range f.term.queues {
-		f.term.queues[kind] = nil
-	}
 	f.core.out = f.core.out[:0]
 	clear(f.core.calls)
 }
 
+// answerTransaction has the transaction that just left apply; false: there is none.
+func (f *slopeFleet) answerTransaction() bool {
+	for _, e := range f.core.out {
+		if call, isCall := e.(Call); isCall && call.Path == "/multi" {
+			f.revision++
+			f.core.calls[call.ID](Result{ID: call.ID, Status: 200, Body: protocol.Encode(protocol.TxnReply{Revision: f.revision})})
+			return true
+		}
+	}
+	return false
+}
+
+// keepBusy has a transaction under way that is never answered, so that no fill begins.
+func (f *slopeFleet) keepBusy() {
+	f.term.records.Mark("x/busy", statestore.User, func() any { return 1 }, nil)
+	f.term.flush()
+}
+
 func eachSlopeSize(b *testing.B, run func(b *testing.B, workers int)) {
 	for _, workers := range slopeSizes {
 		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) {
@@ -354,7 +375,7 @@
 		f := newSlopeFleet(b, workers)
 		r := f.term
 		r.fillAt, r.roundAt, r.planAt = 1<<60, 1<<60, 1<<60
-		r.current = &txn{flying: true} // no fill: that is measured by itself
+		f.keepBusy() // no fill: that is measured by itself
 		list := r.machines()
 		at := Clock{Steady: f.core.now, Wall: f.core.wall}
 		n, bytes := 0, 0
@@ -410,7 +431,7 @@
 func BenchmarkSlopeSubmit(b *testing.B) {
 	eachSlopeSize(b, func(b *testing.B, workers int) {
 		f := newSlopeFleet(b, workers)
-		f.term.current = &txn{flying: true}
+		f.keepBusy()
 		at := Clock{Steady: f.core.now, Wall: f.core.wall}
 		n := 0
 		b.ResetTimer()
@@ -425,7 +446,7 @@
 func BenchmarkSlopePoll(b *testing.B) {
 	eachSlopeSize(b, func(b *testing.B, workers int) {
 		f := newSlopeFleet(b, workers)
-		f.term.current = &txn{flying: true}
+		f.keepBusy()
 		at := Clock{Steady: f.core.now, Wall: f.core.wall}
 		b.ResetTimer()
 		for b.Loop() {
@@ -438,7 +459,7 @@
 func BenchmarkSlopeCancel(b *testing.B) {
 	eachSlopeSize(b, func(b *testing.B, workers int) {
 		f := newSlopeFleet(b, workers)
-		f.term.current = &txn{flying: true}
+		f.keepBusy()
 		at := Clock{Steady: f.core.now, Wall: f.core.wall}
 		n := 0
 		b.ResetTimer()
@@ -462,15 +483,15 @@
 		for b.Loop() {
 			b.StopTimer()
 			f.settleStarts()
-			f.core.changes.level = f.core.changes.burst
+			f.core.changes.Refill()
 			for range f.core.cfg.Cluster.State.TxnOps {
-				r.record(list[n%len(list)], writeStart, nil)
+				r.record(list[n%len(list)], statestore.Start, nil)
 				n++
 			}
 			b.StartTimer()
-			t := r.compose()
-			body := protocol.Encode(t.body)
-			changes += len(t.writes)
+			t := r.records.Compose()
+			body := protocol.Encode(t.Body)
+			changes += t.Writes()
 			bytes += len(body)
 		}
 		b.ReportMetric(float64(changes)/float64(b.N), "changes")
@@ -504,7 +525,7 @@
 		for b.Loop() {
 			r := newTerm(f.core, 2, 1, 1, f.core.now)
 			for _, it := range items {
-				r.versions[it.Key] = it.Version
+				r.records.Loaded(it.Key, it.Version)
 				if err := r.loadItem(it); err != nil {
 					b.Fatal(err)
 				}
@@ -563,7 +584,7 @@
 			for i := range 10 * workers {
 				uid := fmt.Sprintf("j-o%07d", i)
 				f.term.Terminal[uid] = ledger.TerminalState{Tasks: 12}
-				f.term.versions[ledger.JobPrefix+uid] = 1
+				f.term.records.Loaded(ledger.JobPrefix+uid, 1)
 			}
 			return f
 		}) / float64(10*workers)
--- a/internal/coordination/succession.go
+++ b/internal/coordination/succession.go
@@ -18,7 +18,6 @@
 	suspected time.Duration // when the leader was; 0: it is not
 	former    string        // who led last
 	ahead     *readAhead
-	handover  *Handover // of this controller's own term, until its first placement
 }
 
 // Ratios of the succession.
@@ -86,7 +85,7 @@
 	h := c.candidacy
 	ttl := c.cfg.LeaderTTL()
 	switch {
-	case h.busy || c.now < h.next || !c.requests.has(c.now, 1):
+	case h.busy || c.now < h.next || !c.requests.Has(c.now, 1):
 	case h.lease == 0 || c.now > h.sent+ttl*2/3:
 		c.openLease(h, func() {})
 	case c.now > h.sent+ttl/3:
@@ -156,7 +155,7 @@
 		s.ahead = &readAhead{token: token, steps: make([]aheadStep, 1, len(loadOrder))}
 	}
 	a := s.ahead
-	if a.over || a.busy || !c.requests.has(c.now, 1+aheadReserve*c.requests.burst) {
+	if a.over || a.busy || !c.requests.Has(c.now, 1+aheadReserve*c.requests.Burst()) {
 		return
 	}
 	a.busy = true
--- a/internal/coordination/term.go
+++ b/internal/coordination/term.go
@@ -5,9 +5,11 @@
 	"strings"
 	"time"
 
+	"claybarrow/internal/budget"
 	"claybarrow/internal/ledger"
 	"claybarrow/internal/protocol"
 	"claybarrow/internal/sched"
+	"claybarrow/internal/statestore"
 )
 
 // term is all that a leader knows and does from its election to its end. It
@@ -16,8 +18,8 @@
 	c     *Core
 	token uint64
 	lease uint64
-	store
-	version uint64 // of the leader key: the condition of every write
+	// records are written to the state service, each under the leader key's version.
+	records *statestore.Writer
 
 	confirmed time.Duration // sending of the last confirmed renewal
 	renewAt   time.Duration
@@ -36,7 +38,7 @@
 	attempts attemptNumbers
 	// Direct calls under way, and those of them that may well hang.
 	calling, hanging int
-	callBudget       bucket
+	callBudget       budget.Bucket
 	timers           []timer
 
 	reach
@@ -101,14 +103,14 @@
 var loadOrder = []string{ledger.JobPrefix, ledger.DonePrefix, ledger.PartPrefix, ledger.MachinePrefix, ledger.CounterPrefix}
 
 func newTerm(c *Core, token, lease, version uint64, confirmed time.Duration) *term {
-	r := &term{c: c, token: token, lease: lease, version: version, confirmed: confirmed, since: c.now,
+	r := &term{c: c, token: token, lease: lease, confirmed: confirmed, since: c.now,
 		renewAt:     c.now + c.cfg.LeaderTTL()/8,
 		Ledger:      ledger.New(c.cfg.LayoutBytes(), c.cfg.ValueBytes()),
 		proposals:   map[string]*proposal{},
 		cancels:     map[string][]requester{},
 		arrivals:    map[string]*arrivals{},
 		claims:      map[string]claim{},
-		callBudget:  newBucket(callsPerCoreSecond*c.wholeCores(), callsPerCoreBurst*c.wholeCores()),
+		callBudget:  budget.New(callsPerCoreSecond*c.wholeCores(), callsPerCoreBurst*c.wholeCores()),
 		searched:    map[string]bool{},
 		peers:       map[string]*peer{},
 		healedAt:    map[string]time.Duration{},
@@ -117,13 +119,11 @@
 		countersAt:  c.now + seconds(c.cfg.Operator.Green.CountersS),
 		accrueAt:    c.now,
 		cloudState:  newCloudState(),
-		store:       newStore(),
 		assignments: newAssignments(c),
 		attempts:    attemptNumbers{block: token},
 		handover:    &Handover{Token: token, Elected: c.now},
 	}
-	// The election wrote the counter and the leader key in one transaction.
-	r.versions[keyCounter] = version
+	r.records = r.newRecords(version)
 	for _, t := range c.cfg.Cluster.Teams {
 		r.Teams[t.Name] = &sched.Team{
 			Guarantee: sched.Need{Cores: t.Cores, Accel: t.Accelerators},
@@ -252,7 +252,7 @@
 		}
 	}
 	for _, key := range r.orphans {
-		r.mark(key, writeLazy, func() any { return nil }, nil)
+		r.records.Mark(key, statestore.Lazy, func() any { return nil }, nil)
 	}
 	r.orphans = nil
 	c.log.Info("ledger read", "token", r.token, "jobs", len(r.Jobs), "terminal", len(r.Terminal), "machines", len(r.Machines))
@@ -305,7 +305,7 @@
 	}
 	// What is decided while a transaction is under way could only leave with the
 	// next one: a burst of arrivals is filled at once, not one by one.
-	if r.fillDirty && r.current == nil {
+	if r.fillDirty && !r.records.Busy() {
 		r.fill()
 	}
 	r.flush()
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -7,6 +7,7 @@
 	"claybarrow/internal/ledger"
 	"claybarrow/internal/protocol"
 	"claybarrow/internal/sched"
+	"claybarrow/internal/statestore"
 )
 
 // Times of the protocol's users: they wait 5 s for a submission or a
@@ -244,7 +245,7 @@
 	j := r.AddJob(spec, c.wall)
 	p := &proposal{job: j, wants: []requester{from}}
 	r.proposals[uid] = p
-	r.mark(ledger.JobPrefix+uid, writeUser, func() any { return j.Record() }, func() {
+	r.records.Mark(ledger.JobPrefix+uid, statestore.User, func() any { return j.Record() }, func() {
 		delete(r.proposals, uid)
 		j.Stored = true
 		c.log.Info("accepted", "job", uid, "class", spec.Class, "team", spec.Team, "tasks", spec.Tasks)
@@ -266,7 +267,7 @@
 		if slices.ContainsFunc(p.wants, func(a requester) bool { return r.c.pendingRequests[a.id] != nil }) {
 			continue
 		}
-		if r.unmark(ledger.JobPrefix + uid) {
+		if r.records.Unmark(ledger.JobPrefix + uid) {
 			delete(r.proposals, uid)
 			r.RemoveJob(uid)
 		}
@@ -352,7 +353,7 @@
 	}
 	c.log.Info("cancelling", "job", uid)
 	j.Cancelling = true
-	r.mark(ledger.JobPrefix+uid, writeUser, func() any { return j.Record() }, nil)
+	r.records.Mark(ledger.JobPrefix+uid, statestore.User, func() any { return j.Record() }, nil)
 	// Nothing it does from here on is of use.
 	for _, m := range r.machines() {
 		for _, a := range m.Sorted() {
@@ -376,7 +377,7 @@
 	uid := j.Spec.UID
 	j.Finishing = true
 	r.withdrawFailures(j)
-	r.mark(ledger.JobPrefix+uid, writeUser, func() any { return j.Record() }, func() {
+	r.records.Mark(ledger.JobPrefix+uid, statestore.User, func() any { return j.Record() }, func() {
 		r.Terminal[uid] = ledger.TerminalState{Cancelled: true}
 		r.dropChunks(j)
 		r.answerCancels(uid)
@@ -402,7 +403,7 @@
 	uid := j.Spec.UID
 	// What ended before it could be cancelled is done.
 	j.Finishing, j.Cancelling = true, false
-	r.mark(ledger.JobPrefix+uid, writeUser, func() any { return j.Record() }, func() {
+	r.records.Mark(ledger.JobPrefix+uid, statestore.User, func() any { return j.Record() }, func() {
 		r.c.log.Info("done", "job", uid)
 		r.Terminal[uid] = ledger.TerminalState{Tasks: j.Spec.Tasks}
 		r.dropChunks(j)
@@ -413,8 +414,8 @@
 
 func (r *term) dropChunks(j *ledger.Job) {
 	for _, key := range r.DoneKeys(j) {
-		if r.versions[key] != 0 || r.pending[key] != nil {
-			r.mark(key, writeLazy, func() any { return nil }, nil)
+		if r.records.Version(key) != 0 || r.records.IsPending(key) {
+			r.records.Mark(key, statestore.Lazy, func() any { return nil }, nil)
 		}
 	}
 }
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"claybarrow/internal/ledger"
+	"claybarrow/internal/statestore"
 )
 
 func sortedKeys[V any](m map[string]V) []string { return slices.Sorted(maps.Keys(m)) }
@@ -13,8 +14,8 @@
 func (r *term) machines() []*ledger.Machine { return r.SortedMachines() }
 
 // record marks the machine's record to be written.
-func (r *term) record(m *ledger.Machine, kind int, then func()) {
-	r.mark(ledger.MachinePrefix+m.ID, kind, func() any {
+func (r *term) record(m *ledger.Machine, priority statestore.Priority, then func()) {
+	r.records.Mark(ledger.MachinePrefix+m.ID, priority, func() any {
 		if r.Machines[m.ID] != m {
 			return nil
 		}
--- a/internal/coordination/writes_test.go
+++ b/internal/coordination/writes_test.go
@@ -27,12 +27,12 @@
 	for i, id := range []string{"i-900099", "i-900098"} {
 		r.start(service, i, r.Machines[id], r.nextTry())
 	}
-	txn := r.compose()
-	if txn == nil || len(txn.puts) < 2 {
+	txn := r.records.Compose()
+	if txn == nil || len(txn.Puts) < 2 {
 		t.Fatal("no transaction")
 	}
 	for i, id := range []string{"i-900099", "i-900098"} {
-		if got := txn.puts[i]; got != ledger.MachinePrefix+id {
+		if got := txn.Puts[i]; got != ledger.MachinePrefix+id {
 			t.Errorf("write %d is %s, not that of %s", i, got, id)
 		}
 	}
--- /dev/null
+++ b/internal/statestore/writer.go
@@ -0,0 +1,456 @@
+// Package statestore writes a leader's records to the state service: what piled up goes out in one
+// transaction at a time, the most urgent first, within the service's limits, and each outcome
+// that is not known is read back before anything else is written.
+package statestore
+
+import (
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"slices"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"claybarrow/internal/budget"
+	"claybarrow/internal/protocol"
+)
+
+// Priority orders the writes that wait.
+type Priority int
+
+// The priorities: what users wait for, what starts of replicas and then of batches wait
+// for, completions, and what only helps a successor. Starts of an array of thousands take
+// the store's writes of many seconds: replicas that waited behind them missed aims of a second.
+const (
+	User Priority = iota
+	Replica
+	Start
+	Done
+	Lazy
+	Counters
+	priorities
+)
+
+// Limits are the state service's, now and later.
+type Limits struct {
+	Changes    int // of a transaction
+	ValueBytes int
+	// Timeout is how long an answer is waited for.
+	Timeout time.Duration
+}
+
+// transactionBytes bounds a transaction, of the protocol's 64 KiB.
+const transactionBytes = 60 << 10
+
+// unlimited is more writes than any transaction has.
+const unlimited = 1 << 20
+
+// Bounds of the times that transactions take, in the log, in ms.
+const (
+	longestMillis = 60_000
+	figures       = 2
+)
+
+// LeaderKey is the key whose version is a condition of every write.
+type LeaderKey struct {
+	Key     string
+	Version uint64
+	Lease   uint64
+	// Record is its value in this term, IsOurs says whether a value read is that.
+	Record func() any
+	IsOurs func(value []byte) bool
+}
+
+// Host is the leader that the records belong to. After End it calls the writer no more, and
+// Ended says so.
+type Host interface {
+	Now() time.Duration
+	// Call asks the state service; status 0: there was no answer.
+	Call(method, path string, body any, timeout time.Duration, then func(status int, body []byte))
+	// MayCall says whether the budget of requests allows one.
+	MayCall() bool
+	// Pause is a short wait before something is tried again.
+	Pause() time.Duration
+	End(why string)
+	Ended() bool
+	// Unavailable: the service executes nothing. Nobody is kept waiting for it.
+	Unavailable()
+	// Abandoned: a record is given up that the service takes in no form.
+	Abandoned(key string)
+}
+
+// write is a key whose record is to be written. It is rendered when the
+// transaction is made, so that what piled up goes out as one change.
+type write struct {
+	key      string
+	priority Priority
+	render   func() any // nil result: delete
+	then     []func()
+}
+
+// Transaction is what goes out at once.
+type Transaction struct {
+	Body   protocol.Txn
+	Puts   []string
+	writes []*write
+	dels   []string
+	// uncertain: an earlier try had no answer and may have applied.
+	uncertain bool
+	// fencing: it also writes the leader key.
+	fencing  bool
+	made     time.Duration
+	retryAt  time.Duration
+	flying   bool
+	readback string // the key to be read for what became of it
+}
+
+// Writes is how many records it has.
+func (t *Transaction) Writes() int { return len(t.writes) }
+
+// Writer writes the records: one transaction at a time, so that an uncertain one
+// blocks its keys simply by being the only one. Each key's version is a
+// condition, so a lost transaction that applies late can't undo a newer one.
+// Absent keys all have the version 0, though: one that creates keys could apply
+// once more after they were deleted again. So after a try without an answer the
+// next transaction writes the leader key too, whose version is a condition of
+// all: from then on no earlier one can apply.
+type Writer struct {
+	host    Host
+	log     *slog.Logger
+	limits  Limits
+	changes *budget.Bucket
+	leader  LeaderKey
+
+	versions map[string]uint64
+	pending  map[string]*write
+	queues   [priorities][]*write
+	current  *Transaction
+	// unanswered: a transaction without an answer may still be on its way.
+	unanswered bool
+	// most is how many writes a transaction may have: fewer after one was called
+	// malformed, until what is at fault has been found.
+	most int
+	// took is how long transactions took until they were known to have applied, in ms.
+	took *hdrhistogram.Histogram
+}
+
+// NewWriter makes the writer of a new term.
+func NewWriter(host Host, log *slog.Logger, limits Limits, changes *budget.Bucket, leader LeaderKey) *Writer {
+	return &Writer{host: host, log: log, limits: limits, changes: changes, leader: leader, versions: map[string]uint64{}, pending: map[string]*write{},
+		took: hdrhistogram.New(1, longestMillis, figures), most: unlimited}
+}
+
+// Version is the version of a key as it was last read or written; 0: it is not there.
+func (w *Writer) Version(key string) uint64 { return w.versions[key] }
+
+// Loaded notes the version of a key that was read.
+func (w *Writer) Loaded(key string, version uint64) { w.versions[key] = version }
+
+// IsPending says whether a key's write waits for a transaction.
+func (w *Writer) IsPending(key string) bool { return w.pending[key] != nil }
+
+// Busy says whether a transaction is under way.
+func (w *Writer) Busy() bool { return w.current != nil }
+
+// Took is how long transactions took, in ms, until it is reset.
+func (w *Writer) Took() *hdrhistogram.Histogram { return w.took }
+
+// Mark asks for a key's record to be written.
+func (w *Writer) Mark(key string, priority Priority, render func() any, then func()) {
+	m := w.pending[key]
+	if m == nil {
+		m = &write{key: key, priority: priority}
+		w.pending[key] = m
+		w.queues[priority] = append(w.queues[priority], m)
+	} else if priority < m.priority {
+		w.queues[m.priority] = slices.DeleteFunc(w.queues[m.priority], func(x *write) bool { return x == m })
+		m.priority = priority
+		w.queues[priority] = append(w.queues[priority], m)
+	}
+	m.render = render
+	if then != nil {
+		m.then = append(m.then, then)
+	}
+}
+
+// Unmark takes back a write that has not been put into a transaction.
+func (w *Writer) Unmark(key string) bool {
+	m := w.pending[key]
+	if m == nil {
+		return false
+	}
+	delete(w.pending, key)
+	w.queues[m.priority] = slices.DeleteFunc(w.queues[m.priority], func(x *write) bool { return x == m })
+	return true
+}
+
+// Compose makes the next transaction of what piled up, within the limits; nil: there is nothing.
+func (w *Writer) Compose() *Transaction {
+	now := w.host.Now()
+	// One change is left to the leader key.
+	most := min(w.limits.Changes-1, w.most)
+	t := &Transaction{made: now}
+	t.Body.If = []protocol.Condition{{Key: w.leader.Key, Version: w.leader.Version}}
+	size := 1024
+	for priority := range w.queues {
+		for len(w.queues[priority]) > 0 {
+			// Lazy writes leave half of the burst to what somebody waits for.
+			reserve := 0.0
+			if Priority(priority) >= Lazy {
+				reserve = w.changes.Burst() / 2
+			}
+			if len(t.writes) >= most || !w.changes.Has(now, float64(len(t.writes)+1)+reserve) {
+				break
+			}
+			m := w.queues[priority][0]
+			value := m.render()
+			bytes, fits := w.bytesOf(m, value)
+			if !fits {
+				w.Unmark(m.key)
+				w.host.Abandoned(m.key)
+				continue
+			}
+			if size+bytes > transactionBytes {
+				break
+			}
+			size += bytes
+			w.queues[priority] = w.queues[priority][1:]
+			delete(w.pending, m.key)
+			w.add(t, m, value)
+		}
+	}
+	if len(t.writes) == 0 {
+		return nil
+	}
+	w.changes.Take(now, float64(len(t.writes)))
+	return t
+}
+
+// bytesOf is a bound on what a write takes of its transaction; false: its value is too large.
+func (w *Writer) bytesOf(m *write, value any) (int, bool) {
+	n := 2*len(m.key) + 160
+	if value == nil {
+		return n, true
+	}
+	// The Go field names are longer than the stored ones: a bound.
+	b, err := json.Marshal(value)
+	if err != nil || len(b) > w.limits.ValueBytes {
+		w.log.Error("a record is too large", "key", m.key, "bytes", len(b), "err", err)
+		return 0, false
+	}
+	return n + len(b), true
+}
+
+// add puts a write into a transaction. What was never written needs no deletion.
+func (w *Writer) add(t *Transaction, m *write, value any) {
+	version := w.versions[m.key]
+	if value == nil && version == 0 {
+		for _, f := range m.then {
+			f()
+		}
+		return
+	}
+	t.writes = append(t.writes, m)
+	t.Body.If = append(t.Body.If, protocol.Condition{Key: m.key, Version: version})
+	if value == nil {
+		t.dels = append(t.dels, m.key)
+		t.Body.Then = append(t.Body.Then, protocol.Change{Delete: m.key})
+		return
+	}
+	t.Puts = append(t.Puts, m.key)
+	t.Body.Then = append(t.Body.Then, protocol.Change{Put: m.key, Value: value})
+}
+
+// fence has the transaction write the leader key, unless it does so already.
+func (w *Writer) fence(t *Transaction) {
+	if !w.unanswered || t.fencing {
+		return
+	}
+	t.fencing = true
+	t.Body.Then = append(t.Body.Then, protocol.Change{Put: w.leader.Key, Value: w.leader.Record(), Lease: w.leader.Lease})
+	w.changes.Take(w.host.Now(), 1)
+}
+
+// Flush sends the next transaction, if none is under way.
+func (w *Writer) Flush() {
+	t := w.current
+	if t == nil {
+		if !w.host.MayCall() {
+			return
+		}
+		if t = w.Compose(); t == nil {
+			return
+		}
+		w.current = t
+	}
+	if t.flying || w.host.Now() < t.retryAt {
+		return
+	}
+	t.flying = true
+	if t.readback != "" {
+		w.host.Call("GET", "/store/"+t.readback, nil, w.limits.Timeout, func(status int, body []byte) { w.onReadback(t, status, body) })
+		return
+	}
+	w.fence(t)
+	w.host.Call("POST", "/multi", t.Body, w.limits.Timeout, func(status int, body []byte) { w.onAnswer(t, status, body) })
+}
+
+func (w *Writer) onAnswer(t *Transaction, status int, body []byte) {
+	if w.host.Ended() {
+		return
+	}
+	t.flying = false
+	var reply protocol.TxnReply
+	switch status {
+	case 200:
+		if protocol.Decode(body, &reply) != nil {
+			w.lost(t)
+			return
+		}
+		if t.fencing {
+			w.leader.Version, w.unanswered = reply.Revision, false
+		}
+		w.applied(t, reply.Revision)
+	case 409:
+		if protocol.Decode(body, &reply) != nil {
+			w.lost(t)
+			return
+		}
+		w.onConflict(t, reply.Failed)
+	case 0:
+		w.lost(t)
+	case 400:
+		if t.uncertain {
+			// An earlier try may have applied all the same.
+			t.readback = slices.Concat(t.Puts, t.dels)[0]
+			return
+		}
+		w.malformed(t)
+	default:
+		// 503: not executed. 429: likewise, and we have been too fast.
+		if status == 429 {
+			w.changes.Empty()
+		} else {
+			w.host.Unavailable()
+		}
+		t.retryAt = w.host.Now() + w.host.Pause()
+	}
+}
+
+// onConflict takes the keys that had other versions than the transaction said.
+func (w *Writer) onConflict(t *Transaction, failed []string) {
+	switch {
+	case slices.Contains(failed, w.leader.Key):
+		if !t.fencing || !t.uncertain {
+			w.host.End("another leader's key")
+			return
+		}
+		t.readback = w.leader.Key // an earlier try of ours may have written it
+	case !t.uncertain:
+		// Nobody else may write our keys: the ledger is not what we think.
+		w.log.Error("versions differ", "keys", fmt.Sprint(failed))
+		w.host.End("the ledger differs from memory")
+	case len(t.Puts) == 0:
+		w.applied(t, 0)
+	default:
+		t.readback = t.Puts[0]
+	}
+}
+
+// lost notes that a try had no answer: it may have applied, or do so later.
+func (w *Writer) lost(t *Transaction) {
+	t.uncertain, w.unanswered = true, true
+	t.retryAt = w.host.Now() + w.host.Pause()
+}
+
+// malformed takes back a transaction that the state service calls malformed: a
+// lease that has ended, or a limit that is lower than the settings say. What can
+// be written goes out in smaller ones; only a single record that is refused by
+// itself is given up, and its users are told to come back.
+func (w *Writer) malformed(t *Transaction) {
+	w.current = nil
+	if t.fencing && len(t.writes) == 1 {
+		w.host.End("the leader key can't be written")
+		return
+	}
+	if len(t.writes) > 1 {
+		w.log.Error("a transaction was called malformed", "writes", len(t.writes))
+		w.most = max(1, len(t.writes)/2)
+		w.putBack(t)
+		return
+	}
+	m := t.writes[0]
+	w.log.Error("a record was called malformed", "key", m.key)
+	w.most = unlimited
+	w.host.Abandoned(m.key)
+}
+
+// putBack queues a transaction's writes again, first in their queues. What was
+// asked for anew meanwhile keeps the newer request.
+func (w *Writer) putBack(t *Transaction) {
+	for _, m := range slices.Backward(t.writes) {
+		if newer := w.pending[m.key]; newer != nil {
+			newer.then = append(m.then, newer.then...)
+			continue
+		}
+		w.pending[m.key] = m
+		w.queues[m.priority] = slices.Insert(w.queues[m.priority], 0, m)
+	}
+}
+
+// onReadback tells what became of a transaction whose answer was lost: a key of
+// it has another version than before, and only this leader can have changed it.
+func (w *Writer) onReadback(t *Transaction, status int, body []byte) {
+	if w.host.Ended() {
+		return
+	}
+	t.flying = false
+	var it protocol.Item // absent: version 0
+	key := t.readback
+	deletes := slices.Contains(t.dels, key)
+	switch {
+	case status == 200 && protocol.Decode(body, &it) == nil:
+	case status == 404 && (key == w.leader.Key || w.versions[key] != 0 && !deletes):
+		w.host.End("the ledger differs from memory")
+		return
+	case status == 404:
+	default:
+		t.retryAt = w.host.Now() + w.host.Pause()
+		return
+	}
+	t.readback = ""
+	if key == w.leader.Key {
+		if !w.leader.IsOurs(it.Value) {
+			w.host.End("another leader's key")
+			return
+		}
+		// A try of ours wrote the leader key, and all else with it.
+		w.leader.Version, w.unanswered = it.Version, false
+		w.applied(t, it.Version)
+		return
+	}
+	if it.Version == w.versions[key] {
+		w.malformed(t) // it did not apply, and the last try was refused
+		return
+	}
+	w.applied(t, it.Version)
+}
+
+func (w *Writer) applied(t *Transaction, revision uint64) {
+	for _, key := range t.Puts {
+		w.versions[key] = revision
+	}
+	for _, key := range t.dels {
+		delete(w.versions, key)
+	}
+	w.current = nil
+	w.most = min(unlimited, 2*w.most)
+	// A value out of range is clipped; the histogram only serves the log.
+	_ = w.took.RecordValue(min(longestMillis, max(1, (w.host.Now()-t.made).Milliseconds())))
+	for _, m := range t.writes {
+		for _, f := range m.then {
+			f()
+		}
+	}
+}
