--- /dev/null
+++ b/internal/coordination/detection_bench_test.go
@@ -0,0 +1,227 @@
+package coordination
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"claybarrow/internal/emulator"
+	"claybarrow/internal/membership"
+)
+
+// The benchmarks of this file measure in the deterministic world how failed controllers are noticed
+// and what follows, with detection off and on. They are the source of the figures in
+// docs/failure-detection.md (simulated time; the leader's lease is 1.5 s, the workers' 10 s):
+//
+//	go test -run '^$' -bench Detection -benchtime 1x ./internal/coordination
+
+const measuredSeeds = 20
+
+// spread are times of several runs.
+type spread []time.Duration
+
+func (s spread) report(b *testing.B, name string) {
+	if len(s) == 0 {
+		return
+	}
+	slices.Sort(s)
+	b.ReportMetric(s[len(s)/2].Seconds(), name+"-p50-s")
+	b.ReportMetric(s[len(s)*99/100].Seconds(), name+"-p99-s")
+	b.ReportMetric(s[len(s)-1].Seconds(), name+"-most-s")
+}
+
+func eachDetection(b *testing.B, run func(b *testing.B, operator []byte)) {
+	b.Run("off", func(b *testing.B) { run(b, nil) })
+	b.Run("on", func(b *testing.B) { run(b, []byte(membershipOn)) })
+}
+
+// steadyLoad has a short task submitted twice a second.
+func (w *world) steadyLoad() {
+	w.runs = func(string) time.Duration { return 2 * second }
+	n := 0
+	var next func()
+	next = func() {
+		n++
+		w.submit(fmt.Sprintf("j-8%05d", n), map[string]any{"cores": 1.0})
+		w.at(second/2, next)
+	}
+	next()
+}
+
+// BenchmarkDetectionOfDeath kills the leader: times from its end to the first suspicion, to the last
+// of the others', to its death for all, to the next election and to the first task under it.
+func BenchmarkDetectionOfDeath(b *testing.B) {
+	eachDetection(b, func(b *testing.B, operator []byte) {
+		for b.Loop() {
+			var suspect, all, dead, elected, placed spread
+			for seed := range uint64(measuredSeeds) {
+				w := newWorldWith(b, 3000+seed, operator)
+				w.steadyLoad()
+				w.run(70*second + w.ms(0, 1500))
+				lead := w.awaitLeader()
+				token := w.term().token
+				var first time.Duration
+				begins := w.machines.Begins
+				w.machines.Begins = func(k *emulator.Worker, task string, t *emulator.Task) {
+					begins(k, task, t)
+					if first == 0 && t.Try>>attemptBlockBits > token {
+						first = w.Now()
+					}
+				}
+				died := w.Now()
+				w.crash(lead)
+				w.until(10*second, "another leads", func() bool { return w.leader() >= 0 })
+				elected = append(elected, w.Now()-died)
+				w.run(20 * second)
+				if first > 0 {
+					placed = append(placed, first-died)
+				}
+				var seen spread
+				for i, n := range w.nodes {
+					if at := n.observer.became(label(lead), membership.Suspect, died); i != lead && at > 0 {
+						seen = append(seen, at-died)
+					}
+					if at := n.observer.became(label(lead), membership.Dead, died); i != lead && at > 0 {
+						dead = append(dead, at-died)
+					}
+				}
+				if len(seen) > 0 {
+					suspect, all = append(suspect, slices.Min(seen)), append(all, slices.Max(seen))
+				}
+			}
+			suspect.report(b, "suspect")
+			all.report(b, "all-suspect")
+			dead.report(b, "dead")
+			elected.report(b, "elected")
+			placed.report(b, "placed")
+		}
+	})
+}
+
+// wrongs are what an hour of a trouble brought about though no controller died.
+type wrongs struct{ suspicions, deaths, leaders, moves, lapses float64 }
+
+// countWrongs plays a trouble for some minutes at several seeds.
+func countWrongs(b *testing.B, operator []byte, trouble func(w *world)) {
+	const lasts, seeds = 10 * time.Minute, 4
+	var sum wrongs
+	for seed := range uint64(seeds) {
+		w := newWorldWith(b, 3100+seed, operator)
+		w.replicas()
+		began, token := w.Now(), w.term().token
+		trouble(w)
+		w.run(lasts)
+		sum.leaders += float64(w.term().token - token)
+		for _, n := range w.nodes {
+			for _, c := range n.observer.changes {
+				switch {
+				case c.at < began:
+				case c.To == membership.Suspect:
+					sum.suspicions++
+				case c.To == membership.Dead:
+					sum.deaths++
+				}
+			}
+		}
+		for _, starts := range w.starts {
+			sum.moves += float64(starts - 1)
+		}
+		for _, k := range w.fleet() {
+			if k.Up && !k.Gone {
+				sum.lapses += float64(k.Session - 1)
+			}
+		}
+		w.keptRules()
+	}
+	hours := (seeds * lasts).Hours()
+	b.ReportMetric(sum.suspicions/hours, "suspicions/h")
+	b.ReportMetric(sum.deaths/hours, "deaths/h")
+	b.ReportMetric(sum.leaders/hours, "leader-changes/h")
+	b.ReportMetric(sum.moves/hours, "tasks-moved/h")
+	b.ReportMetric(sum.lapses/hours, "leases-run-out/h")
+}
+
+// stallsEvery has each controller in turn stand still, one every twenty seconds.
+func stallsEvery(d time.Duration) func(*world) {
+	return func(w *world) {
+		node := 0
+		var next func()
+		next = func() {
+			w.standStill(node, d)
+			node = (node + 1) % 3
+			w.at(20*second, next)
+		}
+		next()
+	}
+}
+
+// BenchmarkDetectionInStalls counts wrong suspicions and deaths while controllers stall, one each
+// twenty seconds: 180 stalls an hour.
+func BenchmarkDetectionInStalls(b *testing.B) {
+	for _, d := range []time.Duration{200 * time.Millisecond, 500 * time.Millisecond, second, 2 * second, 5 * second, 10 * second} {
+		b.Run(d.String(), func(b *testing.B) {
+			eachDetection(b, func(b *testing.B, operator []byte) {
+				for b.Loop() {
+					countWrongs(b, operator, stallsEvery(d))
+				}
+			})
+		})
+	}
+}
+
+// BenchmarkDetectionInLoss counts them while a share of the peers' messages and answers is lost.
+func BenchmarkDetectionInLoss(b *testing.B) {
+	for _, loss := range []float64{0.05, 0.1, 0.2} {
+		b.Run(fmt.Sprintf("%.0f%%", loss*100), func(b *testing.B) {
+			eachDetection(b, func(b *testing.B, operator []byte) {
+				for b.Loop() {
+					countWrongs(b, operator, func(w *world) {
+						w.script = func(_ int, c Call) fate {
+							return fate{lost: c.Target == ToPeer && w.rng.Float64() < loss, answerLost: c.Target == ToPeer && w.rng.Float64() < loss}
+						}
+					})
+				}
+			})
+		})
+	}
+}
+
+// BenchmarkDetectionWhileStarved counts them while one controller handles nothing for seven tenths
+// of each second.
+func BenchmarkDetectionWhileStarved(b *testing.B) {
+	eachDetection(b, func(b *testing.B, operator []byte) {
+		for b.Loop() {
+			countWrongs(b, operator, func(w *world) {
+				var next func()
+				next = func() {
+					w.standStill(1, 700*time.Millisecond)
+					w.at(second, next)
+				}
+				next()
+			})
+		}
+	})
+}
+
+// BenchmarkDetectionCost counts a controller's messages to others and their bytes, in peace.
+func BenchmarkDetectionCost(b *testing.B) {
+	eachDetection(b, func(b *testing.B, operator []byte) {
+		for b.Loop() {
+			const lasts = 60 * second
+			w := newWorldWith(b, 3200, operator)
+			w.replicas()
+			messages, bytes := 0, 0
+			w.script = func(node int, c Call) fate {
+				if node == 0 && c.Target == ToPeer && c.Path != "/forward" && c.Path != "/relay" {
+					messages++
+					bytes += len(c.Body)
+				}
+				return fate{}
+			}
+			w.run(lasts)
+			b.ReportMetric(float64(messages)/lasts.Seconds(), "messages/s")
+			b.ReportMetric(float64(bytes)/lasts.Seconds(), "bytes/s")
+		}
+	})
+}
--- a/internal/coordination/world_test.go
+++ b/internal/coordination/world_test.go
@@ -34,7 +34,7 @@
 }
 
 type world struct {
-	t        *testing.T
+	t        testing.TB
 	agenda   *emulator.Agenda
 	rng      *rand.Rand
 	cfgs     []*config.Config
@@ -86,10 +86,10 @@
 	scripted func(Request) Reply
 }
 
-func newWorld(t *testing.T, seed uint64) *world { return newWorldWith(t, seed, testOperator) }
+func newWorld(t testing.TB, seed uint64) *world { return newWorldWith(t, seed, testOperator) }
 
 // newWorldWith is a world whose controllers have these operators' settings.
-func newWorldWith(t *testing.T, seed uint64, operator []byte) *world {
+func newWorldWith(t testing.TB, seed uint64, operator []byte) *world {
 	w := &world{t: t, agenda: &emulator.Agenda{}, rng: rand.New(rand.NewPCG(seed, 1)), specs: map[string]map[string]any{},
 		copies: map[string][][]byte{}, finished: map[string]bool{},
 		told: map[string]protocol.JobState{}, toldAt: map[string]time.Duration{}, stopped: map[string]time.Duration{}, checker: newChecker(), reportWait: 4 * time.Second,
@@ -121,9 +121,9 @@
 
 const membershipOn = "[membership]\nenabled = true\n"
 
-func testConfig(t *testing.T, i int) *config.Config { return testConfigWith(t, i, testOperator) }
+func testConfig(t testing.TB, i int) *config.Config { return testConfigWith(t, i, testOperator) }
 
-func testConfigWith(t *testing.T, i int, operator []byte) *config.Config {
+func testConfigWith(t testing.TB, i int, operator []byte) *config.Config {
 	t.Helper()
 	var peers []string
 	for k := range 3 {
