--- /dev/null
+++ b/internal/transport/goodbye_test.go
@@ -0,0 +1,121 @@
+package transport
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"claybarrow/internal/config"
+	"claybarrow/internal/coordination"
+	"claybarrow/internal/membership"
+)
+
+// farewell is a core that says goodbye to an address when it is told to end.
+type farewell struct{ addr string }
+
+func (f farewell) Handle(_ coordination.Clock, ev coordination.Event) []coordination.Effect {
+	if _, ends := ev.(coordination.Shutdown); ends {
+		return []coordination.Effect{coordination.Call{ID: 1, Target: coordination.ToPeer, Addr: f.addr, Method: "POST", Path: "/probe", Timeout: time.Second}}
+	}
+	return nil
+}
+
+// freeAddress is a loopback address that nobody listens at.
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func endingNode(t *testing.T, core Core) *Node {
+	t.Helper()
+	n := node(t)
+	n.core = core
+	n.cfg.ClientListen, n.cfg.PeerListen = freeAddress(t), freeAddress(t)
+	n.cfg.Cluster.Resources = config.Resources{Cores: 1, MemMB: 64, FDs: 64}
+	n.cfg.Cluster.State = config.State{RPS: 100, WriteRPS: 50, ValueKB: 8, TxnOps: 24}
+	return n
+}
+
+// A process that is told to end sends what it has to say first, and waits a tenth of a lease at the most
+// for those that don't answer.
+func TestGoodbye(t *testing.T) {
+	for _, hangs := range []bool{false, true} {
+		var said atomic.Int32
+		release := make(chan struct{})
+		peer := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+			said.Add(1)
+			if hangs {
+				<-release
+			}
+		}))
+		n := endingNode(t, farewell{strings.TrimPrefix(peer.URL, "http://")})
+		ctx, end := context.WithCancel(context.Background())
+		done := make(chan error, 1)
+		go func() { done <- n.Run(ctx) }()
+		time.Sleep(50 * time.Millisecond)
+		end()
+		select {
+		case err := <-done:
+			if err != nil {
+				t.Error(err)
+			}
+		case <-time.After(3 * time.Second):
+			t.Errorf("hangs %v: it does not end", hangs)
+		}
+		if said.Load() != 1 {
+			t.Errorf("hangs %v: goodbye was said %d times", hangs, said.Load())
+		}
+		close(release)
+		peer.Close()
+	}
+}
+
+// A command that was decided before a standstill does not leave after the time that it was decided for.
+func TestCallAfterAStandstill(t *testing.T) {
+	reached := false
+	worker := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { reached = true }))
+	defer worker.Close()
+	n := node(t)
+	n.start = time.Now().Add(-time.Minute)
+	call := coordination.Call{Target: coordination.ToWorker, Addr: strings.TrimPrefix(worker.URL, "http://"), Method: "POST", Path: "/commands", Timeout: time.Second}
+	call.Until = 30 * time.Second
+	if _, _, err := n.exchange(context.Background(), call); !errors.Is(err, errTooLate) || reached {
+		t.Errorf("too late: %v, reached %v", err, reached)
+	}
+	call.Until = 2 * time.Minute
+	if status, _, err := n.exchange(context.Background(), call); status != 200 || err != nil || !reached {
+		t.Errorf("in time: %d, %v", status, err)
+	}
+}
+
+// Probes are bounded before they are read, and metrics are there only if somebody asked for them.
+func TestPeerRoutes(t *testing.T) {
+	n := node(t)
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	go n.loop(ctx, ctx, make(chan struct{}))
+	if w := send(n.peerRoutes(), "POST", "/probe", make([]byte, membership.MostBytes+1)); w.Code != 400 {
+		t.Errorf("an oversized probe: %d", w.Code)
+	}
+	if w := send(n.peerRoutes(), "POST", "/probe", []byte{0xa0}); w.Code != 200 || !strings.HasPrefix(w.Body.String(), "probe") {
+		t.Errorf("a probe: %d %s", w.Code, w.Body)
+	}
+	if w := send(n.peerRoutes(), "GET", "/metrics", nil); w.Code != 404 {
+		t.Errorf("metrics that nobody asked for: %d", w.Code)
+	}
+	n.ServeMetrics(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) }))
+	if w := send(n.peerRoutes(), "GET", "/metrics", nil); w.Code != 200 {
+		t.Errorf("metrics: %d", w.Code)
+	}
+}
