--- a/internal/coordination/calls_test.go
+++ b/internal/coordination/calls_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"testing"
 	"time"
+
+	"claybarrow/internal/config"
 )
 
 // Direct calls are bounded by what a core can take in a moment, however many sockets there are;
@@ -14,9 +16,8 @@
 		cores   float64
 		want    int
 	}{{600, 0.144, 75}, {1_938, 0.468, 242}, {2_061, 0.312, 257}, {16_488, 1, 1024}, {16_488, 4, 2061}} {
-		c := &Core{cfg: testConfig(t, 0)}
-		c.cfg.Cluster.Resources.FDs, c.cfg.Cluster.Resources.Cores = tc.sockets, tc.cores
-		if got := c.mostCalls(); got != tc.want {
+		calls := newCallLimiter(config.Resources{FDs: tc.sockets, Cores: tc.cores})
+		if got := calls.most; got != tc.want {
 			t.Errorf("%d sockets, %v cores: %d calls at once, want %d", tc.sockets, tc.cores, got, tc.want)
 		}
 	}
@@ -27,8 +28,8 @@
 func TestManyCallsAreSpreadOverTime(t *testing.T) {
 	w := newWorld(t, 58)
 	c := w.nodes[w.awaitLeader()].core
-	c.cfg.Cluster.Resources.FDs = 1 << 16
 	r := c.term
+	r.calls = newCallLimiter(config.Resources{FDs: 1 << 16, Cores: c.cfg.Cluster.Resources.Cores})
 	c.out = nil
 	for i := range 3000 {
 		m := r.AddMachine(fmt.Sprintf("i-9%05d", i))
@@ -43,7 +44,7 @@
 		for _, m := range r.machines() {
 			if m.Calling { // as if it had answered
 				m.Calling, m.Fresh, m.Probed = false, true, true
-				r.calling, r.hanging = 0, 0
+				r.calls.calling, r.calls.hanging = 0, 0
 			}
 		}
 		return len(c.out)
--- a/internal/coordination/commands.go
+++ b/internal/coordination/commands.go
@@ -6,6 +6,8 @@
 	"slices"
 	"time"
 
+	"claybarrow/internal/budget"
+	"claybarrow/internal/config"
 	"claybarrow/internal/ledger"
 	"claybarrow/internal/protocol"
 )
@@ -174,22 +176,41 @@
 	callsPerCoreBurst  = 128
 )
 
-// mostCalls is how many direct calls may be under way at once.
-func (c *Core) mostCalls() int {
-	return min(c.cfg.Cluster.Resources.FDs/8, int(callsPerCore*c.wholeCores()))
+// callLimiter bounds the direct calls. They wait for one another before anything is noted as
+// sent: a take-over of hundreds of machines, or a partitioned zone whose calls all hang,
+// must not take the sockets, and what answers must not wait for what hangs.
+type callLimiter struct {
+	most    int // at once
+	calling int
+	hanging int // of those, that may well hang
+	rate    budget.Bucket
 }
 
-// wholeCores is the processor's share, and a core at the least: what is bounded by it is for
-// fleets that need one.
-func (c *Core) wholeCores() float64 { return max(1, c.cfg.Cluster.Resources.Cores) }
+func newCallLimiter(resources config.Resources) callLimiter {
+	// A core at the least: what is bounded by it is for fleets that need one.
+	cores := max(1, resources.Cores)
+	return callLimiter{most: min(resources.FDs/8, int(callsPerCore*cores)), rate: budget.New(callsPerCoreSecond*cores, callsPerCoreBurst*cores)}
+}
 
-// mayCall says whether a call to the machine may leave now. Calls wait for one another
-// before anything is noted as sent: a take-over of hundreds of machines, or a
-// partitioned zone whose calls all hang, must not take the sockets, and what answers
-// must not wait for what hangs.
-func (r *term) mayCall(m *ledger.Machine) bool {
-	most := r.c.mostCalls()
-	return r.calling < most && !(r.mayHang(m) && r.hanging >= most*2/3) && r.callBudget.Has(r.c.now, 1)
+// may says whether a call may leave now.
+func (l *callLimiter) may(now time.Duration, mayHang bool) bool {
+	return l.calling < l.most && !(mayHang && l.hanging >= l.most*2/3) && l.rate.Has(now, 1)
+}
+
+// begin notes that a call leaves, end that it is over.
+func (l *callLimiter) begin(now time.Duration, mayHang bool) {
+	l.calling++
+	l.rate.Take(now, 1)
+	if mayHang {
+		l.hanging++
+	}
+}
+
+func (l *callLimiter) end(mayHang bool) {
+	l.calling--
+	if mayHang {
+		l.hanging--
+	}
 }
 
 // dispatch sends what there is to send directly, one request at a time.
@@ -199,7 +220,7 @@
 		return
 	}
 	probe := r.wantsProbe(m)
-	if !m.Known && !probe || !r.mayCall(m) {
+	if !m.Known && !probe || !r.calls.may(c.now, r.mayHang(m)) {
 		return
 	}
 	cmds := r.commands(m, false)
@@ -212,11 +233,7 @@
 			call.runs = append(call.runs, m.Attempts[ledger.Key{Task: cmd.Task, Try: cmd.Attempt}])
 		}
 	}
-	r.calling++
-	r.callBudget.Take(c.now, 1)
-	if call.mayHang {
-		r.hanging++
-	}
+	r.calls.begin(c.now, call.mayHang)
 	m.Calling, m.Probed = true, true
 	body := protocol.Commands{Token: r.token, Session: m.Session, Commands: cmds}
 	if body.Commands == nil {
@@ -238,10 +255,7 @@
 func (r *term) onDirectAnswer(call *directCall, res Result) {
 	c, m := r.c, call.machine
 	m.Calling = false
-	r.calling--
-	if call.mayHang {
-		r.hanging--
-	}
+	r.calls.end(call.mayHang)
 	if res.Status != 0 {
 		r.reached(c.now)
 	} else if m.Heard > call.sent {
--- a/internal/coordination/fleet_test.go
+++ b/internal/coordination/fleet_test.go
@@ -136,15 +136,15 @@
 		m.Exists, m.Rented = c.now, c.now
 		r.dispatch(m)
 	}
-	if r.calling != r.hanging || r.hanging != fds/12 {
-		t.Errorf("%d calls under way, %d of them may hang, with %d sockets", r.calling, r.hanging, fds)
+	if r.calls.calling != r.calls.hanging || r.calls.hanging != fds/12 {
+		t.Errorf("%d calls under way, %d of them may hang, with %d sockets", r.calls.calling, r.calls.hanging, fds)
 	}
 	m := r.AddMachine("i-000001")
 	m.Type, m.Zone, m.Addr, m.Known, m.Fresh, m.Up = "m8", "a", "10.2.1.1:1", true, true, true
 	m.Heard, m.Session = c.now, 1
 	m.UnknownTasks = map[ledger.Key]time.Duration{{Task: "j-9/0", Try: 1}: -time.Hour}
 	r.dispatch(m)
-	if r.calling != fds/12+1 {
+	if r.calls.calling != fds/12+1 {
 		t.Error("a machine that answers waits for those that don't")
 	}
 }
--- a/internal/coordination/term.go
+++ b/internal/coordination/term.go
@@ -5,7 +5,6 @@
 	"strings"
 	"time"
 
-	"claybarrow/internal/budget"
 	"claybarrow/internal/ledger"
 	"claybarrow/internal/protocol"
 	"claybarrow/internal/sched"
@@ -36,10 +35,8 @@
 	cancels   map[string][]requester
 
 	attempts attemptNumbers
-	// Direct calls under way, and those of them that may well hang.
-	calling, hanging int
-	callBudget       budget.Bucket
-	timers           []timer
+	calls    callLimiter
+	timers   []timer
 
 	reach
 
@@ -110,7 +107,7 @@
 		cancels:     map[string][]requester{},
 		arrivals:    map[string]*arrivals{},
 		claims:      map[string]claim{},
-		callBudget:  budget.New(callsPerCoreSecond*c.wholeCores(), callsPerCoreBurst*c.wholeCores()),
+		calls:       newCallLimiter(c.cfg.Cluster.Resources),
 		searched:    map[string]bool{},
 		peers:       map[string]*peer{},
 		healedAt:    map[string]time.Duration{},
--- a/internal/coordination/world_test.go
+++ b/internal/coordination/world_test.go
@@ -99,7 +99,7 @@
 	w.newCloud()
 	w.newMachines()
 	for i := range 3 {
-		w.cfgs = append(w.cfgs, testConfigWith(t, i, operator))
+		w.cfgs = append(w.cfgs, testConfig(t, i, operator))
 		w.nodes = append(w.nodes, &simNode{})
 		w.boot(i)
 	}
@@ -121,9 +121,7 @@
 
 const membershipOn = "[membership]\nenabled = true\n"
 
-func testConfig(t testing.TB, i int) *config.Config { return testConfigWith(t, i, testOperator) }
-
-func testConfigWith(t testing.TB, i int, operator []byte) *config.Config {
+func testConfig(t testing.TB, i int, operator []byte) *config.Config {
 	t.Helper()
 	var peers []string
 	for k := range 3 {
--- a/internal/membership/world_test.go
+++ b/internal/membership/world_test.go
@@ -1,20 +1,20 @@
 package membership
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"testing"
 	"time"
+
+	"claybarrow/internal/emulator"
 )
 
 // group is detectors and a network between them on a fake clock. A script breaks what it likes.
 type group struct {
 	t      *testing.T
+	agenda *emulator.Agenda
 	now    time.Duration
-	events eventQueue
-	order  int
 	random *rand.Rand
 	nodes  map[string]*node
 	labels []string
@@ -43,27 +43,6 @@
 	request  uint64
 }
 
-type event struct {
-	at    time.Duration
-	order int
-	do    func()
-}
-
-type eventQueue []event
-
-func (q eventQueue) Len() int { return len(q) }
-func (q eventQueue) Less(i, j int) bool {
-	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].order < q[j].order
-}
-func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *eventQueue) Push(x any)   { *q = append(*q, x.(event)) }
-func (q *eventQueue) Pop() any {
-	old := *q
-	last := old[len(old)-1]
-	*q = old[:len(old)-1]
-	return last
-}
-
 const (
 	testLease = 1500 * time.Millisecond // the leader's
 	testTick  = testLease / 15
@@ -82,7 +61,7 @@
 }
 
 func newGroup(t *testing.T, seed uint64, n int) *group {
-	g := &group{t: t, random: rand.New(rand.NewPCG(seed, 1)), nodes: map[string]*node{}, bytes: map[string]int{}, sent: map[string]int{},
+	g := &group{t: t, agenda: &emulator.Agenda{}, random: rand.New(rand.NewPCG(seed, 1)), nodes: map[string]*node{}, bytes: map[string]int{}, sent: map[string]int{},
 		cut:     func(string, string) bool { return false },
 		delay:   func(string, string) time.Duration { return 2 * time.Millisecond },
 		changed: func(time.Duration, string, Change) {}}
@@ -97,18 +76,15 @@
 }
 
 func (g *group) after(d time.Duration, do func()) {
-	g.order++
-	heap.Push(&g.events, event{g.now + d, g.order, do})
+	g.agenda.After(d, func() {
+		g.now = g.agenda.Now()
+		do()
+	})
 }
 
 func (g *group) run(d time.Duration) {
-	end := g.now + d
-	for len(g.events) > 0 && g.events[0].at <= end {
-		e := heap.Pop(&g.events).(event)
-		g.now = e.at
-		e.do()
-	}
-	g.now = end
+	g.agenda.RunUntil(g.now + d)
+	g.now = g.agenda.Now()
 }
 
 func (g *group) clock(n *node) Clock {
