The machine pool and the workers' sessions are types of their own

Need: coordination holds over half of the project on one receiver.

Change: internal/machinepool deals with the cloud (lists, deletions, rentals, shortages) behind a narrow interface of its leader; ledger.WorkerSession tells newest messages, lapses and workers that don't hear. The term keeps what decides. No behaviour changes.

--- a/internal/coordination/cloud.go
+++ b/internal/coordination/cloud.go
@@ -1,93 +1,89 @@
 package coordination
 
 import (
-	"fmt"
 	"time"
 
 	"claybarrow/internal/ledger"
+	"claybarrow/internal/machinepool"
 	"claybarrow/internal/protocol"
 	"claybarrow/internal/sched"
 	"claybarrow/internal/statestore"
 )
 
-// cloudState is what the leader knows of its dealings with the cloud.
-type cloudState struct {
-	listAt  time.Duration
-	listing bool
-	listed  bool // one whole list has been read
-	hires   int
-	renting map[string]*rental
-	short   map[sched.Pool]shortage
-	// Conditions that are logged when they begin and end.
-	shortPools map[sched.Pool]*condition
-	lateBoots  condition
-	removed    map[string]time.Duration
-	deleting   bool
-	deleteAt   time.Duration
-}
+// poolHost is a term as its machine pool sees it.
+type poolHost struct{ r *term }
 
-type rental struct {
-	req  protocol.Rent
-	sent time.Duration
+func (r *term) newPool() *machinepool.Pool {
+	c := r.c
+	times := machinepool.Times{Lease: c.cfg.Lease(), ListLag: c.cfg.ListLag(),
+		ListEvery: max(c.cfg.ListLag()/2, seconds(4/c.cfg.Cluster.Cloud.RPS))}
+	return machinepool.New(poolHost{r}, c.log, times, r.token)
 }
 
-type shortage struct {
-	until time.Duration
-	times int
-}
+// Now is part of machinepool.Host.
+func (h poolHost) Now() time.Duration { return h.r.c.now }
 
-func newCloudState() cloudState {
-	return cloudState{renting: map[string]*rental{}, short: map[sched.Pool]shortage{}, shortPools: map[sched.Pool]*condition{}, removed: map[string]time.Duration{}}
+// Call is part of machinepool.Host.
+func (h poolHost) Call(method, path string, body any, timeout time.Duration, then func(int, []byte)) {
+	h.r.c.cloudCall(method, path, body, timeout, func(res Result) { then(res.Status, res.Body) })
 }
 
-func (r *term) keepCloud() {
-	c := r.c
-	for id, at := range r.removed {
-		if c.now > at+10*c.cfg.ListLag()+10*c.cfg.Lease() {
-			delete(r.removed, id)
+// MayCall is part of machinepool.Host.
+func (h poolHost) MayCall() bool { return h.r.c.cloud.Has(h.r.c.now, 1) }
+
+// Pause is part of machinepool.Host.
+func (h poolHost) Pause() time.Duration { return h.r.c.pause() }
+
+// Later is part of machinepool.Host.
+func (h poolHost) Later(at time.Duration, do func()) { h.r.later(at, do) }
+
+// Ended is part of machinepool.Host.
+func (h poolHost) Ended() bool { return h.r.c.term != h.r }
+
+// Listed is part of machinepool.Host.
+func (h poolHost) Listed(l *protocol.ListedMachine) { h.r.onListed(l) }
+
+// ListRead is part of machinepool.Host.
+func (h poolHost) ListRead(asked time.Duration, names map[string]bool) { h.r.missing(asked, names) }
+
+// ToDelete is part of machinepool.Host.
+func (h poolHost) ToDelete(most int) []string {
+	var names []string
+	for _, m := range h.r.machines() {
+		if m.Returned && len(names) < most {
+			names = append(names, m.ID)
 		}
 	}
-	r.deletions()
-	if !r.listing && c.now >= r.listAt && c.cloud.Has(c.now, 1) {
-		r.listing = true
-		r.listPage("", c.now, map[string]bool{})
+	return names
+}
+
+// Deleted is part of machinepool.Host.
+func (h poolHost) Deleted(name string) {
+	if m := h.r.Machines[name]; m != nil {
+		h.r.removeGone(m, machineDeleted)
 	}
 }
 
-func (r *term) listPage(after string, asked time.Duration, seen map[string]bool) {
-	c := r.c
-	path := "/machines?limit=500"
-	if after != "" {
-		path += "&after=" + after
+// Rented is part of machinepool.Host.
+func (h poolHost) Rented(p sched.Pool, name string, asked time.Duration) {
+	r := h.r
+	m := r.AddMachine(name)
+	m.Type, m.Zone, m.Spot = p.Type, p.Zone, p.Spot
+	m.Size = r.sizeOf(m.Type)
+	m.Exists, m.Rented = r.c.now, asked
+	r.record(m, statestore.Lazy, nil)
+}
+
+// Short is part of machinepool.Host.
+func (h poolHost) Short(p sched.Pool, short bool) {
+	h.r.poolShort(p, short)
+	if short {
+		h.r.planAt = h.r.c.now
 	}
-	c.cloudCall("GET", path, nil, c.cfg.Lease()/4, func(res Result) {
-		if c.term != r {
-			return
-		}
-		var list protocol.MachineList
-		if res.Status != 200 || protocol.Decode(res.Body, &list) != nil {
-			r.listing, r.listAt = false, c.now+c.pause()*4
-			return
-		}
-		for i := range list.Machines {
-			seen[list.Machines[i].ID] = true
-			r.onListed(&list.Machines[i])
-		}
-		if list.More && len(list.Machines) > 0 {
-			r.listPage(list.Machines[len(list.Machines)-1].ID, asked, seen)
-			return
-		}
-		r.listing, r.listed = false, true
-		r.listAt = c.now + max(c.cfg.ListLag()/2, seconds(4/c.cfg.Cluster.Cloud.RPS))
-		r.missing(asked, seen)
-	})
 }
 
 func (r *term) onListed(l *protocol.ListedMachine) {
 	c := r.c
-	if r.removed[l.ID] != 0 {
-		return
-	}
 	m := r.Machines[l.ID]
 	if m == nil {
 		m = r.AddMachine(l.ID)
@@ -136,7 +132,7 @@
 		r.gone(a, why)
 	}
 	r.RemoveMachine(m)
-	r.removed[m.ID] = r.c.now
+	r.pool.Remove(m.ID)
 	r.record(m, statestore.Lazy, nil)
 }
 
@@ -150,105 +146,3 @@
 	m.Returning = true
 	r.record(m, statestore.Done, func() { m.Returned = true })
 }
-
-func (r *term) deletions() {
-	c := r.c
-	if r.deleting || c.now < r.deleteAt || !c.cloud.Has(c.now, 1) {
-		return
-	}
-	var names []string
-	for _, m := range r.machines() {
-		if m.Returned && len(names) < 100 {
-			names = append(names, m.ID)
-		}
-	}
-	if len(names) == 0 {
-		return
-	}
-	r.deleting = true
-	c.cloudCall("POST", "/machines/delete", protocol.Rented{Machines: names}, c.cfg.Lease()/2, func(res Result) {
-		if c.term != r {
-			return
-		}
-		r.deleting = false
-		if res.Status != 200 {
-			r.deleteAt = c.now + c.pause()*2
-			return
-		}
-		for _, id := range names {
-			if m := r.Machines[id]; m != nil {
-				r.removeGone(m, machineDeleted)
-			}
-		}
-	})
-}
-
-// rent asks for machines. The name holds the token and a counter: no node ever
-// uses it again.
-func (r *term) rent(p sched.Pool, count int) {
-	r.hires++
-	r.hire(&rental{sent: r.c.now, req: protocol.Rent{Request: fmt.Sprintf("r-%d-%d", r.token, r.hires),
-		Type: p.Type, Zone: p.Zone, Spot: p.Spot, Count: min(count, 50)}}, p)
-}
-
-func (r *term) hire(q *rental, p sched.Pool) {
-	c := r.c
-	r.renting[q.req.Request] = q
-	c.log.Info("renting", "request", q.req.Request, "type", p.Type, "zone", p.Zone, "spot", p.Spot, "count", q.req.Count)
-	c.cloudCall("POST", "/machines", q.req, c.cfg.Lease()/2, func(res Result) {
-		if c.term != r {
-			return
-		}
-		var got protocol.Rented
-		switch {
-		case res.Status == 200 && protocol.Decode(res.Body, &got) == nil:
-			delete(r.renting, q.req.Request)
-			for _, id := range got.Machines {
-				if r.removed[id] != 0 {
-					continue
-				}
-				m := r.AddMachine(id)
-				m.Type, m.Zone, m.Spot = p.Type, p.Zone, p.Spot
-				m.Size = r.sizeOf(m.Type)
-				m.Exists, m.Rented = c.now, q.sent
-				r.record(m, statestore.Lazy, nil)
-			}
-			if len(got.Machines) < q.req.Count {
-				r.runShort(p)
-			} else {
-				delete(r.short, p)
-				r.poolShort(p, false)
-			}
-		case res.Status == 503 && q.refused(res.Body):
-			delete(r.renting, q.req.Request)
-			r.runShort(p)
-		case res.Status == 400:
-			delete(r.renting, q.req.Request)
-			r.runShort(p)
-			c.log.Error("a rental was called malformed", "request", q.req.Request)
-		case c.now > q.sent+4*c.cfg.Lease():
-			// Whatever it still brings appears in the list.
-			delete(r.renting, q.req.Request)
-		default:
-			// No answer, or trouble: the same name again rents nothing twice.
-			r.later(c.now+c.pause()*3, func() { r.hire(q, p) })
-		}
-	})
-}
-
-func (q *rental) refused(body []byte) bool {
-	var e struct {
-		Error string `msgpack:"error"`
-	}
-	return protocol.Decode(body, &e) == nil && e.Error == "no capacity"
-}
-
-// runShort backs off from a pool that was refused or only partly filled.
-func (r *term) runShort(p sched.Pool) {
-	s := r.short[p]
-	s.times = min(s.times+1, 4)
-	s.until = r.c.now + r.c.cfg.Lease()*time.Duration(s.times)/2
-	r.short[p] = s
-	r.poolShort(p, true)
-	r.planAt = r.c.now
-}
--- a/internal/coordination/counters.go
+++ b/internal/coordination/counters.go
@@ -97,7 +97,7 @@
 			held[j.Spec.Class] += j.HeldTotal
 		}
 	}
-	args := []any{"txns", r.records.Took().TotalCount(), "txn_p99_ms", r.records.Took().ValueAtQuantile(99), "jobs", len(r.Jobs), "busy", up, "idle", idle, "booting", booting, "renting", len(r.renting)}
+	args := []any{"txns", r.records.Took().TotalCount(), "txn_p99_ms", r.records.Took().ValueAtQuantile(99), "jobs", len(r.Jobs), "busy", up, "idle", idle, "booting", booting, "renting", len(r.pool.Renting())}
 	for _, class := range sortedKeys(waiting) {
 		args = append(args, class, strconv.Itoa(held[class])+"+"+strconv.Itoa(waiting[class]))
 	}
--- a/internal/coordination/emptying.go
+++ b/internal/coordination/emptying.go
@@ -93,8 +93,8 @@
 // kindsWanted are those that more than a few are coming of.
 func (r *term) kindsWanted() map[machineKind]bool {
 	coming, up := map[machineKind]int{}, map[machineKind]int{}
-	for _, q := range r.renting {
-		coming[machineKind{q.req.Type, q.req.Spot}] += q.req.Count
+	for _, q := range r.pool.Renting() {
+		coming[machineKind{q.Type, q.Spot}] += q.Count
 	}
 	for _, m := range r.Machines {
 		switch {
--- a/internal/coordination/reports.go
+++ b/internal/coordination/reports.go
@@ -107,7 +107,7 @@
 		c.endTerm("a worker has seen a higher token")
 		return nil, false
 	}
-	if r.removed[msg.Machine] != 0 {
+	if r.pool.WasRemoved(msg.Machine) {
 		return nil, false
 	}
 	m := r.Machines[msg.Machine]
@@ -124,40 +124,25 @@
 	if msg.Addr != "" {
 		m.Addr = msg.Addr
 	}
-	if msg.Session < m.Session || (msg.Session == m.Session && msg.Seq <= m.Seq) || msg.Session <= m.DeadSession {
+	message := ledger.SessionMessage{Session: msg.Session, Seq: msg.Seq, Token: msg.Token, Report: reported}
+	if !m.IsNewest(message) {
 		return m, false
 	}
-	lapsed := m.Known && msg.Session > m.Session
 	if !m.Known {
 		m.IdleSince = c.now
 	}
 	if !m.Up {
 		c.log.Info("machine up", "machine", m.ID, "type", m.Type, "zone", m.Zone, "spot", m.Spot)
 	}
-	// Answers are lost: its session lapsed although we answered all the while, or
-	// several answered reports in a row still show an old token.
-	if lapsed && m.Answered > 0 && c.now-m.Answered < c.cfg.Lease()/2 {
-		m.UnseenAnswers += 3
-		m.AsideUntil = c.now + 2*c.cfg.Lease()
+	sign := m.Take(message, r.token, c.now, c.cfg.Lease())
+	m.Up = true
+	if sign.Unheard {
 		c.log.Info("answers don't reach the machine", "machine", m.ID, "session", msg.Session)
-	} else if reported && m.Answered > 0 && msg.Token < r.token {
-		m.UnseenAnswers++
-	} else if msg.Token == r.token && !lapsed && c.now > m.AsideUntil {
-		m.UnseenAnswers = 0
 	}
-	m.Session, m.Seq, m.Token = msg.Session, msg.Seq, msg.Token
-	if reported {
-		m.ReportSeq = msg.Seq
-	}
-	m.Heard, m.Known, m.Up = c.now, true, true
-	if lapsed {
+	if sign.Lapsed {
 		c.log.Info("session lapsed", "machine", m.ID, "session", msg.Session)
 	}
-	ours := msg.Token == r.token
-	if ours && !m.Fresh {
-		m.Fresh, m.FreshAt = true, c.now
-		r.fillDirty = true
-	}
+	r.fillDirty = r.fillDirty || sign.First
 	if msg.NoticeS != nil {
 		by := c.now + seconds(max(0, min(*msg.NoticeS, 1e6)))
 		if !m.Notice {
@@ -167,7 +152,7 @@
 		}
 		m.NoticeBy = min(m.NoticeBy, by)
 	}
-	r.compare(m, msg, ours)
+	r.compare(m, msg, sign.Ours)
 	return m, true
 }
 
--- a/internal/coordination/schedule.go
+++ b/internal/coordination/schedule.go
@@ -191,17 +191,15 @@
 // plan rents what waiting and expected work needs, and returns what it doesn't.
 func (r *term) plan() {
 	c := r.c
-	if len(c.types) == 0 || !r.listed || !r.certain() {
+	if len(c.types) == 0 || !r.pool.HasList() || !r.certain() {
 		return
 	}
 	s := r.standing.forPlan()
 	s.Jobs = append(s.Jobs, r.expected()...)
 	s.Jobs = append(s.Jobs, r.doubles()...)
 	inFlight := map[sched.Pool]int{}
-	for _, name := range sortedKeys(r.renting) {
-		q := r.renting[name].req
-		p := sched.Pool{Type: q.Type, Zone: q.Zone, Spot: q.Spot}
-		inFlight[p] += q.Count
+	for _, q := range r.pool.Renting() {
+		inFlight[q.Pool] += q.Count
 		if t := c.typeOf(q.Type); t != nil {
 			for range q.Count {
 				s.Bring(&sched.Machine{Type: t, Zone: q.Zone, Spot: q.Spot, Free: t.Size, Room: 1 << 20, Booting: true})
@@ -209,12 +207,12 @@
 		}
 	}
 	// What boots in a zone that is cut off can't be heard, and costs all the same.
-	blocked := func(p sched.Pool) bool { return r.isPartitioned(p.Zone) || c.now < r.short[p].until || inFlight[p] > 0 }
+	blocked := func(p sched.Pool) bool { return r.isPartitioned(p.Zone) || r.pool.IsShort(p) || inFlight[p] > 0 }
 	for _, want := range s.Plan(c.types, blocked, r.mostNewMachines()) {
 		if !c.cloud.Has(c.now, 1) {
 			break
 		}
-		r.rent(want.Pool, want.Count)
+		r.pool.Rent(want.Pool, want.Count)
 	}
 	needed := map[string]bool{}
 	for _, m := range s.Machines {
--- a/internal/coordination/slopes_test.go
+++ b/internal/coordination/slopes_test.go
@@ -79,9 +79,30 @@
 			Price: t.Price, SpotPrice: t.SpotPrice, Zones: t.Zones, BootS: t.BootS, FetchGBPerS: t.FetchGBPerS})
 	}
 	r := newTerm(c, 1, 1, 1, c.now)
-	r.ready, r.listed = true, true
+	r.ready = true
 	c.term = r
-	return &slopeFleet{core: c, term: r, random: rand.New(rand.NewPCG(2, 2))}
+	f := &slopeFleet{core: c, term: r, random: rand.New(rand.NewPCG(2, 2))}
+	f.freshPool()
+	return f
+}
+
+// freshPool has a machine pool that has rented nothing and read a list of the fleet.
+func (f *slopeFleet) freshPool() {
+	var list protocol.MachineList
+	for _, m := range f.term.machines() {
+		list.Machines = append(list.Machines, protocol.ListedMachine{ID: m.ID, Addr: m.Addr, Type: m.Type, Zone: m.Zone, State: "running"})
+	}
+	f.term.pool = f.term.newPool()
+	f.core.cloud.Refill()
+	f.term.pool.Tick()
+	for _, e := range f.core.out {
+		if call, isCall := e.(Call); isCall && strings.HasPrefix(call.Path, "/machines?") {
+			then := f.core.calls[call.ID]
+			delete(f.core.calls, call.ID)
+			then(Result{ID: call.ID, Status: 200, Body: protocol.Encode(list)})
+		}
+	}
+	f.core.out = f.core.out[:0]
 }
 
 // newSlopeFleet is a leader whose fleet is busy: each machine has about ten tasks, every
@@ -342,8 +363,10 @@
 		b.ResetTimer()
 		for b.Loop() {
 			f.term.plan()
+			b.StopTimer()
 			f.core.out = f.core.out[:0]
-			clear(f.term.renting)
+			f.freshPool()
+			b.StartTimer()
 		}
 	})
 }
--- a/internal/coordination/term.go
+++ b/internal/coordination/term.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"claybarrow/internal/ledger"
+	"claybarrow/internal/machinepool"
 	"claybarrow/internal/protocol"
 	"claybarrow/internal/sched"
 	"claybarrow/internal/statestore"
@@ -69,7 +70,10 @@
 	// version that does not know them, has left them.
 	orphans []string
 
-	cloudState
+	// pool deals with the cloud; what it says of shortages and late boots is logged once.
+	pool        *machinepool.Pool
+	shortPools  map[sched.Pool]*condition
+	lateBoots   condition
 	assignments assignments
 }
 
@@ -115,12 +119,13 @@
 		fillAt:      c.now + seconds(c.cfg.Operator.Green.FillS),
 		countersAt:  c.now + seconds(c.cfg.Operator.Green.CountersS),
 		accrueAt:    c.now,
-		cloudState:  newCloudState(),
+		shortPools:  map[sched.Pool]*condition{},
 		assignments: newAssignments(c),
 		attempts:    attemptNumbers{block: token},
 		handover:    &Handover{Token: token, Elected: c.now},
 	}
 	r.records = r.newRecords(version)
+	r.pool = r.newPool()
 	for _, t := range c.cfg.Cluster.Teams {
 		r.Teams[t.Name] = &sched.Team{
 			Guarantee: sched.Need{Cores: t.Cores, Accel: t.Accelerators},
@@ -291,7 +296,7 @@
 	}
 	r.keepHandover()
 	r.reserveAttempts()
-	r.keepCloud()
+	r.pool.Tick()
 	r.schedule()
 }
 
--- a/internal/coordination/usable.go
+++ b/internal/coordination/usable.go
@@ -48,7 +48,7 @@
 
 // heardAll: no round stops anything until the fleet was heard or is silent.
 func (r *term) heardAll() bool {
-	if !r.listed {
+	if !r.pool.HasList() {
 		return false
 	}
 	for _, m := range r.Machines {
--- a/internal/ledger/machine.go
+++ b/internal/ledger/machine.go
@@ -25,17 +25,7 @@
 	// last halt.
 	UnknownTasks map[Key]time.Duration
 
-	// The newest message: its session and sequence number, the token it had.
-	Session, Seq, Token uint64
-	ReportSeq           uint64
-	Heard, Answered     time.Duration
-	FreshAt             time.Duration // when it first showed our token
-	Fresh               bool
-	Known               bool // heard of in this term
-	// DeadSession and older ones are proved over.
-	DeadSession   uint64
-	UnseenAnswers int // answered reports that show an old token, or lapses
-	AsideUntil    time.Duration
+	WorkerSession
 	// DrainUntil: its replicas are being moved, nothing new comes meanwhile.
 	DrainUntil time.Duration
 	Faults     MachineFaults
