--- a/internal/coordination/membership_test.go
+++ b/internal/coordination/membership_test.go
@@ -365,6 +365,40 @@
 	}
 }
 
+// A connection to the leader that is refused is tried once more, after a pause, and not again: a user is
+// answered by the second try, or told at once to come back.
+func TestRefusedConnectionIsTriedOnceMore(t *testing.T) {
+	for _, again := range []bool{true, false} {
+		w := newMembershipWorld(t, 956)
+		w.replicas()
+		lead := w.awaitLeader()
+		from := (lead + 1) % 3
+		var tries []time.Duration
+		w.script = func(node int, c Call) fate {
+			if node != from || c.Path != "/relay" {
+				return fate{}
+			}
+			tries = append(tries, w.Now())
+			return fate{refused: again || len(tries) == 1}
+		}
+		asked := w.Now()
+		status, answered := 0, time.Duration(0)
+		w.user(from, OpPoll, "j-1", func(got int, _ protocol.Standing) { status, answered = got, w.Now() })
+		w.run(2 * second)
+		want := 200
+		if again {
+			want = 503
+		}
+		if len(tries) != 2 || status != want || answered-asked > decideWithin {
+			t.Errorf("refused again %v: %d tries, %d after %v", again, len(tries), status, answered-asked)
+		}
+		if len(tries) == 2 && tries[1]-tries[0] < 50*time.Millisecond {
+			t.Errorf("tried again after %v", tries[1]-tries[0])
+		}
+		w.settle()
+	}
+}
+
 // A link that flaps every few seconds, and a share of the peers' messages lost: nobody is dead, no
 // leader changes and no lease runs out; up to one in twenty, nothing moves.
 func TestFlappingLinkAndLoss(t *testing.T) {
--- a/internal/coordination/world_test.go
+++ b/internal/coordination/world_test.go
@@ -30,6 +30,7 @@
 // for a while or lost, and so is the response.
 type fate struct {
 	lost, answerLost bool
+	refused          bool // the connection, at once
 	hold             time.Duration
 }
 
@@ -274,6 +275,15 @@
 		f = w.script(i, c)
 	}
 	w.at(c.Timeout, func() { result(0, nil) })
+	if f.refused {
+		w.at(latency, func() {
+			if !answered && w.nodes[i].life == life && w.nodes[i].alive {
+				answered = true
+				w.feed(i, Result{ID: c.ID, NoConn: true})
+			}
+		})
+		return
+	}
 	if f.lost {
 		return
 	}
--- a/internal/protocol/peers_test.go
+++ b/internal/protocol/peers_test.go
@@ -34,6 +34,16 @@
 			t.Errorf("%s is written as %s", name, got)
 		}
 	}
+	// What this version adds is left out where there is none of it, and ignored by the others.
+	type olderRelay struct {
+		Op   string `cbor:"1,keyasint"`
+		UID  string `cbor:"2,keyasint,omitempty"`
+		Body []byte `cbor:"3,keyasint,omitempty"`
+	}
+	var older olderRelay
+	if err := DecodePeer(EncodePeer(Relay{Op: "poll", UID: "j-1", To: "n0"}), &older); err != nil || older.UID != "j-1" {
+		t.Errorf("an older version reads %+v, %v", older, err)
+	}
 	// Fields that are not known yet do no harm.
 	var h Heartbeat
 	if err := DecodePeer(EncodePeer(map[int]any{1: "n1", 2: "ab", 5: -1, 99: "later"}), &h); err != nil || h.From != "n1" {
