A new leader finds the latest attempts of all tasks in one pass

Cause: for each attempt whose task the records have twice, a new leader went through all attempts of the fleet.

Change: one pass.

--- a/internal/coordination/slopes_test.go
+++ b/internal/coordination/slopes_test.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"runtime"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -565,6 +566,26 @@
 	})
 }
 
+// BenchmarkSlopeTakeOverOldRecords begins a term whose records have an older attempt of every third task, as
+// records of machines are written lazily when a task leaves.
+func BenchmarkSlopeTakeOverOldRecords(b *testing.B) {
+	eachSlopeSize(b, func(b *testing.B, workers int) {
+		f := newSlopeFleet(b, workers)
+		list := f.term.machines()
+		for i, a := range slices.Clone(f.tasks) {
+			if i%3 == 0 {
+				old := f.term.Put(list[(i+7)%len(list)], a.Job, a.Index, 1, f.core.now)
+				old.Durable, old.Loaded, old.Sent = true, true, true
+			}
+		}
+		b.ResetTimer()
+		for b.Loop() {
+			f.term.begin()
+			f.core.out = f.core.out[:0]
+		}
+	})
+}
+
 // counters are the stored counters of the fleet's batches.
 func (f *slopeFleet) counters() []map[string]ledger.CounterRow {
 	limit := f.core.cfg.ValueBytes() / (2 * ledger.EntryBytes)
--- a/internal/coordination/term.go
+++ b/internal/coordination/term.go
@@ -259,10 +259,11 @@
 		}
 		r.settleCancel(j)
 	}
+	newest := r.newestTries()
 	for _, m := range r.machines() {
 		m.Size = r.sizeOf(m.Type)
 		for _, a := range m.Sorted() {
-			if a.Job.IsDone(a.Index) || a.Job.Cancelling || r.newerElsewhere(a) {
+			if a.Job.IsDone(a.Index) || a.Job.Cancelling || a.Try < newest[heldTask{a.Job, a.Index}] {
 				r.halt(a, 0, "not wanted after the take-over")
 			}
 		}
@@ -276,19 +277,25 @@
 	r.noteLoaded()
 }
 
-// newerElsewhere says whether the ledger has a later attempt of the same task.
-func (r *term) newerElsewhere(a *ledger.Attempt) bool {
-	if a.Job.HeldOf(a.Index) < 2 {
-		return false
-	}
+// heldTask is a task that attempts may be there of.
+type heldTask struct {
+	job   *ledger.Job
+	index int
+}
+
+// newestTries are the latest attempts of the tasks that the ledger has several of. Records of machines
+// are written lazily when a task leaves, so that after a take-over there may be thousands.
+func (r *term) newestTries() map[heldTask]uint64 {
+	newest := map[heldTask]uint64{}
 	for _, m := range r.Machines {
-		for _, o := range m.Attempts {
-			if o.Job == a.Job && o.Index == a.Index && o.Try > a.Try {
-				return true
+		for _, a := range m.Attempts {
+			if a.Job.HeldOf(a.Index) > 1 {
+				task := heldTask{a.Job, a.Index}
+				newest[task] = max(newest[task], a.Try)
 			}
 		}
 	}
-	return false
+	return newest
 }
 
 func (r *term) tick() {
