--- a/internal/coordination/takeover_attempts_test.go
+++ b/internal/coordination/takeover_attempts_test.go
@@ -13,7 +13,7 @@
 // in a time that grows with the fleet and not with its square: with a third of the tasks recorded twice
 // 3,200 workers took 31 s, and each leader lost its lease meanwhile.
 func TestTakeOverStopsOlderAttempts(t *testing.T) {
-	const machines = 2000
+	const machines = 5000
 	w := newWorld(t, 75)
 	c := w.nodes[w.awaitLeader()].core
 	r := newTerm(c, 99, 1, 1, c.now)
