Workers of a zone apart from the leader's are kept, not sent to it

Cause: two zones that can't reach each other both reach the state service, which goes on naming the leader.

Change: a follower that has lost such a leader lets workers find out whether they reach it. Where its own connections are refused at once each may try once, and those that come back show that the way is closed; where they get no answer one worker without tasks goes at a time. All others have their leases renewed, under the follower's argument that stands (docs/design.md, Safety).

Seen to fail without: TestZonesApart, TestControllersRefuseEachOther, TestOneWorkerAtATimeIsSentToALeaderThatIsLost.

--- a/internal/coordination/follower.go
+++ b/internal/coordination/follower.go
@@ -32,7 +32,9 @@
 	heard    time.Duration // when the leader last answered; 0: never
 	toldAt   time.Duration // when another controller last named the leader
 	failed   bool          // the last request did not reach a leader
+	refused  bool          // as the connection was refused at once
 	lostAt   time.Duration // since when none did
+	trials   leaderTrials  // of workers' ways to it since then
 	busy     bool
 	next     time.Duration
 	turn     int    // of the sibling asked when no leader is known
@@ -111,13 +113,18 @@
 		// renewed the zone's leases.
 		if !ok || g.Leader != asked || g.LeaderClock == 0 {
 			d.turn++
+			if asked == c.leaderLabel() {
+				// A connection that was not made in time may have been held up.
+				d.refused = res.NoConn && c.now < sent+c.cfg.Lease()/20
+			}
 			c.lostLeader()
 			return
 		}
 		if d.serving {
 			c.log.Info("the leader is heard again", "leader", g.Leader, "token", g.Token)
 		}
-		d.failed, d.serving, d.heard = false, false, c.now
+		d.failed, d.refused, d.serving, d.heard = false, false, false, c.now
+		d.trials = leaderTrials{}
 		d.token, d.leaderClock = g.Token, g.LeaderClock
 	})
 }
@@ -140,12 +147,14 @@
 // state service still names a leader that does not answer: that one has most probably ended or
 // stands still, and the next will be known before long. Workers that were sent to it waited for
 // 4 s there and as long for the next controller that had ended, and their leases ran out.
+// After that a leader that the state service still names is there, and workers go to it if they
+// can reach it (leadertrial.go).
 func (c *Core) renewsLease(msg *protocol.Report) bool {
 	d := &c.follower
 	if !d.failed || msg.Zone != c.cfg.Zone || msg.Token == 0 {
 		return false
 	}
-	if c.view.known && c.view.leader != nil && c.now > d.lostAt+c.successionTime() {
+	if c.view.known && c.view.leader != nil && c.now > d.lostAt+c.successionTime() && c.sendsToLeader(msg) {
 		return false
 	}
 	if !d.serving {
--- /dev/null
+++ b/internal/coordination/leadertrial_test.go
@@ -0,0 +1,157 @@
+package coordination
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"claybarrow/internal/emulator"
+	"claybarrow/internal/protocol"
+)
+
+// partZones parts the two zones: nothing gets from one to the other, while the state service and
+// the cloud can be reached from both. Connections between them are refused, or held up.
+func (w *world) partZones(refused bool) {
+	nothing := fate{lost: !refused, refused: refused}
+	w.off = map[string]bool{} // a new connection that is held up is none in time
+	for _, cfg := range w.cfgs {
+		w.off[cfg.PeerListen] = !refused
+	}
+	w.script = func(node int, c Call) fate {
+		switch c.Target {
+		case ToWorker:
+			if k := w.byAddr(c.Addr); k != nil && k.Zone != nodeZone(node) {
+				return nothing
+			}
+		case ToPeer:
+			if (node == 2) != (c.Addr == w.cfgs[2].PeerListen) {
+				return nothing
+			}
+		}
+		return fate{}
+	}
+	w.reports = func(k *emulator.Worker, node int) fate {
+		if k.Zone != nodeZone(node) {
+			return nothing
+		}
+		return fate{}
+	}
+}
+
+// The two zones can't reach each other for four leases, with the state service in reach of both,
+// so that it goes on naming the leader to the controllers beyond: they keep their zone's workers.
+// Sent to the leader, all of them lost their tasks (clamping line, apart: 133 to 204 tasks).
+func TestZonesApart(t *testing.T) {
+	for _, inside := range []bool{false, true} {
+		for _, refused := range []bool{false, true} {
+			t.Run(fmt.Sprintf("leader in the single one's zone %v, refused %v", inside, refused), func(t *testing.T) { zonesApart(t, inside, refused) })
+		}
+	}
+}
+
+func zonesApart(t *testing.T, inside, refused bool) {
+	w := newWorld(t, 61)
+	if inside {
+		w.crash(0)
+		w.crash(1)
+	}
+	w.awaitLeader()
+	w.run(3 * second)
+	if inside {
+		w.boot(0)
+		w.boot(1)
+	}
+	w.submit("j-1", map[string]any{"shape": "service", "shards": 4, "apart": true})
+	w.submit("j-2", map[string]any{"shape": "service", "shards": 2, "apart": true, "cores": 8.0, "owner": "blue"})
+	w.until(90*second, "replicas run", func() bool { return w.running("j-1") == 4 && w.running("j-2") == 2 })
+	w.run(10 * second)
+	lead := w.leader()
+	if (lead == 2) != inside {
+		t.Fatalf("leader %d", lead)
+	}
+	sessions := map[string]uint64{}
+	for _, k := range w.fleet() {
+		if len(k.Tasks) > 0 {
+			sessions[k.ID] = k.Session
+		}
+	}
+	w.partZones(refused)
+	for range 40 {
+		w.run(second)
+		if w.running("j-1") != 4 || w.running("j-2") != 2 {
+			t.Fatalf("%d and %d replicas run", w.running("j-1"), w.running("j-2"))
+		}
+	}
+	if w.leader() != lead {
+		t.Errorf("leader %d, was %d", w.leader(), lead)
+	}
+	w.script, w.reports, w.off = nil, nil, nil
+	w.run(20 * second)
+	for _, k := range w.fleet() {
+		if s, had := sessions[k.ID]; had && s != k.Session {
+			t.Errorf("the lease of %s ran out", k.ID)
+		}
+	}
+	w.keptRules()
+}
+
+// Only the controllers refuse each other: the workers of a zone without the leader go to it, and
+// it goes on giving them work.
+func TestControllersRefuseEachOther(t *testing.T) {
+	w := newWorld(t, 62)
+	lead := w.awaitLeader()
+	w.submit("j-1", map[string]any{"shape": "service", "shards": 4, "apart": true})
+	w.until(90*second, "replicas run", func() bool { return w.running("j-1") == 4 })
+	w.run(10 * second)
+	if lead == 2 || w.leader() != lead {
+		t.Fatal("the leader is in the second zone")
+	}
+	w.script = func(_ int, c Call) fate { return fate{refused: c.Target == ToPeer} }
+	w.until(8*second, "the second zone's workers report to the leader", func() bool {
+		for _, k := range w.fleet() {
+			if k.Zone == "b" && len(k.Tasks) > 0 && k.Controller != lead {
+				return false
+			}
+		}
+		return true
+	})
+	for _, k := range w.fleet() {
+		if k.Session > 1 {
+			t.Errorf("the lease of %s ran out", k.ID)
+		}
+	}
+	w.keptRules()
+}
+
+// Where the leader's controller does not answer, one worker at a time looks whether it reaches
+// the leader, and one with tasks only when the leader could no longer coast for long.
+func TestOneWorkerAtATimeIsSentToALeaderThatIsLost(t *testing.T) {
+	w := newWorld(t, 63)
+	w.awaitLeader()
+	w.run(5 * second)
+	w.script = func(_ int, c Call) fate { return fate{lost: c.Target == ToPeer} }
+	w.run(8 * second)
+	core := w.nodes[2].core
+	sent := func(machine string, tasks int) bool {
+		msg := &protocol.Report{Machine: machine, Zone: "b", Token: 1, Tasks: make([]protocol.TaskReport, tasks)}
+		return !core.renewsLease(msg)
+	}
+	if sent("i-1", 3) {
+		t.Error("a worker with tasks is sent first")
+	}
+	if !sent("i-2", 0) || sent("i-3", 0) {
+		t.Error("not one worker without tasks is sent")
+	}
+	w.run(5 * second)
+	if sent("i-2", 0) {
+		t.Error("a worker that came back is sent again")
+	}
+	w.run(core.searchTime() + time.Second)
+	if !sent("i-3", 0) || sent("i-2", 0) {
+		t.Error("the next trial is not made")
+	}
+	w.until(core.cfg.Coast(), "one with tasks is sent", func() bool { return sent("i-1", 3) })
+	if core.now < core.follower.lostAt+core.cfg.Coast()/2 {
+		t.Error("a worker with tasks is sent early")
+	}
+}
--- a/internal/coordination/machines_test.go
+++ b/internal/coordination/machines_test.go
@@ -113,6 +113,10 @@
 		f = w.reports(k, node)
 	}
 	none := func() { w.at(w.reportWait, func() { answer(0, nil) }) }
+	if f.refused {
+		w.at(latency, func() { answer(0, nil) })
+		return
+	}
 	if f.lost || k.ReportsLost {
 		none()
 		return
