A machine whose lease its zone's controller renewed is not left as one whose reports are lost

Cause: when two zones come together again, machines beyond answer the leader's direct requests before their first report is forwarded.

Change: the spell counts from when a controller of the zone last renewed a lease there, which it tells in its heartbeats.

Seen to fail without: TestZonesApart.

--- a/internal/coordination/leadertrial_test.go
+++ b/internal/coordination/leadertrial_test.go
@@ -49,6 +49,15 @@
 	}
 }
 
+// allStarts is how many tasks have begun so far.
+func (w *world) allStarts() int {
+	n := 0
+	for _, starts := range w.starts {
+		n += starts
+	}
+	return n
+}
+
 func zonesApart(t *testing.T, inside, refused bool) {
 	w := newWorld(t, 61)
 	if inside {
@@ -85,8 +94,21 @@
 	if w.leader() != lead {
 		t.Errorf("leader %d, was %d", w.leader(), lead)
 	}
-	w.script, w.reports, w.off = nil, nil, nil
+	// The zones are together again, and what the leader asks of machines directly is answered
+	// before the first report comes by their zone's controller: no task is moved for that.
+	starts := w.allStarts()
+	w.script, w.reports, w.off = func(_ int, c Call) fate {
+		if c.Path == "/forward" {
+			return fate{hold: 2 * second}
+		}
+		return fate{}
+	}, nil, nil
+	w.run(4 * second)
+	w.script = nil
 	w.run(20 * second)
+	if n := w.allStarts(); n != starts {
+		t.Errorf("%d tasks were moved", n-starts)
+	}
 	for _, k := range w.fleet() {
 		if s, had := sessions[k.ID]; had && s != k.Session {
 			t.Errorf("the lease of %s ran out", k.ID)
--- a/internal/coordination/usable.go
+++ b/internal/coordination/usable.go
@@ -22,11 +22,23 @@
 	return r.c.now > max(m.Answered, m.FreshAt)+spell
 }
 
+// unrenewed says whether nobody is known to have renewed the machine's lease for as long: we by
+// answering a report of it, or a controller of its zone in our stead.
+func (r *term) unrenewed(m *ledger.Machine, spell time.Duration) bool {
+	renewed := r.renewed
+	for _, p := range r.peers {
+		if p.zone == m.Zone {
+			renewed = max(renewed, p.served)
+		}
+	}
+	return r.unreported(m, spell) && r.c.now > renewed+spell
+}
+
 // reportsLost says whether a machine answers us but can reach no controller, as far as can
 // be known: those of its zone are in touch, so none renews its lease for us there.
 func (r *term) reportsLost(m *ledger.Machine) bool {
 	c := r.c
-	if !m.Fresh || m.CallFails > 0 || m.Heard < c.now-2*c.cfg.Report()-c.cfg.Lease()/10 || !r.unreported(m, c.cfg.Lease()*11/20) {
+	if !m.Fresh || m.CallFails > 0 || m.Heard < c.now-2*c.cfg.Report()-c.cfg.Lease()/10 || !r.unrenewed(m, c.cfg.Lease()*11/20) {
 		return false
 	}
 	for _, p := range r.peers {
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -39,7 +39,7 @@
 		if len(m.Attempts) > 0 && r.reportsLost(m) {
 			// Its lease runs out: what is there goes on elsewhere sooner.
 			for _, a := range m.Sorted() {
-				if r.unreported(m, r.leaveBy(a)) {
+				if r.unrenewed(m, r.leaveBy(a)) {
 					r.halt(a, a.Job.Spec.SaveS, "the machine reaches no controller")
 				}
 			}
