Tests run on a second site; fetches longer than an aim and too few changes for a lease are told

A controller logs once for each class whose smallest fetch takes longer than its tasks may wait; check and the start warn where one change for each machine takes longer than 1.25 leases.

--- a/internal/config/size.go
+++ b/internal/config/size.go
@@ -49,6 +49,7 @@
 	mbPerMachine       = 0.047 // of the leader: 272 to 287 MB at 5,500 with ten tasks each
 	machinesPerCore    = 7500  // 0.73 of a core at 5,500
 	machinesPerChange  = 20    // for each change a second: beyond it the burst of a start is answered 503
+	leasesPerWrite     = 1.25  // that one change for each machine may take: 1.01 on the credit checks' upgrade, served well
 	machinesPerListing = 500   // of a page of the cloud's list
 	clientSocketShare  = 0.5   // of the sockets, for workers and users
 	workerSocketShare  = 0.85  // of these, before workers' connections are closed after each answer
@@ -71,6 +72,7 @@
 		{"cluster.resources.mem_mb", r.MemMB, baseMB + size*mbPerMachine, "a leader may run out of memory"},
 		{"cluster.resources.cores", r.Cores, size / machinesPerCore, "a leader answers late at the peak"},
 		{"cluster.state.write_rps", state.WriteRPS, size / machinesPerChange, "bursts of submissions and starts wait or are answered 503"},
+		{"cluster.state.write_rps", state.WriteRPS, size / (c.Lease().Seconds() * leasesPerWrite), "one record of each machine takes longer than the workers' lease"},
 		{"cluster.cloud.rps", cloud.RPS, 2 * size / machinesPerListing / max(1, cloud.ListLagS), "the list of machines is older than its lag"},
 	} {
 		if need.has < need.want {
--- a/internal/config/size_test.go
+++ b/internal/config/size_test.go
@@ -72,3 +72,17 @@
 		t.Errorf("no warning of a lease that is too short:\n%s", all)
 	}
 }
+
+// A short lease needs more changes a second than the burst of a start: each machine's record is
+// changed at least once while the leases that a former leader gave run out.
+func TestWarningOfFewChangesForTheLease(t *testing.T) {
+	cfg := sized(t, 1080, 1, 350, "")
+	cfg.Cluster.State.WriteRPS, cfg.Cluster.Workers.LeaseS = 60, 31
+	if all := strings.Join(cfg.Warnings(), "\n"); strings.Contains(all, "write_rps") {
+		t.Errorf("18 s of changes in a lease of 31 s:\n%s", all)
+	}
+	cfg.Cluster.Workers.LeaseS = 12
+	if all := strings.Join(cfg.Warnings(), "\n"); !strings.Contains(all, "write_rps: 60 is little for 1081 machines, 72.07 would do") {
+		t.Errorf("18 s of changes in a lease of 12 s:\n%s", all)
+	}
+}
--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -35,6 +35,9 @@
 	// typesGeneration counts the lists of machine types.
 	typesGeneration int
 
+	// warnedOfFetch are the classes whose fetches are known to take longer than their tasks may wait.
+	warnedOfFetch map[string]bool
+
 	requests, changes, cloud budget.Bucket
 
 	view      view
@@ -77,8 +80,9 @@
 		// Until it hears of a leader, a new process renews leases for it: one that
 		// waited for its first request to fail turned away the workers of a cut
 		// zone, whose leases had a second left.
-		follower: follower{failed: true},
-		typeInfo: map[string]protocol.MachineType{},
+		follower:      follower{failed: true},
+		typeInfo:      map[string]protocol.MachineType{},
+		warnedOfFetch: map[string]bool{},
 		// Most of the state service's limits is the leader's; the rest is left
 		// to the other controllers and to what we count wrongly.
 		requests:        budget.New(st.RPS*0.8, st.RPS*0.8),
--- a/internal/coordination/expected.go
+++ b/internal/coordination/expected.go
@@ -34,6 +34,7 @@
 		r.arrivals[j.Spec.Class] = a
 	}
 	a.add(j)
+	r.warnOfFetch(j)
 }
 
 // add notes a job's arrival. After a take-over they come in no order.
--- /dev/null
+++ b/internal/coordination/fetchwarning_test.go
@@ -0,0 +1,32 @@
+package coordination
+
+import (
+	"bytes"
+	"log/slog"
+	"strings"
+	"testing"
+)
+
+// A class whose images take longer to fetch than its tasks may wait is told once, whatever the
+// number of its jobs and leaders; one whose images come in time is not.
+func TestFetchLongerThanTheAimIsTold(t *testing.T) {
+	w := newWorld(t, 65)
+	w.awaitLeader()
+	var out bytes.Buffer
+	for _, n := range w.nodes {
+		n.core.log = slog.New(slog.NewTextHandler(&out, nil))
+	}
+	w.submit("j-1", map[string]any{"tier": "web", "sizeGb": 4.0}) // at 1 GB a second, within 5 s
+	w.run(10 * second)
+	if strings.Contains(out.String(), "shorter than the fetch") {
+		t.Errorf("told of a fetch of 4 s: %s", out.String())
+	}
+	for _, uid := range []string{"j-2", "j-3"} {
+		w.submit(uid, map[string]any{"tier": "web", "sizeGb": 9.0})
+	}
+	w.submit("j-4", map[string]any{"tier": "jobs", "sizeGb": 90.0}) // no aim
+	w.run(10 * second)
+	if n := strings.Count(out.String(), "shorter than the fetch"); n != 1 || !strings.Contains(out.String(), "class=web within_s=5 fetch_s=9") {
+		t.Errorf("told %d times of a fetch of 9 s: %s", n, out.String())
+	}
+}
--- a/internal/coordination/leadertrial_test.go
+++ b/internal/coordination/leadertrial_test.go
@@ -183,3 +183,30 @@
 		t.Error("a worker with tasks is sent early")
 	}
 }
+
+// A machine answers direct requests and none of its reports has come for long. A heartbeat of its
+// zone's controller that echoes an old reading of the leader's clock was held up: the controller
+// may have renewed the machine's lease since, and nothing is stopped there (rough, seed 23: 125 tasks).
+func TestHeldUpHeartbeatIsNoSignOfTouch(t *testing.T) {
+	w := newWorld(t, 64)
+	lead := w.awaitLeader()
+	w.run(20 * second)
+	c := w.nodes[lead].core
+	r := c.term
+	m := r.AddMachine("i-900000")
+	m.Type, m.Zone, m.Known, m.Fresh, m.Up = "m8", "b", true, true, true
+	m.Answered, m.FreshAt, m.Heard = c.now-c.cfg.Lease(), c.now-c.cfg.Lease(), c.now
+	p := r.peers[w.cfgs[2].Label]
+	p.asked, p.clear, p.served = c.now, c.now, 0
+	if !r.reportsLost(m) {
+		t.Fatal("with the zone's controller in touch, its reports are not taken for lost")
+	}
+	p.clear = c.now - c.cfg.Lease()
+	if r.reportsLost(m) {
+		t.Error("a heartbeat that was held up passes for touch")
+	}
+	p.clear, p.served = c.now, c.now-c.cfg.Lease()/4
+	if r.reportsLost(m) {
+		t.Error("the zone's controller renewed its lease")
+	}
+}
--- a/internal/coordination/machines_test.go
+++ b/internal/coordination/machines_test.go
@@ -47,7 +47,7 @@
 		if w.pulls != nil {
 			return w.pulls(task)
 		}
-		return 200 * time.Millisecond
+		return testSite.fetch
 	}
 	f.Fails = func(k *emulator.Worker, t *emulator.Task) bool {
 		if w.fails == nil || !w.fails(k, t.UID) {
--- a/internal/coordination/world_test.go
+++ b/internal/coordination/world_test.go
@@ -95,8 +95,9 @@
 		copies: map[string][][]byte{}, finished: map[string]bool{},
 		told: map[string]protocol.JobState{}, toldAt: map[string]time.Duration{}, stopped: map[string]time.Duration{}, checker: newChecker(), reportWait: 4 * time.Second,
 		runs: func(string) time.Duration { return 30 * time.Second }}
-	w.state = emulator.NewStateService(w.agenda, emulator.StateLimits{ValueBytes: 16 << 10, Changes: 32})
-	w.state.MostChanges, w.state.Wrong = 32, func(what string) { w.breaks("%s", what) }
+	limits := testSite.state
+	w.state = emulator.NewStateService(w.agenda, emulator.StateLimits{ValueBytes: limits.valueKB << 10, Changes: limits.changes})
+	w.state.MostChanges, w.state.Wrong = limits.changes, func(what string) { w.breaks("%s", what) }
 	w.newCloud()
 	w.newMachines()
 	for i := range 3 {
@@ -108,6 +109,31 @@
 	return w
 }
 
+// site is what the tests' world has of a deployment: its limits and its controllers' size.
+type site struct {
+	state              stateLimits
+	cloudRPS, listLagS int
+	cores              float64
+	memoryMB, sockets  int
+	fetch              time.Duration // of an image
+}
+
+// stateLimits are those of the state service.
+type stateLimits struct {
+	requestsPerSecond, changesPerSecond, valueKB, changes int
+}
+
+// testSite is the site of all tests. They are run once more on one with few changes a second, small
+// transactions, little processor time, a slow cloud and large images.
+var testSite = func() site {
+	if os.Getenv("CLAYBARROW_TEST_SITE") == "scarce" {
+		return site{state: stateLimits{250, 25, 8, 12}, cloudRPS: 3, listLagS: 8, cores: 0.072, memoryMB: 70, sockets: 500,
+			fetch: time.Second}
+	}
+	return site{state: stateLimits{150, 50, 16, 32}, cloudRPS: 8, listLagS: 5, cores: 0.2, memoryMB: 98, sockets: 600,
+		fetch: 200 * time.Millisecond}
+}()
+
 // nodeZone puts the last controller into the second zone.
 func nodeZone(i int) string { return []string{"a", "a", "b"}[i] }
 
@@ -130,12 +156,16 @@
 			peers = append(peers, fmt.Sprintf(`{"label":"n%d","zone":%q,"peer_addr":"10.0.0.%d:1"}`, k, nodeZone(k), k))
 		}
 	}
+	limits := testSite.state
 	cfg, err := config.Parse([]byte(fmt.Sprintf(`{"label":"n%d","zone":%q,"client_listen":"10.0.0.%d:2","peer_listen":"10.0.0.%d:1",
 	"siblings":[%s],"services":{"cloud":"10.9.0.1:1","state":"10.9.0.2:1"},
 	"cluster":{"teams":[{"name":"red","cpus":16,"cpus_max":32},{"name":"blue","cpus":8,"cpus_max":16}],
 	"objectives":[{"kind":"wait","class":"web","within_s":5,"share":0.9}],
-	"workers":{"report_s":1,"lease_s":10,"cancel_s":35,"gang_wait_s":30,"gang_peer_s":5},"state":{"rps":150,"write_rps":50,"value_kb":16,"txn_ops":32},
-	"cloud":{"rps":8,"list_lag_s":5},"clock_error_ms":25,"resources":{"cores":0.2,"mem_mb":98,"fd_limit":600}}}`, i, nodeZone(i), i, i, strings.Join(peers, ","))), operator)
+	"workers":{"report_s":1,"lease_s":10,"cancel_s":35,"gang_wait_s":30,"gang_peer_s":5},
+	"state":{"rps":%d,"write_rps":%d,"value_kb":%d,"txn_ops":%d},
+	"cloud":{"rps":%d,"list_lag_s":%d},"clock_error_ms":25,"resources":{"cores":%g,"mem_mb":%d,"fd_limit":%d}}}`,
+		i, nodeZone(i), i, i, strings.Join(peers, ","), limits.requestsPerSecond, limits.changesPerSecond, limits.valueKB, limits.changes,
+		testSite.cloudRPS, testSite.listLagS, testSite.cores, testSite.memoryMB, testSite.sockets)), operator)
 	if err != nil {
 		t.Fatal(err)
 	}
