Tests: worlds of other shapes, two controllers in zones that part

One zone, one controller, two zones with one controller each, a zone without a controller, a team without a guarantee, no machine at the start: served as any other (TestUnusualShapes). Nothing had to be mended.

--- a/internal/coordination/checker_test.go
+++ b/internal/coordination/checker_test.go
@@ -84,7 +84,7 @@
 			return
 		}
 		w.turn++
-		w.user(w.turn%3, OpPoll, uid, nil)
+		w.user(w.turn%len(w.nodes), OpPoll, uid, nil)
 		w.at(5*time.Second, poll)
 	}
 	w.at(5*time.Second, poll)
--- a/internal/coordination/leadertrial_test.go
+++ b/internal/coordination/leadertrial_test.go
@@ -22,11 +22,11 @@
 	w.script = func(node int, c Call) fate {
 		switch c.Target {
 		case ToWorker:
-			if k := w.byAddr(c.Addr); k != nil && k.Zone != nodeZone(node) {
+			if k := w.byAddr(c.Addr); k != nil && k.Zone != w.shape.controllers[node] {
 				return nothing
 			}
 		case ToPeer:
-			if (node == 2) == (c.Addr == w.cfgs[2].PeerListen) {
+			if w.zoneOfPeer(c.Addr) == w.shape.controllers[node] {
 				return fate{}
 			}
 			if !refused {
@@ -37,7 +37,7 @@
 		return fate{}
 	}
 	w.reports = func(k *emulator.Worker, node int) fate {
-		if k.Zone != nodeZone(node) {
+		if k.Zone != w.shape.controllers[node] {
 			return nothing
 		}
 		return fate{}
@@ -55,6 +55,16 @@
 	}
 }
 
+// zoneOfPeer is the zone of the controller with that address for others.
+func (w *world) zoneOfPeer(addr string) string {
+	for i, cfg := range w.cfgs {
+		if cfg.PeerListen == addr {
+			return w.shape.controllers[i]
+		}
+	}
+	return ""
+}
+
 // allStarts is how many tasks have begun so far.
 func (w *world) allStarts() int {
 	n := 0
--- a/internal/coordination/machines_test.go
+++ b/internal/coordination/machines_test.go
@@ -10,11 +10,11 @@
 	"claybarrow/internal/protocol"
 )
 
-// newCloud makes a cloud with one machine type in two zones.
+// newCloud makes a cloud with one machine type.
 func (w *world) newCloud() {
 	w.cloud = emulator.NewCloud(w.agenda)
 	w.cloud.Types = []protocol.MachineType{{Name: "m8", Cores: 8, MemoryGB: 32, CacheGB: 50,
-		FetchGBPerS: 1, Price: 1, SpotPrice: 0.4, BootS: 10, Zones: []string{"a", "b"}}}
+		FetchGBPerS: 1, Price: 1, SpotPrice: 0.4, BootS: 10, Zones: w.shape.zones}}
 	w.cloud.Name = func(n int) string { return fmt.Sprintf("i-%06d", n) }
 	w.cloud.Addr = func(id string) string { return "10.1." + strings.TrimLeft(id[2:], "0") + ":9000" }
 	w.cloud.Lag = 5 * time.Second
@@ -32,7 +32,7 @@
 func (w *world) newMachines() {
 	f := emulator.NewFleet(w.agenda, emulator.Timing{Report: time.Second, Lease: 10 * time.Second, NextController: time.Second,
 		SentAway: 100 * time.Millisecond, GangWait: 30 * time.Second, GangPeer: gangPeer, Look: tick})
-	f.Controllers = 3
+	f.Controllers = len(w.shape.controllers)
 	f.Label = func(name string) int {
 		n, err := strconv.Atoi(strings.TrimPrefix(name, "n"))
 		if err != nil {
--- /dev/null
+++ b/internal/coordination/shapes_test.go
@@ -0,0 +1,66 @@
+package coordination
+
+import (
+	"testing"
+
+	"claybarrow/internal/protocol"
+)
+
+// Settings of unusual shapes are served as any other: replicas and batches run, a leader's end
+// loses nothing, and two zones that part keep what runs in them.
+func TestUnusualShapes(t *testing.T) {
+	for name, shape := range map[string]shape{
+		"one zone":                           {controllers: []string{"a", "a", "a"}, zones: []string{"a"}, teams: usualShape.teams},
+		"one controller":                     {controllers: []string{"a"}, zones: []string{"a"}, teams: usualShape.teams},
+		"two zones with one controller each": {controllers: []string{"a", "b"}, zones: usualShape.zones, teams: usualShape.teams},
+		"a zone without a controller":        {controllers: []string{"a", "a", "a"}, zones: usualShape.zones, teams: usualShape.teams},
+		"a team without a guarantee": {controllers: usualShape.controllers, zones: usualShape.zones,
+			teams: `{"name":"red","cpus":0,"cpus_max":32},{"name":"blue","cpus":8,"cpus_max":16}`},
+	} {
+		t.Run(name, func(t *testing.T) { servedAsAnyOther(t, shape) })
+	}
+}
+
+func servedAsAnyOther(t *testing.T, shape shape) {
+	w := newShapedWorld(t, 66, testOperator, shape)
+	if len(w.fleet()) > 0 {
+		t.Fatal("there are machines at the start")
+	}
+	w.awaitLeader()
+	w.submit("j-1", map[string]any{"shape": "service", "shards": 3})
+	w.submit("j-2", map[string]any{"shards": 6, "cores": 2.0})
+	w.submit("j-3", map[string]any{"shape": "service", "shards": 2, "cores": 4.0, "owner": "blue", "rank": "production"})
+	w.until(60*second, "replicas run", func() bool { return w.running("j-1") == 3 && w.running("j-3") == 2 })
+	w.awaitTold(200*second, "j-2", protocol.Done)
+	lead := w.leader()
+	started := w.allStarts()
+	w.crash(lead)
+	w.run(3 * second)
+	w.boot(lead)
+	w.awaitLeader()
+	w.run(30 * second)
+	if w.running("j-1") != 3 || w.running("j-3") != 2 || w.allStarts() != started {
+		t.Errorf("%d and %d replicas run after a leader's end, %d tasks were started", w.running("j-1"), w.running("j-3"), w.allStarts()-started)
+	}
+	w.settle()
+}
+
+// Two zones with one controller each part, whichever of them leads: both keep what runs there.
+func TestTwoControllersApart(t *testing.T) {
+	for _, refused := range []bool{false, true} {
+		w := newShapedWorld(t, 67, testOperator, shape{controllers: []string{"a", "b"}, zones: usualShape.zones, teams: usualShape.teams})
+		w.awaitLeader()
+		w.submit("j-1", map[string]any{"shape": "service", "shards": 4, "apart": true})
+		w.until(90*second, "replicas run", func() bool { return w.running("j-1") == 4 })
+		w.run(10 * second)
+		started := w.allStarts()
+		w.partZones(refused, 40*second)
+		w.run(40 * second)
+		w.script, w.reports, w.off = nil, nil, nil
+		w.run(20 * second)
+		if w.running("j-1") != 4 || w.allStarts() != started {
+			t.Errorf("refused %v: %d replicas run, %d tasks were started", refused, w.running("j-1"), w.allStarts()-started)
+		}
+		w.settle()
+	}
+}
--- a/internal/coordination/world_test.go
+++ b/internal/coordination/world_test.go
@@ -36,6 +36,7 @@
 
 type world struct {
 	t        testing.TB
+	shape    shape
 	agenda   *emulator.Agenda
 	rng      *rand.Rand
 	cfgs     []*config.Config
@@ -91,7 +92,22 @@
 
 // newWorldWith is a world whose controllers have these operators' settings.
 func newWorldWith(t testing.TB, seed uint64, operator []byte) *world {
-	w := &world{t: t, agenda: &emulator.Agenda{}, rng: rand.New(rand.NewPCG(seed, 1)), specs: map[string]map[string]any{},
+	return newShapedWorld(t, seed, operator, usualShape)
+}
+
+// shape is what the settings of a world describe: the zone of each controller, the zones of the
+// cloud, and the teams.
+type shape struct {
+	controllers, zones []string
+	teams              string
+}
+
+var usualShape = shape{controllers: []string{"a", "a", "b"}, zones: []string{"a", "b"},
+	teams: `{"name":"red","cpus":16,"cpus_max":32},{"name":"blue","cpus":8,"cpus_max":16}`}
+
+// newShapedWorld is a world of another shape than usual.
+func newShapedWorld(t testing.TB, seed uint64, operator []byte, shape shape) *world {
+	w := &world{shape: shape, t: t, agenda: &emulator.Agenda{}, rng: rand.New(rand.NewPCG(seed, 1)), specs: map[string]map[string]any{},
 		copies: map[string][][]byte{}, finished: map[string]bool{},
 		told: map[string]protocol.JobState{}, toldAt: map[string]time.Duration{}, stopped: map[string]time.Duration{}, checker: newChecker(), reportWait: 4 * time.Second,
 		runs: func(string) time.Duration { return 30 * time.Second }}
@@ -100,8 +116,8 @@
 	w.state.MostChanges, w.state.Wrong = limits.changes, func(what string) { w.breaks("%s", what) }
 	w.newCloud()
 	w.newMachines()
-	for i := range 3 {
-		w.cfgs = append(w.cfgs, testConfig(t, i, operator))
+	for i := range shape.controllers {
+		w.cfgs = append(w.cfgs, testConfig(t, shape, i, operator))
 		w.nodes = append(w.nodes, &simNode{})
 		w.boot(i)
 	}
@@ -134,9 +150,6 @@
 		fetch: 200 * time.Millisecond}
 }()
 
-// nodeZone puts the last controller into the second zone.
-func nodeZone(i int) string { return []string{"a", "a", "b"}[i] }
-
 // testOperator are the operators' settings of all tests that don't say otherwise: the tests are run
 // with failure detection off, and once more with it on.
 var testOperator = func() []byte {
@@ -148,23 +161,23 @@
 
 const membershipOn = "[membership]\nenabled = true\n"
 
-func testConfig(t testing.TB, i int, operator []byte) *config.Config {
+func testConfig(t testing.TB, shape shape, i int, operator []byte) *config.Config {
 	t.Helper()
 	var peers []string
-	for k := range 3 {
+	for k, zone := range shape.controllers {
 		if k != i {
-			peers = append(peers, fmt.Sprintf(`{"label":"n%d","zone":%q,"peer_addr":"10.0.0.%d:1"}`, k, nodeZone(k), k))
+			peers = append(peers, fmt.Sprintf(`{"label":"n%d","zone":%q,"peer_addr":"10.0.0.%d:1"}`, k, zone, k))
 		}
 	}
 	limits := testSite.state
 	cfg, err := config.Parse([]byte(fmt.Sprintf(`{"label":"n%d","zone":%q,"client_listen":"10.0.0.%d:2","peer_listen":"10.0.0.%d:1",
 	"siblings":[%s],"services":{"cloud":"10.9.0.1:1","state":"10.9.0.2:1"},
-	"cluster":{"teams":[{"name":"red","cpus":16,"cpus_max":32},{"name":"blue","cpus":8,"cpus_max":16}],
+	"cluster":{"teams":[%s],
 	"objectives":[{"kind":"wait","class":"web","within_s":5,"share":0.9}],
 	"workers":{"report_s":1,"lease_s":10,"cancel_s":35,"gang_wait_s":30,"gang_peer_s":5},
 	"state":{"rps":%d,"write_rps":%d,"value_kb":%d,"txn_ops":%d},
 	"cloud":{"rps":%d,"list_lag_s":%d},"clock_error_ms":25,"resources":{"cores":%g,"mem_mb":%d,"fd_limit":%d}}}`,
-		i, nodeZone(i), i, i, strings.Join(peers, ","), limits.requestsPerSecond, limits.changesPerSecond, limits.valueKB, limits.changes,
+		i, shape.controllers[i], i, i, strings.Join(peers, ","), shape.teams, limits.requestsPerSecond, limits.changesPerSecond, limits.valueKB, limits.changes,
 		testSite.cloudRPS, testSite.listLagS, testSite.cores, testSite.memoryMB, testSite.sockets)), operator)
 	if err != nil {
 		t.Fatal(err)
@@ -451,7 +464,7 @@
 	var again func()
 	again = func() {
 		node++
-		w.user(node%3, op, uid, func(status int, s protocol.Standing) {
+		w.user(node%len(w.nodes), op, uid, func(status int, s protocol.Standing) {
 			if !ok(status, s) {
 				w.at(time.Second, again)
 			}
@@ -474,7 +487,7 @@
 	n := 0
 	w.until(limit, uid+" told "+string(state), func() bool {
 		if n++; n%20 == 1 {
-			w.user(n/20%3, OpPoll, uid, nil)
+			w.user(n/20%len(w.nodes), OpPoll, uid, nil)
 		}
 		return w.told[uid] == state
 	})
