The same leader is logged once

A follower in a cut reads the leadership keys anew every second or two, and logged the leader each time (60 lines in a cut of 40 s). Seen to fail without: TestZonesApart.

--- a/internal/coordination/leader.go
+++ b/internal/coordination/leader.go
@@ -42,6 +42,7 @@
 	next           time.Duration
 	ended          uint64 // lease of an earlier incarnation that we ended
 	unanswered     bool   // the last list had no answer, which has been logged
+	logged         uint64 // token of the leader that was logged last
 	gen            int    // answers to calls of an older generation are dropped
 }
 
@@ -159,7 +160,9 @@
 		v.leader = nil
 		return
 	}
-	if v.leader == nil || v.leader.Token != rec.Token {
+	if v.logged != rec.Token {
+		// Once: a follower in a cut reads the keys anew every few seconds.
+		v.logged = rec.Token
 		c.log.Info("leader seen", "leader", rec.Label, "token", rec.Token)
 	}
 	v.leader = rec
--- a/internal/coordination/leadertrial_test.go
+++ b/internal/coordination/leadertrial_test.go
@@ -1,7 +1,10 @@
 package coordination
 
 import (
+	"bytes"
 	"fmt"
+	"log/slog"
+	"strings"
 	"testing"
 	"time"
 
@@ -100,6 +103,10 @@
 			sessions[k.ID] = k.Session
 		}
 	}
+	var out bytes.Buffer
+	for _, n := range w.nodes {
+		n.core.log = slog.New(slog.NewTextHandler(&out, nil))
+	}
 	w.partZones(refused, 40*second)
 	for range 40 {
 		w.run(second)
@@ -110,6 +117,9 @@
 	if w.leader() != lead {
 		t.Errorf("leader %d, was %d", w.leader(), lead)
 	}
+	if n := strings.Count(out.String(), "leader seen"); n > 0 {
+		t.Errorf("the same leader is logged %d times", n)
+	}
 	// The zones are together again, and what the leader asks of machines directly is answered
 	// before the first report comes by their zone's controller: no task is moved for that.
 	starts := w.allStarts()
