--- a/internal/coordination/follower.go
+++ b/internal/coordination/follower.go
@@ -90,45 +90,51 @@
 	d.busy = true
 	sent := c.now
 	c.call(ToPeer, addr, "POST", "/heartbeat", protocol.EncodePeer(c.heartbeat()), c.cfg.Lease()/10, func(res Result) {
-		if sent < c.wokeAt {
-			d.busy = false // from before a standstill: it tells nothing of now
-			return
-		}
-		c.resumed(sent, res.Status != 0)
-		if res.Status == 200 {
-			c.heardPeer(asked, sent)
-		}
-		if c.term != nil {
-			return
-		}
-		d.busy, d.next = false, sent+c.cfg.Heartbeat()
-		var g protocol.HeartbeatReply
-		ok := res.Status == 200 && protocol.DecodePeer(res.Body, &g) == nil && g.Token >= d.highest
-		if ok && g.Leader != "" && g.Leader != c.cfg.Label {
-			d.highest, d.leader, d.toldAt = max(d.highest, g.Token), g.Leader, c.now
-		}
-		// Only a leader gives a reading of its clock. One that had led, ended and was
-		// back in a zone that is cut off once heard from the other controller there that
-		// it leads, said so itself, and passed for the leader: the other one no longer
-		// renewed the zone's leases.
-		if !ok || g.Leader != asked || g.LeaderClock == 0 {
-			d.turn++
-			if asked == c.leaderLabel() {
-				// A connection that was not made in time may have been held up.
-				d.refused = res.NoConn && c.now < sent+c.cfg.Lease()/20
-			}
-			c.lostLeader()
-			return
-		}
-		if d.serving {
-			c.log.Info("the leader is heard again", "leader", g.Leader, "token", g.Token)
-		}
-		d.failed, d.refused, d.serving, d.heard = false, false, false, c.now
-		d.trials = leaderTrials{}
-		d.token, d.leaderClock = g.Token, g.LeaderClock
+		c.onHeartbeatReply(asked, sent, res)
 	})
 }
 
+// onHeartbeatReply takes the answer of the controller that was asked for the leader's clock.
+func (c *Core) onHeartbeatReply(asked string, sent time.Duration, res Result) {
+	d := &c.follower
+	if sent < c.wokeAt {
+		d.busy = false // from before a standstill: it tells nothing of now
+		return
+	}
+	c.resumed(sent, res.Status != 0)
+	if res.Status == 200 {
+		c.heardPeer(asked, sent)
+	}
+	if c.term != nil {
+		return
+	}
+	d.busy, d.next = false, sent+c.cfg.Heartbeat()
+	var g protocol.HeartbeatReply
+	ok := res.Status == 200 && protocol.DecodePeer(res.Body, &g) == nil && g.Token >= d.highest
+	if ok && g.Leader != "" && g.Leader != c.cfg.Label {
+		d.highest, d.leader, d.toldAt = max(d.highest, g.Token), g.Leader, c.now
+	}
+	// Only a leader gives a reading of its clock. One that had led, ended and was
+	// back in a zone that is cut off once heard from the other controller there that
+	// it leads, said so itself, and passed for the leader: the other one no longer
+	// renewed the zone's leases.
+	if !ok || g.Leader != asked || g.LeaderClock == 0 {
+		d.turn++
+		if asked == c.leaderLabel() {
+			// A connection that was not made in time may have been held up.
+			d.refused = res.NoConn && c.now < sent+c.cfg.Lease()/20
+		}
+		c.lostLeader()
+		return
+	}
+	if d.serving {
+		c.log.Info("the leader is heard again", "leader", g.Leader, "token", g.Token)
+	}
+	d.failed, d.refused, d.serving, d.heard = false, false, false, c.now
+	d.trials = leaderTrials{}
+	d.token, d.leaderClock = g.Token, g.LeaderClock
+}
+
 // heartbeat is what this controller tells a leader.
 func (c *Core) heartbeat() protocol.Heartbeat {
 	d := &c.follower
--- a/internal/coordination/leadertrial_test.go
+++ b/internal/coordination/leadertrial_test.go
@@ -78,20 +78,7 @@
 }
 
 func zonesApart(t *testing.T, inside, refused bool) {
-	w := newWorld(t, 61)
-	if inside {
-		w.crash(0)
-		w.crash(1)
-	}
-	w.awaitLeader()
-	w.run(3 * second)
-	if inside {
-		w.boot(0)
-		w.boot(1)
-	}
-	w.submit("j-1", map[string]any{"shape": "service", "shards": 4, "apart": true})
-	w.submit("j-2", map[string]any{"shape": "service", "shards": 2, "apart": true, "cores": 8.0, "owner": "blue"})
-	w.until(90*second, "replicas run", func() bool { return w.running("j-1") == 4 && w.running("j-2") == 2 })
+	w := replicasOverZones(t, 61, inside)
 	w.run(10 * second)
 	lead := w.leader()
 	if (lead == 2) != inside {
--- a/internal/coordination/reports.go
+++ b/internal/coordination/reports.go
@@ -152,72 +152,14 @@
 		}
 		m.NoticeBy = min(m.NoticeBy, by)
 	}
-	r.compare(m, msg, sign.Ours)
+	compareWithLedger(m, msg, sign.Ours, r)
 	return m, true
 }
 
-// compare sets the ledger against the newest message.
-func (r *term) compare(m *ledger.Machine, msg *protocol.Report, ours bool) {
-	seen := map[ledger.Key]bool{}
-	for _, t := range msg.Tasks {
-		key := ledger.Key{Task: t.Task, Try: t.Attempt}
-		seen[key] = true
-		if t.State == protocol.Exited {
-			r.onExit(m, key, t)
-			continue
-		}
-		a := m.Attempts[key]
-		if a == nil {
-			a = r.adoptUnknown(m, key)
-			if a == nil {
-				continue
-			}
-		}
-		a.Acked, a.Sent = true, true
-		a.Session = m.Session
-		if a.State != t.State {
-			a.SetState(t.State)
-			if t.State == protocol.Running {
-				r.useImage(m, a.Job)
-				r.c.log.Debug("running", "task", t.Task, "try", t.Attempt, "machine", m.ID)
-			}
-		}
-	}
-	var missing []*ledger.Attempt // mostly none, and nothing to sort
-	for key, a := range m.Attempts {
-		if !seen[key] && a.Sent {
-			missing = m.Sorted()
-			break
-		}
-	}
-	for _, a := range missing {
-		if seen[a.Key()] || !a.Sent {
-			continue
-		}
-		// Proofs of absence: a later session than any run of it named, or a
-		// message with our token after its run was answered. Without our token
-		// the message may be old, and a run of an earlier leader under way.
-		// Of one that is to be stopped it is also enough that no run of it can be
-		// on its way: none was lost, and a report was sent after the last answer
-		// that carried one. Without this a task whose runs had all been refused
-		// was waited for until its machine's session ended.
-		lapsed := !a.Loaded && a.Session < m.Session
-		never := a.Halt && !a.Lost && m.ReportSeq > a.RunSeq
-		if lapsed || (ours && (a.Acked || a.Loaded || never) && a.Flying == 0) {
-			r.gone(a, absentFromReport)
-		}
-	}
-	for key := range m.Exited {
-		if ours && !seen[key] {
-			delete(m.Exited, key)
-		}
-	}
-	for key := range m.UnknownTasks {
-		// Gone or ended: with any left the machine takes no work.
-		if m.Exited[key] != nil || ours && !seen[key] {
-			delete(m.UnknownTasks, key)
-		}
-	}
+// onRunning takes the beginning of an attempt's run: its image is there.
+func (r *term) onRunning(m *ledger.Machine, a *ledger.Attempt) {
+	r.useImage(m, a.Job)
+	r.c.log.Debug("running", "task", a.Key().Task, "try", a.Try, "machine", m.ID)
 }
 
 // adoptUnknown notes an attempt that the ledger did not have on that machine. Its
--- a/internal/coordination/rules_test.go
+++ b/internal/coordination/rules_test.go
@@ -580,26 +580,34 @@
 	w.reports = func(k *emulator.Worker, node int) fate { return fate{lost: (node == 2) != (k.Zone == "b")} }
 }
 
+// replicasOverZones is a world with two services that are spread over the zones, led from zone b if
+// it is to be inside.
+func replicasOverZones(t *testing.T, seed uint64, inside bool) *world {
+	t.Helper()
+	w := newWorld(t, seed)
+	if inside {
+		w.crash(0)
+		w.crash(1)
+	}
+	w.awaitLeader()
+	w.run(3 * second)
+	if inside {
+		w.boot(0)
+		w.boot(1)
+	}
+	w.submit("j-1", map[string]any{"shape": "service", "shards": 4, "apart": true})
+	w.submit("j-2", map[string]any{"shape": "service", "shards": 2, "apart": true, "cores": 8.0, "owner": "blue"})
+	w.until(90*second, "replicas run", func() bool { return w.running("j-1") == 4 && w.running("j-2") == 2 })
+	return w
+}
+
 // A zone is cut off for much longer than a lease, once without and once with
 // the leader in it: its controller keeps the zone's workers, so that replicas
 // which must be spread, and have nowhere else to go, live on. A cancellation
 // meanwhile is not told before the task that nobody reaches is proved gone.
 func TestFollowerKeepsItsZone(t *testing.T) {
 	for _, inside := range []bool{false, true} {
-		w := newWorld(t, 31)
-		if inside {
-			w.crash(0)
-			w.crash(1)
-		}
-		w.awaitLeader()
-		w.run(3 * second)
-		if inside {
-			w.boot(0)
-			w.boot(1)
-		}
-		w.submit("j-1", map[string]any{"shape": "service", "shards": 4, "apart": true})
-		w.submit("j-2", map[string]any{"shape": "service", "shards": 2, "apart": true, "cores": 8.0, "owner": "blue"})
-		w.until(90*second, "replicas run", func() bool { return w.running("j-1") == 4 && w.running("j-2") == 2 })
+		w := replicasOverZones(t, 31, inside)
 		w.run(5 * second)
 		if (w.leader() == 2) != inside {
 			t.Fatalf("leader %d", w.leader())
