--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -173,6 +173,15 @@
 		// machines again, in workers' leases.
 		Steady float64 `toml:"steady"`
 	} `toml:"membership"`
+	// Upgrade is what operators say of a rolling upgrade.
+	Upgrade struct {
+		// Hold keeps the feature gate closed, or closes it, from any one controller.
+		Hold bool `toml:"hold"`
+	} `toml:"upgrade"`
+	// EndJournal has the ends of tasks stored many in one value, once the feature gate is open.
+	EndJournal struct {
+		Enabled bool `toml:"enabled"`
+	} `toml:"end_journal"`
 	Telemetry struct {
 		// Metrics turns on GET /metrics at the peers' listener.
 		Metrics bool `toml:"metrics"`
--- a/internal/coordination/counters_test.go
+++ b/internal/coordination/counters_test.go
@@ -14,7 +14,7 @@
 func TestCapacityIsWorkedOutOnceForAllCounters(t *testing.T) {
 	w := newWorld(t, 73)
 	c := w.nodes[w.awaitLeader()].core
-	r := newTerm(c, 99, 1, 1, c.now)
+	r := newTerm(c, &leaderRecord{Token: 99, Lease: 1}, 1, c.now)
 	job := func(uid string) *ledger.Job {
 		j := r.AddJob(&protocol.Spec{UID: uid, Team: "red", Tasks: 1, Cores: 1, MemoryGB: 1}, c.wall)
 		j.Stored = true
--- a/internal/coordination/exits.go
+++ b/internal/coordination/exits.go
@@ -47,7 +47,7 @@
 				r.finish(j) // also if its cancellation was under way
 				r.records.Mark(ledger.JobPrefix+uid, statestore.User, func() any { return j.Record() }, ready)
 			} else {
-				r.records.Mark(r.DoneKey(j, index), statestore.Done, func() any { return r.DoneChunk(j, index) }, ready)
+				r.ends.completed(j, index, ready)
 			}
 		}
 	case protocol.CauseError:
@@ -100,8 +100,6 @@
 	}
 	r.settleCancel(j)
 	r.gangTaskGone(a, why)
-	if m.Recorded {
-		r.record(m, statestore.Lazy, nil)
-	}
+	r.ends.left(a)
 	r.fillDirty = true
 }
--- a/internal/coordination/follower.go
+++ b/internal/coordination/follower.go
@@ -138,7 +138,7 @@
 // heartbeat is what this controller tells a leader.
 func (c *Core) heartbeat() protocol.Heartbeat {
 	d := &c.follower
-	ask := protocol.Heartbeat{From: c.cfg.Label, Incarnation: c.incarnation, Token: d.highest, ServedMS: -1, UptimeMS: c.now.Milliseconds()}
+	ask := protocol.Heartbeat{From: c.cfg.Label, Incarnation: c.incarnation, Token: d.highest, ServedMS: -1, UptimeMS: c.now.Milliseconds(), Forms: c.formStatement()}
 	if d.token == d.highest {
 		ask.LeaderClock = d.leaderClock
 	}
@@ -254,7 +254,7 @@
 		c.endTerm("another controller knows a later leader")
 		r = nil
 	}
-	g := protocol.HeartbeatReply{Token: c.follower.highest}
+	g := protocol.HeartbeatReply{Token: c.follower.highest, Forms: c.formStatement()}
 	if r != nil && r.suspended() && c.membership.enabled() {
 		c.reply(from, 200, protocol.EncodePeer(g), 0) // it may have been replaced
 		return
@@ -267,6 +267,7 @@
 		return
 	}
 	g.Leader, g.Token, g.LeaderClock = c.cfg.Label, r.token, uint64(c.now)
+	r.hearForms(&ask)
 	p := r.peers[ask.From]
 	p.asked = c.now
 	if p.contact == 0 {
--- a/internal/coordination/leader.go
+++ b/internal/coordination/leader.go
@@ -11,47 +11,6 @@
 	"claybarrow/internal/protocol"
 )
 
-// Keys of leadership. The counter stays for ever; the leader's key hangs on a
-// lease and is a condition of every later change of that leader.
-const (
-	keyPrefix  = "c/"
-	keyCounter = "c/token"
-	keyLeader  = "c/leader"
-)
-
-type counterRecord struct {
-	Token uint64 `msgpack:"n"`
-}
-
-type leaderRecord struct {
-	Label       string `msgpack:"l"`
-	Incarnation string `msgpack:"i"`
-	Token       uint64 `msgpack:"n"`
-	Lease       uint64 `msgpack:"t"`
-}
-
-// view is what this controller knows of the leadership keys.
-type view struct {
-	known          bool
-	revision       uint64
-	counter        uint64
-	counterVersion uint64
-	leader         *leaderRecord
-	leaderless     time.Duration // since when no leader is known
-	busy           bool
-	next           time.Duration
-	ended          uint64 // lease of an earlier incarnation that we ended
-	unanswered     bool   // the last list had no answer, which has been logged
-	logged         uint64 // token of the leader that was logged last
-	gen            int    // answers to calls of an older generation are dropped
-}
-
-// refresh has the keys listed again at once; an open watch is given up.
-func (v *view) refresh(now time.Duration) {
-	v.known, v.busy, v.next = false, false, now
-	v.gen++
-}
-
 // candidacy is one try to become leader.
 type candidacy struct {
 	lease uint64
@@ -76,7 +35,7 @@
 // keepView keeps the leadership keys in sight: a list, then a watch after it.
 func (c *Core) keepView() {
 	v := &c.view
-	if c.term == nil && v.known && v.leader == nil && !c.standsBack() && c.mayCampaign() {
+	if c.term == nil && v.known && v.leader == nil && !c.standsBack() && c.mayCampaign() && c.readsForm() {
 		c.campaign()
 	}
 	if v.busy || c.now < v.next || c.term != nil || !c.requests.Has(c.now, 1) {
@@ -100,11 +59,11 @@
 				return
 			}
 			v.known, v.revision, v.unanswered = true, items.Revision, false
-			v.counter, v.counterVersion = 0, 0
-			c.seeLeader(nil, 0)
+			v.forgetKeys()
 			for _, it := range items.Items {
-				c.seeKey(it.Key, it.Value, it.Version)
+				v.takeKey(it.Key, it.Value, it.Version)
 			}
+			c.seeLeader()
 			c.keepView()
 		})
 		return
@@ -124,78 +83,16 @@
 		v.revision = events.Revision
 		for _, e := range events.Events {
 			if e.Delete != "" {
-				c.seeKey(e.Delete, nil, 0)
+				v.takeKey(e.Delete, nil, 0)
 			} else {
-				c.seeKey(e.Put, e.Value, e.Version)
+				v.takeKey(e.Put, e.Value, e.Version)
 			}
 		}
+		c.seeLeader()
 		c.keepView()
 	})
 }
 
-func (c *Core) seeKey(key string, value []byte, version uint64) {
-	switch key {
-	case keyCounter:
-		var rec counterRecord
-		if value != nil && protocol.Decode(value, &rec) == nil {
-			c.view.counter = rec.Token
-		}
-		c.view.counterVersion = version
-	case keyLeader:
-		var rec leaderRecord
-		if value == nil || protocol.Decode(value, &rec) != nil {
-			c.seeLeader(nil, 0)
-			return
-		}
-		c.seeLeader(&rec, version)
-	}
-}
-
-func (c *Core) seeLeader(rec *leaderRecord, version uint64) {
-	v := &c.view
-	if rec == nil {
-		if v.leader != nil || v.leaderless == 0 {
-			v.leaderless = c.now
-		}
-		v.leader = nil
-		return
-	}
-	if v.logged != rec.Token {
-		// Once: a follower in a cut reads the keys anew every few seconds.
-		v.logged = rec.Token
-		c.log.Info("leader seen", "leader", rec.Label, "token", rec.Token)
-	}
-	v.leader = rec
-	if c.term != nil {
-		// A watch that was open when we won tells of ourselves, or of somebody
-		// who came after us.
-		if rec.Token > c.term.token {
-			c.endTerm("a later leader's key")
-		}
-		return
-	}
-	if rec.Label != c.cfg.Label {
-		return
-	}
-	if rec.Incarnation == c.incarnation && c.candidacy != nil && rec.Lease == c.candidacy.lease {
-		// Our own transaction, whose answer was lost, did apply.
-		c.assume(rec, version)
-		return
-	}
-	// An earlier process of ours, or a transaction of ours that we gave up,
-	// holds the key. Ending its lease is safe, as its writes are fenced.
-	if v.ended != rec.Lease {
-		v.ended = rec.Lease
-		c.log.Info("ending the lease of an earlier incarnation", "lease", rec.Lease)
-		c.stateCall("DELETE", fmt.Sprintf("/leases/%d", rec.Lease), nil, c.cfg.LeaderTTL()/2, func(res Result) {
-			if res.Status == 0 || res.Status >= 429 {
-				v.ended = 0
-				v.refresh(c.now + c.pause())
-			}
-		})
-	}
-}
-
 // campaign tries to become leader: a lease, then one transaction that raises
 // the counter and puts the leader key, if nobody did so meanwhile.
 func (c *Core) campaign() {
@@ -218,12 +115,7 @@
 	h.busy = true
 	v := &c.view
 	rec := leaderRecord{Label: c.cfg.Label, Incarnation: c.incarnation, Token: v.counter + 1, Lease: h.lease}
-	txn := protocol.Txn{
-		If: []protocol.Condition{{Key: keyLeader, Version: 0}, {Key: keyCounter, Version: v.counterVersion}},
-		Then: []protocol.Change{
-			{Put: keyCounter, Value: counterRecord{Token: rec.Token}},
-			{Put: keyLeader, Value: rec, Lease: h.lease},
-		}}
+	txn := v.election(&rec)
 	c.stateCall("POST", "/multi", txn, ttl/2, func(r Result) {
 		h.busy = false
 		if c.candidacy != h || c.term != nil {
@@ -233,8 +125,7 @@
 		}
 		var reply protocol.TxnReply
 		if r.Status == 200 && protocol.Decode(r.Body, &reply) == nil {
-			v.counter, v.counterVersion = rec.Token, reply.Revision
-			v.leader = &rec
+			v.won(&rec, reply.Revision)
 			c.assume(&rec, reply.Revision)
 			return
 		}
@@ -252,17 +143,12 @@
 	h := c.candidacy
 	c.candidacy = nil
 	c.log.Info("leader", "token", rec.Token, "lease", rec.Lease)
-	c.term = newTerm(c, rec.Token, rec.Lease, version, h.sent)
+	c.term = newTerm(c, rec, version, h.sent)
 	c.term.handover, c.term.ahead = c.startHandover(rec.Token), c.succession.ahead
 	c.succession.ahead = nil
 	c.term.load()
 }
 
-// leaderRecord is the leader key's value in this term.
-func (r *term) leaderRecord() leaderRecord {
-	return leaderRecord{Label: r.c.cfg.Label, Incarnation: r.c.incarnation, Token: r.token, Lease: r.lease}
-}
-
 // keepLease renews the leader's lease well before it runs out, counted from
 // when the renewal was sent.
 func (r *term) keepLease() {
@@ -323,15 +209,16 @@
 
 func (r *term) loadPage(step int, after string) {
 	c := r.c
-	if step == len(loadOrder) {
+	order := loadOrder(r.stored.form())
+	if step == len(order) {
 		r.begin()
 		return
 	}
-	if ahead := r.ahead.step(step); ahead != nil && after == "" {
-		r.loadAhead(step, ahead)
+	if ahead := r.ahead.step(order[step]); ahead != nil && after == "" {
+		r.loadAhead(step, order[step], ahead)
 		return
 	}
-	c.stateCall("GET", listPath(loadOrder[step], after), nil, c.cfg.LeaderTTL(), func(res Result) {
+	c.stateCall("GET", listPath(order[step], after), nil, c.cfg.LeaderTTL(), func(res Result) {
 		if c.term != r {
 			return
 		}
--- a/internal/coordination/observer.go
+++ b/internal/coordination/observer.go
@@ -14,6 +14,9 @@
 	MemberChanged(membership.Change)
 	Dropped(membership.Drop)
 	HandedOver(Handover)
+	// GateChanged takes a change of the feature gate's state; Journal what the journal of ends holds.
+	GateChanged(GateChange)
+	Journal(JournalSize)
 	// MachineSent counts a machine that was sent to another controller.
 	MachineSent(machine, to string)
 	// Detoured and Retried count requests that went to the leader by another controller, and
@@ -73,6 +76,8 @@
 func (noObserver) MemberChanged(membership.Change)   {}
 func (noObserver) Dropped(membership.Drop)           {}
 func (noObserver) HandedOver(Handover)               {}
+func (noObserver) GateChanged(GateChange)            {}
+func (noObserver) Journal(JournalSize)               {}
 func (noObserver) MachineSent(string, string)        {}
 func (noObserver) Detoured()                         {}
 func (noObserver) Retried()                          {}
--- a/internal/coordination/records.go
+++ b/internal/coordination/records.go
@@ -17,16 +17,30 @@
 func (r *term) newRecords(version uint64) *statestore.Writer {
 	c := r.c
 	limits := statestore.Limits{Changes: c.cfg.Cluster.State.Both().TxnOps, ValueBytes: c.cfg.ValueBytes(), Timeout: c.cfg.LeaderTTL() / 2}
-	key := statestore.LeaderKey{Key: keyLeader, Version: version, Lease: r.lease, Record: func() any { return r.leaderRecord() },
-		IsOurs: func(value []byte) bool {
-			var rec leaderRecord
-			return protocol.Decode(value, &rec) == nil && rec == r.leaderRecord()
-		}}
+	key := statestore.LeaderKey{Key: keyLeader, Version: version, Form: r.leaderForm(r.stored), Equal: equalLeader}
 	w := statestore.NewWriter(recordHost{r}, c.log, limits, &c.changes, key)
 	w.Loaded(keyCounter, version)
+	if r.stored.Form != 0 {
+		w.Loaded(keyLease, version)
+	}
 	return w
 }
 
+// leaderForm is how the leader key holds a record: on the leader's lease, or permanently while the
+// feature gate is not closed.
+func (r *term) leaderForm(rec leaderRecord) statestore.LeaderForm {
+	if rec.Form != 0 {
+		return statestore.LeaderForm{Record: rec}
+	}
+	return statestore.LeaderForm{Record: rec, Lease: r.lease}
+}
+
+// equalLeader says whether a value that was read is a leader record.
+func equalLeader(value []byte, record any) bool {
+	var read leaderRecord
+	return protocol.Decode(value, &read) == nil && read == record
+}
+
 // Now is part of statestore.Host.
 func (h recordHost) Now() time.Duration { return h.r.c.now }
 
@@ -57,6 +71,10 @@
 		r.abandonMachine(r.Machines[id])
 		return
 	}
+	if isJournalKey(key) {
+		r.ends.abandon()
+		return
+	}
 	uid, isJob := strings.CutPrefix(key, ledger.JobPrefix)
 	if !isJob || r.proposals[uid] == nil {
 		return
@@ -70,6 +88,12 @@
 	r.RemoveJob(uid)
 }
 
+// Rendered is part of statestore.Host.
+func (h recordHost) Rendered(key string) { h.r.ends.journal.Rendered(key) }
+
+// Stored is part of statestore.Host.
+func (h recordHost) Stored(key string) { h.r.ends.journal.Stored(key) }
+
 // abandonMachine drops what was to be started on a machine whose record can't be written.
 func (r *term) abandonMachine(m *ledger.Machine) {
 	m.AsideUntil = r.c.now + r.c.cfg.Lease()
--- a/internal/coordination/slopes_test.go
+++ b/internal/coordination/slopes_test.go
@@ -79,7 +79,7 @@
 		c.types = append(c.types, &sched.Type{Name: t.Name, Size: sched.Need{Cores: t.Cores, Accel: t.Accelerators, Mem: t.MemoryGB},
 			Price: t.Price, SpotPrice: t.SpotPrice, Zones: t.Zones, BootS: t.BootS, FetchGBPerS: t.FetchGBPerS})
 	}
-	r := newTerm(c, 1, 1, 1, c.now)
+	r := newTerm(c, &leaderRecord{Token: 1, Lease: 1}, 1, c.now)
 	r.ready = true
 	c.term = r
 	f := &slopeFleet{core: c, term: r, random: rand.New(rand.NewPCG(2, 2))}
@@ -550,7 +550,7 @@
 		}
 		b.ResetTimer()
 		for b.Loop() {
-			r := newTerm(f.core, 2, 1, 1, f.core.now)
+			r := newTerm(f.core, &leaderRecord{Token: 2, Lease: 1}, 1, f.core.now)
 			for _, it := range items {
 				r.records.Loaded(it.Key, it.Version)
 				if err := r.loadItem(it); err != nil {
--- a/internal/coordination/succession.go
+++ b/internal/coordination/succession.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"claybarrow/internal/membership"
@@ -129,6 +130,8 @@
 // readAhead is the records of a leader that is suspected, as they were at some revision.
 type readAhead struct {
 	token uint64 // of that leader
+	// order are the prefixes to be read, steps what was read of the first of them.
+	order []string
 	steps []aheadStep
 	after string
 	bytes int
@@ -136,7 +139,7 @@
 	over  bool // all is read, or it was given up
 }
 
-// aheadStep is the records under one prefix of loadOrder.
+// aheadStep is the records under one prefix.
 type aheadStep struct {
 	items []protocol.Item
 	// revision is that of the first page: what has changed after it is asked for.
@@ -152,14 +155,15 @@
 func (c *Core) keepReadingAhead(token uint64) {
 	s := &c.succession
 	if s.ahead == nil || s.ahead.token != token {
-		s.ahead = &readAhead{token: token, steps: make([]aheadStep, 1, len(loadOrder))}
+		order := loadOrder(c.view.record.form())
+		s.ahead = &readAhead{token: token, order: order, steps: make([]aheadStep, 1, len(order))}
 	}
 	a := s.ahead
 	if a.over || a.busy || !c.requests.Has(c.now, 1+aheadReserve*c.requests.Burst()) {
 		return
 	}
 	a.busy = true
-	prefix := loadOrder[len(a.steps)-1]
+	prefix := a.order[len(a.steps)-1]
 	c.stateCall("GET", listPath(prefix, a.after), nil, c.cfg.LeaderTTL(), func(res Result) {
 		a.busy = false
 		if s.ahead != a || a.over {
@@ -196,7 +200,7 @@
 	if len(step.items) < aheadPage {
 		step.items, step.complete = nil, false
 	}
-	if len(a.steps) == len(loadOrder) {
+	if len(a.steps) == len(a.order) {
 		a.over = true
 		return
 	}
@@ -204,9 +208,13 @@
 	a.steps = append(a.steps, aheadStep{})
 }
 
-// step returns what was read ahead for a step of loadOrder; nil: it has to be read whole.
-func (a *readAhead) step(number int) *aheadStep {
-	if a == nil || number >= len(a.steps) || !a.steps[number].complete {
+// step returns what was read ahead under a prefix; nil: it has to be read whole.
+func (a *readAhead) step(prefix string) *aheadStep {
+	if a == nil {
+		return nil
+	}
+	number := slices.Index(a.order, prefix)
+	if number < 0 || number >= len(a.steps) || !a.steps[number].complete {
 		return nil
 	}
 	return &a.steps[number]
@@ -234,9 +242,9 @@
 
 // loadAhead loads a step from what was read ahead and all that has changed since. It is asked
 // for after the election, when nothing of earlier leaders can be added any more.
-func (r *term) loadAhead(number int, step *aheadStep) {
+func (r *term) loadAhead(number int, prefix string, step *aheadStep) {
 	c := r.c
-	path := fmt.Sprintf("/follow?under=%s&after=%d&blockMs=0", loadOrder[number], step.revision)
+	path := fmt.Sprintf("/follow?under=%s&after=%d&blockMs=0", prefix, step.revision)
 	c.stateCall("GET", path, nil, c.cfg.LeaderTTL(), func(res Result) {
 		if c.term != r {
 			return
--- a/internal/coordination/takeover_attempts_test.go
+++ b/internal/coordination/takeover_attempts_test.go
@@ -16,7 +16,7 @@
 	const machines = 5000
 	w := newWorld(t, 75)
 	c := w.nodes[w.awaitLeader()].core
-	r := newTerm(c, 99, 1, 1, c.now)
+	r := newTerm(c, &leaderRecord{Token: 99, Lease: 1}, 1, c.now)
 	c.term = r
 	j := r.AddJob(&protocol.Spec{UID: "j-1", Team: "red", Tasks: machines, Cores: 1, MemoryGB: 1}, c.wall)
 	j.Stored = true
--- a/internal/coordination/term.go
+++ b/internal/coordination/term.go
@@ -5,6 +5,8 @@
 	"strings"
 	"time"
 
+	"claybarrow/internal/endjournal"
+	"claybarrow/internal/featuregate"
 	"claybarrow/internal/ledger"
 	"claybarrow/internal/machinepool"
 	"claybarrow/internal/protocol"
@@ -20,6 +22,11 @@
 	lease uint64
 	// records are written to the state service, each under the leader key's version.
 	records *statestore.Writer
+	// stored is the leader record as it is stored, gate decides on its form.
+	stored   leaderRecord
+	gate     *featuregate.Gate
+	gateSeen gateLog
+	ends     endRecorder
 
 	confirmed time.Duration // sending of the last confirmed renewal
 	renewAt   time.Duration
@@ -103,10 +110,19 @@
 	wants []requester
 }
 
-var loadOrder = []string{ledger.JobPrefix, ledger.DonePrefix, ledger.PartPrefix, ledger.MachinePrefix, ledger.CounterPrefix}
+// loadOrder are the prefixes of a leader's records in the order in which they are read. The journal
+// of ends changes what jobs and machines hold; it is only there while the feature gate is not closed.
+func loadOrder(form featuregate.Form) []string {
+	order := []string{ledger.JobPrefix, ledger.DonePrefix, ledger.PartPrefix, ledger.MachinePrefix}
+	if form >= endsForm {
+		order = append(order, endjournal.Prefix)
+	}
+	return append(order, ledger.CounterPrefix)
+}
 
-func newTerm(c *Core, token, lease, version uint64, confirmed time.Duration) *term {
-	r := &term{c: c, token: token, lease: lease, confirmed: confirmed, since: c.now,
+func newTerm(c *Core, elected *leaderRecord, version uint64, confirmed time.Duration) *term {
+	token := elected.Token
+	r := &term{c: c, token: token, lease: elected.Lease, stored: *elected, confirmed: confirmed, since: c.now,
 		renewAt:     c.now + c.cfg.LeaderTTL()/8,
 		Ledger:      ledger.New(c.cfg.LayoutBytes(), c.cfg.ValueBytes()),
 		proposals:   map[string]*proposal{},
@@ -127,6 +143,8 @@
 		handover:    &Handover{Token: token, Elected: c.now},
 	}
 	r.records = r.newRecords(version)
+	r.gate = r.newGate()
+	r.ends = r.newEndRecorder()
 	r.pool = r.newPool()
 	for _, t := range c.cfg.Cluster.Teams {
 		r.Teams[t.Name] = &sched.Team{
@@ -181,6 +199,8 @@
 			return err
 		}
 		r.loadMachine(strings.TrimPrefix(it.Key, ledger.MachinePrefix), rec)
+	case isJournalKey(it.Key):
+		return r.ends.load(it)
 	case strings.HasPrefix(it.Key, ledger.CounterPrefix):
 		var rec ledger.Counters
 		if err := protocol.Decode(it.Value, &rec); err != nil {
@@ -272,6 +292,7 @@
 		r.records.Mark(key, statestore.Lazy, func() any { return nil }, nil)
 	}
 	r.orphans = nil
+	r.ends.loaded()
 	c.log.Info("ledger read", "token", r.token, "jobs", len(r.Jobs), "terminal", len(r.Terminal), "machines", len(r.Machines))
 	r.fillDirty = true
 	r.noteLoaded()
@@ -316,6 +337,8 @@
 		return
 	}
 	r.keepHandover()
+	r.keepGate()
+	r.ends.tick()
 	r.reserveAttempts()
 	r.pool.Tick()
 	r.schedule()
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -379,6 +379,7 @@
 	r.withdrawFailures(j)
 	r.records.Mark(ledger.JobPrefix+uid, statestore.User, func() any { return j.Record() }, func() {
 		r.Terminal[uid] = ledger.TerminalState{Cancelled: true}
+		r.ends.jobOver(j)
 		r.dropChunks(j)
 		r.answerCancels(uid)
 		r.RemoveJob(uid)
@@ -406,6 +407,7 @@
 	r.records.Mark(ledger.JobPrefix+uid, statestore.User, func() any { return j.Record() }, func() {
 		r.c.log.Info("done", "job", uid)
 		r.Terminal[uid] = ledger.TerminalState{Tasks: j.Spec.Tasks}
+		r.ends.jobOver(j)
 		r.dropChunks(j)
 		r.answerCancels(uid)
 		r.RemoveJob(uid)
--- a/internal/coordination/world_test.go
+++ b/internal/coordination/world_test.go
@@ -151,15 +151,22 @@
 }()
 
 // testOperator are the operators' settings of all tests that don't say otherwise: the tests are run
-// with failure detection off, and once more with it on.
+// with failure detection and the journal of ends off, and once more with each of them on.
 var testOperator = func() []byte {
+	var operator []byte
 	if os.Getenv("CLAYBARROW_TEST_MEMBERSHIP") != "" {
-		return []byte(membershipOn)
+		operator = append(operator, membershipOn...)
 	}
-	return nil
+	if os.Getenv("CLAYBARROW_TEST_ENDJOURNAL") != "" {
+		operator = append(operator, endJournalOn...)
+	}
+	return operator
 }()
 
-const membershipOn = "[membership]\nenabled = true\n"
+const (
+	membershipOn = "[membership]\nenabled = true\n"
+	endJournalOn = "[end_journal]\nenabled = true\n"
+)
 
 func testConfig(t testing.TB, shape shape, i int, operator []byte) *config.Config {
 	t.Helper()
--- a/internal/protocol/wire.go
+++ b/internal/protocol/wire.go
@@ -261,6 +261,16 @@
 	LeaderClock uint64 `cbor:"4,keyasint,omitempty"`
 	ServedMS    int64  `cbor:"5,keyasint"`
 	UptimeMS    int64  `cbor:"6,keyasint,omitempty"` // of the process
+	// Forms is nil from versions that have no feature gate.
+	Forms *FormStatement `cbor:"7,keyasint,omitempty"`
+}
+
+// FormStatement says which forms of stored records a controller reads and writes: the highest of
+// each, and whether its operators hold the feature gate closed.
+type FormStatement struct {
+	Reads  uint64 `cbor:"1,keyasint"`
+	Writes uint64 `cbor:"2,keyasint,omitempty"`
+	Hold   bool   `cbor:"3,keyasint,omitempty"`
 }
 
 // HeartbeatReply tells who leads; the leader's own has a reading of its clock.
@@ -268,6 +278,8 @@
 	Leader      string `cbor:"1,keyasint,omitempty"`
 	Token       uint64 `cbor:"2,keyasint,omitempty"`
 	LeaderClock uint64 `cbor:"3,keyasint,omitempty"`
+	// Forms is the answering controller's.
+	Forms *FormStatement `cbor:"4,keyasint,omitempty"`
 }
 
 // Encode writes MessagePack. Values of our own types cannot fail to encode.
--- /dev/null
+++ b/internal/statestore/leaderkey.go
@@ -0,0 +1,53 @@
+package statestore
+
+import "claybarrow/internal/protocol"
+
+// LeaderChange stores the leader key in another form, together with a few other keys, in a
+// transaction of its own. As that rewrites the key whose version every write depends on, it fences
+// off all that was sent before it.
+type LeaderChange struct {
+	Form LeaderForm
+	// Puts and Deletes are the other keys.
+	Puts    []protocol.Change
+	Deletes []string
+	// Applied is called once it is durable, Refused if the state service takes it in no form.
+	Applied, Refused func()
+}
+
+// ChangeLeader has the leader key stored in another form by the next transaction. There is one
+// such change at a time.
+func (w *Writer) ChangeLeader(change *LeaderChange) { w.change = change }
+
+// composeChange makes the transaction of a change of the leader key; nil: none waits, or the
+// budget does not allow it yet.
+func (w *Writer) composeChange() *Transaction {
+	change, now := w.change, w.host.Now()
+	if change == nil {
+		return nil
+	}
+	changes := float64(1 + len(change.Puts) + len(change.Deletes))
+	if !w.changes.Has(now, changes) {
+		return nil
+	}
+	w.change = nil
+	t := &Transaction{made: now, change: change}
+	t.Body.If = []protocol.Condition{{Key: w.leader.Key, Version: w.leader.Version}}
+	for _, put := range change.Puts {
+		w.depend(t, put.Put)
+		t.Puts = append(t.Puts, put.Put)
+		t.Body.Then = append(t.Body.Then, put)
+	}
+	for _, key := range change.Deletes {
+		w.depend(t, key)
+		t.dels = append(t.dels, key)
+		t.Body.Then = append(t.Body.Then, protocol.Change{Delete: key})
+	}
+	w.putLeader(t, change.Form)
+	w.changes.Take(now, changes)
+	return t
+}
+
+// depend makes a key's known version a condition.
+func (w *Writer) depend(t *Transaction, key string) {
+	t.Body.If = append(t.Body.If, protocol.Condition{Key: key, Version: w.versions[key]})
+}
--- a/internal/statestore/writer.go
+++ b/internal/statestore/writer.go
@@ -56,10 +56,15 @@
 type LeaderKey struct {
 	Key     string
 	Version uint64
-	Lease   uint64
-	// Record is its value in this term, IsOurs says whether a value read is that.
-	Record func() any
-	IsOurs func(value []byte) bool
+	Form    LeaderForm
+	// Equal says whether a value that was read is a record.
+	Equal func(value []byte, record any) bool
+}
+
+// LeaderForm is how the leader key is stored.
+type LeaderForm struct {
+	Record any
+	Lease  uint64 // 0: the key is permanent
 }
 
 // Host is the leader that the records belong to. After End it calls the writer no more, and
@@ -78,6 +83,9 @@
 	Unavailable()
 	// Abandoned: a record is given up that the service takes in no form.
 	Abandoned(key string)
+	// Rendered: a record was rendered as it is now. Stored: it is durable as it was last rendered.
+	Rendered(key string)
+	Stored(key string)
 }
 
 // write is a key whose record is to be written. It is rendered when the
@@ -98,7 +106,11 @@
 	// uncertain: an earlier try had no answer and may have applied.
 	uncertain bool
 	// fencing: it also writes the leader key.
-	fencing  bool
+	fencing bool
+	// leader is what it stores in the leader key, if it does.
+	leader LeaderForm
+	// change is the change of the leader key's form that it carries out, or nil.
+	change   *LeaderChange
 	made     time.Duration
 	retryAt  time.Duration
 	flying   bool
@@ -126,6 +138,8 @@
 	pending  map[string]*write
 	queues   [priorities][]*write
 	current  *Transaction
+	// change waits to be the next transaction.
+	change *LeaderChange
 	// unanswered: a transaction without an answer may still be on its way.
 	unanswered bool
 	// most is how many writes a transaction may have: fewer after one was called
@@ -205,6 +219,7 @@
 			}
 			m := w.queues[priority][0]
 			value := m.render()
+			w.host.Rendered(m.key)
 			bytes, fits := w.bytesOf(m, value)
 			if !fits {
 				w.Unmark(m.key)
@@ -246,9 +261,7 @@
 func (w *Writer) add(t *Transaction, m *write, value any) {
 	version := w.versions[m.key]
 	if value == nil && version == 0 {
-		for _, f := range m.then {
-			f()
-		}
+		w.durable(m)
 		return
 	}
 	t.writes = append(t.writes, m)
@@ -262,16 +275,29 @@
 	t.Body.Then = append(t.Body.Then, protocol.Change{Put: m.key, Value: value})
 }
 
+// durable tells those who wait that a record is stored.
+func (w *Writer) durable(m *write) {
+	w.host.Stored(m.key)
+	for _, f := range m.then {
+		f()
+	}
+}
+
 // fence has the transaction write the leader key, unless it does so already.
 func (w *Writer) fence(t *Transaction) {
 	if !w.unanswered || t.fencing {
 		return
 	}
-	t.fencing = true
-	t.Body.Then = append(t.Body.Then, protocol.Change{Put: w.leader.Key, Value: w.leader.Record(), Lease: w.leader.Lease})
+	w.putLeader(t, w.leader.Form)
 	w.changes.Take(w.host.Now(), 1)
 }
 
+// putLeader has the transaction store the leader key.
+func (w *Writer) putLeader(t *Transaction, form LeaderForm) {
+	t.fencing, t.leader = true, form
+	t.Body.Then = append(t.Body.Then, protocol.Change{Put: w.leader.Key, Value: form.Record, Lease: form.Lease})
+}
+
 // Flush sends the next transaction, if none is under way.
 func (w *Writer) Flush() {
 	t := w.current
@@ -279,7 +305,10 @@
 		if !w.host.MayCall() {
 			return
 		}
-		if t = w.Compose(); t == nil {
+		if t = w.composeChange(); t == nil {
+			t = w.Compose()
+		}
+		if t == nil {
 			return
 		}
 		w.current = t
@@ -309,7 +338,7 @@
 			return
 		}
 		if t.fencing {
-			w.leader.Version, w.unanswered = reply.Revision, false
+			w.stored(t, reply.Revision)
 		}
 		w.applied(t, reply.Revision)
 	case 409:
@@ -323,7 +352,7 @@
 	case 400:
 		if t.uncertain {
 			// An earlier try may have applied all the same.
-			t.readback = slices.Concat(t.Puts, t.dels)[0]
+			t.readback = w.readbackKey(t)
 			return
 		}
 		w.malformed(t)
@@ -338,6 +367,14 @@
 	}
 }
 
+// readbackKey is the key that tells whether a transaction has applied.
+func (w *Writer) readbackKey(t *Transaction) string {
+	if t.change != nil {
+		return w.leader.Key
+	}
+	return slices.Concat(t.Puts, t.dels)[0]
+}
+
 // onConflict takes the keys that had other versions than the transaction said.
 func (w *Writer) onConflict(t *Transaction, failed []string) {
 	switch {
@@ -347,7 +384,7 @@
 			return
 		}
 		t.readback = w.leader.Key // an earlier try of ours may have written it
-	case !t.uncertain:
+	case !t.uncertain || t.change != nil:
 		// Nobody else may write our keys: the ledger is not what we think.
 		w.log.Error("versions differ", "keys", fmt.Sprint(failed))
 		w.host.End("the ledger differs from memory")
@@ -370,6 +407,11 @@
 // itself is given up, and its users are told to come back.
 func (w *Writer) malformed(t *Transaction) {
 	w.current = nil
+	if t.change != nil {
+		w.log.Error("the leader key's new form was called malformed")
+		t.change.Refused()
+		return
+	}
 	if t.fencing && len(t.writes) == 1 {
 		w.host.End("the leader key can't be written")
 		return
@@ -421,12 +463,16 @@
 	}
 	t.readback = ""
 	if key == w.leader.Key {
-		if !w.leader.IsOurs(it.Value) {
+		if it.Version == w.leader.Version {
+			w.malformed(t) // it did not apply, and the last try was refused
+			return
+		}
+		if !w.leader.Equal(it.Value, t.leader.Record) {
 			w.host.End("another leader's key")
 			return
 		}
 		// A try of ours wrote the leader key, and all else with it.
-		w.leader.Version, w.unanswered = it.Version, false
+		w.stored(t, it.Version)
 		w.applied(t, it.Version)
 		return
 	}
@@ -437,6 +483,11 @@
 	w.applied(t, it.Version)
 }
 
+// stored notes that the transaction's leader key is the stored one.
+func (w *Writer) stored(t *Transaction, version uint64) {
+	w.leader.Version, w.leader.Form, w.unanswered = version, t.leader, false
+}
+
 func (w *Writer) applied(t *Transaction, revision uint64) {
 	for _, key := range t.Puts {
 		w.versions[key] = revision
@@ -449,8 +500,9 @@
 	// A value out of range is clipped; the histogram only serves the log.
 	_ = w.took.RecordValue(min(longestMillis, max(1, (w.host.Now()-t.made).Milliseconds())))
 	for _, m := range t.writes {
-		for _, f := range m.then {
-			f()
-		}
+		w.durable(m)
+	}
+	if t.change != nil {
+		t.change.Applied()
 	}
 }
--- a/internal/statestore/writer_test.go
+++ b/internal/statestore/writer_test.go
@@ -36,6 +36,8 @@
 func (s *scripted) End(why string)       { s.ended = why }
 func (s *scripted) Ended() bool          { return s.ended != "" }
 func (s *scripted) Unavailable()         { s.refused++ }
+func (s *scripted) Rendered(string)      {}
+func (s *scripted) Stored(string)        {}
 func (s *scripted) Abandoned(key string) { s.abandoned = append(s.abandoned, key) }
 
 // last is the request that left last.
@@ -52,10 +54,10 @@
 func newScripted(changes int) (*scripted, *Writer) {
 	s := &scripted{}
 	tokens := budget.New(1000, 1000)
-	key := LeaderKey{Key: "c/leader", Version: 5, Lease: 3, Record: func() any { return ourRecord },
-		IsOurs: func(value []byte) bool {
-			var record string
-			return protocol.Decode(value, &record) == nil && record == ourRecord
+	key := LeaderKey{Key: "c/leader", Version: 5, Form: LeaderForm{Record: ourRecord, Lease: 3},
+		Equal: func(value []byte, record any) bool {
+			var stored string
+			return protocol.Decode(value, &stored) == nil && stored == record
 		}}
 	w := NewWriter(s, slog.New(slog.DiscardHandler), Limits{Changes: changes, ValueBytes: 100, Timeout: time.Second}, &tokens, key)
 	return s, w
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -115,6 +115,31 @@
 	r.set.GetOrCreateCounter(fmt.Sprintf(`claybarrow_messages_dropped_total{reason=%q}`, reason)).Inc()
 }
 
+// GateChanged takes a change of the feature gate's state: a gauge (0 closed, 1 opening, 2 open, 3
+// closing), and a span of no length with what the controllers stated.
+func (r *Recorder) GateChanged(change coordination.GateChange) {
+	r.set.GetOrCreateGauge("claybarrow_feature_gate_state", nil).Set(float64(change.To))
+	r.set.GetOrCreateCounter(fmt.Sprintf(`claybarrow_feature_gate_changes_total{to=%q}`, change.To)).Inc()
+	if r.tracer == nil {
+		return
+	}
+	attributes := []attribute.KeyValue{attribute.Int64("token", int64(change.Token)), attribute.String("from", change.From.String()),
+		attribute.String("to", change.To.String()), attribute.String("why", change.Why)}
+	for label, statement := range change.Statements {
+		attributes = append(attributes, attribute.String("statement."+label, statement))
+	}
+	at := trace.WithTimestamp(r.start.Add(change.At))
+	_, span := r.tracer.Start(context.Background(), "feature gate", at, trace.WithAttributes(attributes...))
+	span.End(trace.WithTimestamp(r.start.Add(change.At)))
+}
+
+// Journal takes what the journal of ends holds.
+func (r *Recorder) Journal(size coordination.JournalSize) {
+	for name, value := range map[string]int{"values": size.Values, "ends": size.Ends, "waiting": size.Waiting, "unreadable": size.Unreadable} {
+		r.set.GetOrCreateGauge("claybarrow_end_journal_"+name, nil).Set(float64(value))
+	}
+}
+
 // MachineSent counts a machine that was sent to another controller.
 func (r *Recorder) MachineSent(_, to string) {
 	r.set.GetOrCreateCounter(fmt.Sprintf(`claybarrow_machines_sent_total{to=%q}`, to)).Inc()
