--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -194,6 +194,8 @@
 type Config struct {
 	Settings
 	Operator Operator
+	// namesGate: the operators' file has keys that versions before the feature gate refuse.
+	namesGate bool
 }
 
 // Load reads and checks the platform's file and, if named, the operators'.
@@ -229,6 +231,7 @@
 	if unknown := meta.Undecoded(); len(unknown) > 0 {
 		return nil, fmt.Errorf("operators' settings: unknown key %s", unknown[0])
 	}
+	c.namesGate = meta.IsDefined("upgrade") || meta.IsDefined("end_journal")
 	if err := c.check(); err != nil {
 		return nil, err
 	}
--- a/internal/config/size.go
+++ b/internal/config/size.go
@@ -83,5 +83,28 @@
 		out = append(out, fmt.Sprintf("settings: cluster.workers.lease_s: a take-over of %.0f machines may take %.1f s, the leader's lease is %.1f s at the most",
 			size, takeOver.Seconds(), longest.Seconds()))
 	}
+	return append(out, c.gateWarnings()...)
+}
+
+// gateChanges is how many changes the feature gate's transactions have at the most.
+const gateChanges = 3
+
+// GateFits says whether the state service's limits allow the feature gate's transactions.
+func (c *Config) GateFits() bool { return c.Cluster.State.Both().TxnOps >= gateChanges }
+
+// gateWarnings tells what operators should know of a rolling upgrade by this file.
+func (c *Config) gateWarnings() []string {
+	var out []string
+	if c.namesGate {
+		out = append(out, "operators' settings: [upgrade] and [end_journal] are refused by versions before the feature gate: "+
+			"in an upgrade the program changes first and then this file, in a rollback this file first and then the program")
+	}
+	if c.Operator.EndJournal.Enabled && c.Operator.Upgrade.Hold {
+		out = append(out, "operators' settings: end_journal.enabled waits while upgrade.hold is true: the feature gate stays closed")
+	}
+	if c.Operator.EndJournal.Enabled && !c.GateFits() {
+		out = append(out, fmt.Sprintf("operators' settings: end_journal.enabled: cluster.state.txn_ops is %d, the feature gate needs %d",
+			c.Cluster.State.Both().TxnOps, gateChanges))
+	}
 	return out
 }
--- /dev/null
+++ b/internal/coordination/ends_test.go
@@ -0,0 +1,243 @@
+package coordination
+
+import (
+	"bytes"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"testing"
+
+	"claybarrow/internal/emulator"
+	"claybarrow/internal/endjournal"
+	"claybarrow/internal/ledger"
+	"claybarrow/internal/protocol"
+)
+
+// shadow is what a leader elected now would find: a term that has read the store.
+func (ro *rollout) shadow() *term {
+	core := New(ro.cfgs[0], ro.rng, ro.nodes[0].core.log)
+	core.now = ro.Now()
+	rec, _ := ro.stored()
+	r := newTerm(core, &rec, 1, 0)
+	for _, prefix := range loadOrder(rec.form()) {
+		var items []protocol.Item
+		for _, key := range ro.state.Keys() {
+			if strings.HasPrefix(key, prefix) {
+				it := ro.state.Item(key)
+				items = append(items, protocol.Item{Key: key, Value: it.Value, Version: it.Version})
+			}
+		}
+		r.loadItems(items)
+	}
+	return r
+}
+
+// checkShadow compares what a take-over would find with what runs: each attempt that is on a machine
+// is known there, and what was cleared from the workers' reports is done.
+// lost are tasks that were done on a machine that died with them: they may be unknown.
+func (ro *rollout) checkShadow(lost map[string]bool) {
+	r := ro.shadow()
+	reported := maps.Clone(lost)
+	for _, k := range ro.fleet() {
+		for name, task := range k.Tasks {
+			id, _, _ := strings.Cut(name, "@")
+			if task.State == protocol.Exited {
+				reported[id] = true
+				continue
+			}
+			uid, index, _ := ledger.ParseTask(id)
+			j, m := r.Jobs[uid], r.Machines[k.ID]
+			if j == nil || k.Gone {
+				continue
+			}
+			if m == nil || m.Attempts[ledger.Key{Task: ledger.Task(uid, index), Try: task.Try}] == nil {
+				ro.breaks("a take-over does not know that %s, attempt %d, is on %s", id, task.Try, k.ID)
+			}
+		}
+	}
+	for id := range ro.finished {
+		uid, index, _ := ledger.ParseTask(id)
+		if j := r.Jobs[uid]; j != nil && !reported[id] && !j.IsDone(index) && !j.Spec.Service {
+			ro.breaks("a take-over does not know that %s is done, and nobody reports it", id)
+		}
+	}
+}
+
+// At each moment of a history with the journal a take-over would find what it needs: while arrays end,
+// machines die, leaders end, transactions are late and their answers lost.
+func TestTakeOverAtEachMoment(t *testing.T) {
+	for seed := range uint64(4) {
+		ro := newRollout(t, 500+seed, usualShape)
+		ro.opened()
+		ro.interrupts = true
+		turn, lost := 0, map[string]bool{}
+		ro.onStep = func(step gateStep, _ int) fate {
+			turn++
+			if step != journals || turn%3 != 0 {
+				return fate{}
+			}
+			return fate{hold: ro.ms(0, 2000), answerLost: turn%2 == 0}
+		}
+		for second := range 60 {
+			for range 10 {
+				ro.run(tick)
+				ro.checkShadow(lost)
+			}
+			switch {
+			case second%20 == 7:
+				ro.endSoon(ro.awaitLeader())
+			case second%20 == 17:
+				for _, k := range ro.fleet() {
+					if !k.Gone && k.Up && len(k.Tasks) > 0 {
+						for name := range k.Tasks {
+							id, _, _ := strings.Cut(name, "@")
+							lost[id] = true
+						}
+						k.Die()
+						break
+					}
+				}
+			}
+		}
+		if ro.steps[journals] < 10 {
+			t.Errorf("the journal was written %d times", ro.steps[journals])
+		}
+		ro.over()
+	}
+}
+
+// What can't be read of the journal is told and left where it is, and stops nothing else. What is of
+// no use is folded away, and a machine's record that is newer than a value knows better.
+func TestDamagedJournal(t *testing.T) {
+	ro := newRollout(t, 510, usualShape)
+	ro.opened()
+	ro.run(10 * second)
+	var logged bytes.Buffer
+	ro.logged = func(_ int, line []byte) { logged.Write(line) }
+	for i := range ro.nodes {
+		ro.crash(i)
+	}
+	ro.run(second)
+	store := func(key string, v any) { ro.state.Change(key, &emulator.Item{Value: protocol.Encode(v)}) }
+	good := func(token, number uint64, ends ...endjournal.Entry) endjournal.Value {
+		return endjournal.Encode(token, number, ends)
+	}
+	truncated, altered, later := good(1, 1, endjournal.Entry{Job: "j-1"}), good(1, 2, endjournal.Entry{Job: "j-1"}), good(1, 3)
+	truncated.Body, altered.Sum, later.Form = truncated.Body[:4], altered.Sum+1, endjournal.Form+1
+	unreadable := []string{endjournal.Key(1, 1), endjournal.Key(1, 2), endjournal.Key(1, 3), endjournal.Key(1, 4), "g/1/five", "g/1/6"}
+	for i, v := range []any{truncated, altered, later, good(2, 4), good(1, 5), "text"} {
+		store(unreadable[i], v)
+	}
+	store(endjournal.Key(1, 7), good(1, 7, endjournal.Entry{Job: "j-999999"},
+		endjournal.Entry{Job: "j-999999", Machine: "i-999999", Attempt: 3}, endjournal.Entry{Job: "j-1", Index: 99_999}))
+	// A value that says that a replica has left, and the machine's record, which was written after it.
+	holder := ro.holding("j-1")[0]
+	var rec ledger.MachineRecord
+	key := ledger.MachinePrefix + holder.ID
+	if err := protocol.Decode(ro.state.Item(key).Value, &rec); err != nil {
+		t.Fatal(err)
+	}
+	at := slices.IndexFunc(rec.Attempts, func(e ledger.AttemptEntry) bool { return e.Job == "j-1" })
+	store(endjournal.Key(1, 8), good(1, 8, endjournal.Entry{Job: "j-1", Index: rec.Attempts[at].Index, Machine: holder.ID, Attempt: rec.Attempts[at].Try}))
+	store(key, rec)
+	for i := range ro.nodes {
+		ro.boot(i)
+	}
+	ro.awaitLeader()
+	ro.run(60 * second)
+	for _, key := range unreadable {
+		if ro.state.Item(key) == nil {
+			t.Errorf("%s, which can't be read, is gone", key)
+		}
+		if !strings.Contains(logged.String(), fmt.Sprintf("key=%s ", key)) {
+			t.Errorf("%s is not told of", key)
+		}
+	}
+	for _, n := range []uint64{7, 8} {
+		if ro.state.Item(endjournal.Key(1, n)) != nil {
+			t.Errorf("%s is still there", endjournal.Key(1, n))
+		}
+	}
+	if !strings.Contains(logged.String(), "unreadable=6") {
+		t.Error("the number of unreadable values is not told")
+	}
+	for _, task := range []string{"j-1/0", "j-1/1", "j-1/2", "j-1/3"} {
+		if ro.starts[task] > 1+ro.moved[task] {
+			t.Errorf("%s began %d times", task, ro.starts[task])
+		}
+	}
+	ro.keptRules()
+}
+
+// A leader record of a form that is not known, or that can't be read: nobody campaigns, users are told to come
+// back, and what is stored stays as it is.
+func TestLeaderRecordFromTheFuture(t *testing.T) {
+	for name, value := range map[string]any{
+		"a later form":      leaderRecord{Label: "n9", Token: 40, Form: uint64(newestForm) + 1},
+		"other than a map":  []int{1, 2},
+		"fields of another": map[string]any{"l": 7, "n": "token"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			ro := newRollout(t, 520, usualShape)
+			ro.opened()
+			ro.run(5 * second)
+			for i := range ro.nodes {
+				ro.crash(i)
+			}
+			ro.run(10 * second)
+			stored := protocol.Encode(value)
+			ro.logged = nil
+			ro.world.script = nil
+			ro.state.Change(keyLeader, &emulator.Item{Value: stored})
+			for i := range ro.nodes {
+				ro.boot(i)
+			}
+			ro.run(5 * second)
+			status := 0
+			ro.user(0, OpPoll, "j-1", func(s int, _ protocol.Standing) { status = s })
+			ro.run(3 * second)
+			if ro.leader() >= 0 || status != 503 || !bytes.Equal(ro.state.Item(keyLeader).Value, stored) {
+				t.Errorf("leader %d, answer %d", ro.leader(), status)
+			}
+		})
+	}
+}
+
+// What controllers state keeps the gate closed or closes it; forms beyond the known do neither.
+func TestStatementsOfForms(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		statement *protocol.FormStatement
+		open      bool
+	}{
+		{"later forms", &protocol.FormStatement{Reads: 99, Writes: 99}, true},
+		{"reads less", &protocol.FormStatement{}, false},
+		{"does not write", &protocol.FormStatement{Reads: 1}, false},
+		{"writes what it does not read", &protocol.FormStatement{Writes: 1}, false},
+		{"holds", &protocol.FormStatement{Reads: 1, Writes: 1, Hold: true}, false},
+		{"nothing", nil, false},
+	} {
+		ro := newRollout(t, 530, usualShape)
+		lead := ro.awaitLeader()
+		stating := (lead + 1) % 3
+		ro.world.script = func(node int, call Call) fate {
+			// It never leads, and the test heartbeats for it.
+			return fate{lost: node == stating && (call.Path == "/heartbeat" || call.Path == "/leases")}
+		}
+		ro.roll([]int{lead, stating, 3 - lead - stating}, newerOperator(""))
+		for range 60 {
+			ro.run(tick * 5)
+			if to := ro.leader(); to >= 0 && to != stating {
+				ask := protocol.Heartbeat{From: label(stating), Incarnation: "x", Forms: c.statement}
+				ro.ask(to, Request{Op: OpHeartbeat, Body: protocol.EncodePeer(ask)}, func(Reply) {})
+			}
+		}
+		if lead := ro.awaitLeader(); lead == stating {
+			t.Fatalf("%s: the stating one leads", c.name)
+		}
+		if ro.gateIs("open") != c.open {
+			t.Errorf("%s: the gate is open %v", c.name, !c.open)
+		}
+	}
+}
--- a/internal/coordination/gate.go
+++ b/internal/coordination/gate.go
@@ -24,10 +24,6 @@
 // opening, so that a process that comes and goes does not have the gate flap.
 const gatePauseLeases = 6
 
-// gateChanges is how many changes the gate's transactions have at the most: an election with the
-// gate open writes counter, leader and lease.
-const gateChanges = 3
-
 // formStatement is what this controller states of itself.
 func (c *Core) formStatement() *protocol.FormStatement {
 	s := &protocol.FormStatement{Reads: uint64(newestForm), Hold: c.cfg.Operator.Upgrade.Hold}
@@ -49,7 +45,7 @@
 func (r *term) newGate() *featuregate.Gate {
 	cfg := r.c.cfg
 	settings := featuregate.Settings{Form: endsForm, Self: cfg.Label, Own: *readStatement(r.c.formStatement()),
-		Fits:    cfg.Cluster.State.Both().TxnOps >= gateChanges,
+		Fits:    cfg.GateFits(),
 		Settled: cfg.LeaderTTL(), Patience: cfg.Lease(), Pause: gatePauseLeases * cfg.Lease()}
 	for _, s := range cfg.Siblings {
 		settings.Peers = append(settings.Peers, s.Label)
--- a/internal/coordination/rollout_test.go
+++ b/internal/coordination/rollout_test.go
@@ -208,8 +208,8 @@
 	if it == nil {
 		return rec, 0
 	}
-	if err := protocol.Decode(it.Value, &rec); err != nil {
-		ro.t.Fatal(err)
+	if protocol.Decode(it.Value, &rec) != nil {
+		rec = leaderRecord{Form: unreadableForm}
 	}
 	return rec, it.Lease
 }
--- /dev/null
+++ b/internal/endjournal/value_test.go
@@ -0,0 +1,140 @@
+package endjournal
+
+import (
+	"encoding/base64"
+	"errors"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"testing"
+
+	"github.com/RoaringBitmap/roaring/v2"
+	"github.com/fxamacker/cbor/v2"
+
+	"claybarrow/internal/protocol"
+)
+
+// randomEnds are different ends of a few jobs and machines.
+func randomEnds(random *rand.Rand, n int) []Entry {
+	seen := map[Entry]bool{}
+	var out []Entry
+	for len(out) < n {
+		e := Entry{Job: "j-" + strconv.Itoa(100000+random.IntN(9)), Index: random.IntN(mostTasks)}
+		if random.IntN(2) == 0 {
+			e.Machine, e.Attempt = "i-"+strconv.Itoa(100000+random.IntN(9)), random.Uint64()
+		}
+		if !seen[e] {
+			seen[e] = true
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
+// What is encoded is decoded, through the state service's own form, in any order.
+func TestValuesAreReadAsTheyWereWritten(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 2))
+	for n := range 200 {
+		ends := randomEnds(random, n)
+		var stored Value
+		if err := protocol.Decode(protocol.Encode(Encode(7, 3, ends)), &stored); err != nil {
+			t.Fatal(err)
+		}
+		got, err := Decode(Key(7, 3), stored)
+		if err != nil {
+			t.Fatal(err)
+		}
+		slices.SortFunc(ends, compareEntries)
+		slices.SortFunc(got, compareEntries)
+		if !slices.Equal(got, ends) {
+			t.Fatalf("%d ends: %v, want %v", n, got, ends)
+		}
+	}
+}
+
+// The bytes of a value, which every later version has to read.
+func TestBytesOfAValue(t *testing.T) {
+	v := Encode(41, 2, []Entry{{Job: "j-000412", Index: 3}, {Job: "j-000412", Index: 3, Machine: "i-000231", Attempt: 41<<24 | 5}})
+	want := Value{Form: 1, Token: 41, Number: 2, Sum: 5072850733736187686,
+		Body: "ogGBgmhqLTAwMDQxMlI6MAAAAQAAAAAAAAAQAAAAAwACgYJoaS0wMDAyMzGBg2hqLTAwMDQxMgMaKQAABQ=="}
+	if v != want {
+		t.Errorf("%+v", v)
+	}
+}
+
+// sealed is a value with a body that may be anything, and the checksum that belongs to it.
+func sealed(token, number uint64, body []byte) Value {
+	return Value{Form: Form, Token: token, Number: number, Sum: checksum(token, number, body), Body: base64.StdEncoding.EncodeToString(body)}
+}
+
+func sealedEntries(t testing.TB, in entries) Value {
+	body, err := cbor.Marshal(in)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return sealed(5, 1, body)
+}
+
+// Every kind of damage is told, and ends nothing.
+func TestDamagedValues(t *testing.T) {
+	good := Encode(5, 1, []Entry{{Job: "j-000001", Index: 1}, {Job: "j-000001", Index: 2, Machine: "i-000001", Attempt: 9}})
+	change := func(alter func(v *Value)) Value {
+		v := good
+		alter(&v)
+		return v
+	}
+	beyond, err := roaring.BitmapOf(mostTasks).ToBytes()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct {
+		name string
+		key  string
+		v    Value
+		want error
+	}{
+		{"a later form", Key(5, 1), change(func(v *Value) { v.Form = Form + 1 }), ErrForm},
+		{"no form", Key(5, 1), change(func(v *Value) { v.Form = 0 }), ErrMalformed},
+		{"of another token", Key(6, 1), good, ErrPlace},
+		{"of another number, as if doubled", Key(5, 2), good, ErrPlace},
+		{"token changed in place", Key(6, 1), change(func(v *Value) { v.Token = 6 }), ErrChecksum},
+		{"truncated", Key(5, 1), change(func(v *Value) { v.Body = v.Body[:len(v.Body)-4] }), ErrChecksum},
+		{"no base64", Key(5, 1), change(func(v *Value) { v.Body = "?" + v.Body[1:] }), ErrMalformed},
+		{"altered", Key(5, 1), change(func(v *Value) { v.Body = "AAAA" + v.Body[4:] }), ErrChecksum},
+		{"another checksum", Key(5, 1), change(func(v *Value) { v.Sum++ }), ErrChecksum},
+		{"nothing", Key(5, 1), Value{}, ErrMalformed},
+		{"not CBOR", Key(5, 1), sealed(5, 1, []byte{0xff}), ErrMalformed},
+		{"no bitmap", Key(5, 1), sealedEntries(t, entries{Done: []doneTasks{{Job: "j-000001", Tasks: []byte("bitmap")}}}), ErrMalformed},
+		{"a task that no job has", Key(5, 1), sealedEntries(t, entries{Done: []doneTasks{{Job: "j-000001", Tasks: beyond}}}), ErrMalformed},
+		{"an attempt of no machine", Key(5, 1), sealedEntries(t, entries{Left: []leftAttempts{{Attempts: []leftAttempt{{Job: "j-000001"}}}}}), ErrMalformed},
+		{"an index that no job has", Key(5, 1), sealedEntries(t, entries{Left: []leftAttempts{{Machine: "i-1", Attempts: []leftAttempt{{Index: mostTasks}}}}}), ErrMalformed},
+		{"a key of something else", "g/5/one", good, ErrMalformed},
+		{"a key with a leading zero", "g/05/1", good, ErrMalformed},
+	} {
+		if got, err := Decode(c.key, c.v); !errors.Is(err, c.want) || got != nil {
+			t.Errorf("%s: %v, %v", c.name, got, err)
+		}
+	}
+}
+
+// FuzzDecode has bodies of any kind decoded: none may end the process or claim what no job has.
+func FuzzDecode(f *testing.F) {
+	for _, ends := range [][]Entry{nil, {{Job: "j-000001", Index: 1}}, {{Job: "j-000001", Index: 2, Machine: "i-000001", Attempt: 9}}} {
+		body, err := cbor.Marshal(group(ends))
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(body)
+	}
+	f.Fuzz(func(t *testing.T, body []byte) {
+		entries, err := Decode(Key(1, 1), sealed(1, 1, body))
+		if err != nil && entries != nil {
+			t.Error("entries beside an error")
+		}
+		for _, e := range entries {
+			if e.Index < 0 || e.Index >= mostTasks {
+				t.Errorf("%+v", e)
+			}
+		}
+	})
+}
