Scale run: upgrade, rollback and hold as faults, with an older program named by path

Need: the upgrade is to be shown with real processes, some of which are killed and frozen. Change: run.older and control.older_operator in a plan; placements dropped, unreadable records, when the gate opened and who ran what then; a run with any of these that must not happen ends as by a broken rule. Measured: 50 workers, three controllers, one killed and one frozen in the midst, hold and rollback after it: the gate opens once and closes once, nothing is dropped.

--- a/internal/featuregate/featuregate_test.go
+++ b/internal/featuregate/featuregate_test.go
@@ -164,7 +164,7 @@
 		}
 		now = beats(g, now, settled, both(&ready))
 	}
-	now += pause
+	now = beats(g, now, patience/2, older) + 2*patience
 	if g.Decide(now, true) != Nothing {
 		t.Error("silence closes it")
 	}
--- a/internal/scalerun/controllers.go
+++ b/internal/scalerun/controllers.go
@@ -30,6 +30,8 @@
 	killed  bool
 	frozen  bool
 	healthy bool
+	// newer: it runs the plan's program, not the older one; held: with the gate held closed.
+	newer, held bool
 }
 
 // operatorSettings keep idle machines: the fleet's size is the plan's, not the demand's.
@@ -37,14 +39,13 @@
 
 // prepareControllers writes the settings of the region's controllers.
 func (r *region) prepareControllers() error {
-	operator := filepath.Join(r.dir, "operator.toml")
-	if err := os.WriteFile(operator, []byte(operatorSettings+r.plan.Control.Operator), 0o600); err != nil {
+	if err := r.writeOperators(); err != nil {
 		return err
 	}
-	r.operator = operator
 	for i := range r.plan.Control.Controllers {
 		c := &controller{label: controllerLabel(i), zone: r.plan.Fleet.Zones[i%len(r.plan.Fleet.Zones)], users: r.userAddress(i),
-			settings: filepath.Join(r.dir, controllerLabel(i)+".json"), log: filepath.Join(r.dir, controllerLabel(i)+".log")}
+			settings: filepath.Join(r.dir, controllerLabel(i)+".json"), log: filepath.Join(r.dir, controllerLabel(i)+".log"),
+			newer: r.plan.Run.Older == ""}
 		raw, err := json.Marshal(r.settingsOf(i))
 		if err != nil {
 			return fmt.Errorf("settings of %s: %w", c.label, err)
@@ -134,7 +135,8 @@
 		return err
 	}
 	defer log.Close()
-	command := exec.Command(r.plan.Run.Program, "--operator", r.operator, "--config", c.settings)
+	program, operator := r.programOf(c)
+	command := exec.Command(program, "--operator", operator, "--config", c.settings)
 	command.Stderr = log
 	command.Env = append(os.Environ(), "LOG_LEVEL="+r.plan.Run.LogLevel)
 	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
--- a/internal/scalerun/faults.go
+++ b/internal/scalerun/faults.go
@@ -42,6 +42,12 @@
 		for i, c := range r.controllers {
 			r.loop.agenda.After(seconds(f.ForS)*time.Duration(i), func() { r.kill(ctx, c) })
 		}
+	case FaultUpgrade, FaultRollback:
+		for i, c := range r.controllers {
+			r.loop.agenda.After(seconds(f.ForS)*time.Duration(i), func() { r.changeProgram(ctx, c, f.Kind == FaultUpgrade) })
+		}
+	case FaultHold:
+		r.hold(ctx)
 	case FaultStateOutage:
 		r.state.Outage(seconds(f.ForS))
 	}
--- a/internal/scalerun/plan.go
+++ b/internal/scalerun/plan.go
@@ -31,7 +31,9 @@
 
 // RunPlan says how long a run takes and what it plays against.
 type RunPlan struct {
-	Program   string  `toml:"program"`    // the deploy build
+	Program string `toml:"program"` // the deploy build
+	// Older is the program that the controllers begin with; empty: they begin with Program.
+	Older     string  `toml:"older"`
 	WarmupS   float64 `toml:"warmup_s"`   // seconds before measuring begins
 	DurationS float64 `toml:"duration_s"` // seconds that are measured
 	Seed      uint64  `toml:"seed"`
@@ -70,6 +72,8 @@
 	RestartS    float64 `toml:"restart_s"` // until a killed one is started again
 	// Operator is added to the operators' settings of the controllers (TOML).
 	Operator string `toml:"operator"`
+	// OlderOperator is added to the settings of run.older.
+	OlderOperator string `toml:"older_operator"`
 }
 
 // StatePlan is each region's state service.
@@ -143,6 +147,9 @@
 	FaultRollRestart  = "roll_restart"  // all controllers are killed one after the other, for_s apart
 	FaultStateOutage  = "state_outage"  // the state service is away for for_s
 	FaultMachineChurn = "machine_churn" // a share of the workers is gone, spread over for_s
+	FaultUpgrade      = "upgrade"       // controllers go from run.older to run.program one after the other, for_s apart
+	FaultRollback     = "rollback"      // and back, one after the other, for_s apart
+	FaultHold         = "hold"          // a controller that does not lead is started again with upgrade.hold
 )
 
 // LimitPlan bounds what a run may take of the machine that it runs on.
@@ -331,7 +338,11 @@
 	for i, f := range p.Faults {
 		field := fmt.Sprintf("faults[%d]", i)
 		switch f.Kind {
-		case FaultKillLeader, FaultKillOther, FaultFreezeLeader, FaultFreezeOther, FaultRollRestart, FaultStateOutage, FaultRack, FaultMachineChurn:
+		case FaultKillLeader, FaultKillOther, FaultFreezeLeader, FaultFreezeOther, FaultRollRestart, FaultStateOutage, FaultRack, FaultMachineChurn, FaultHold:
+		case FaultUpgrade, FaultRollback:
+			if p.Run.Older == "" {
+				return planError(field+".kind", "%q needs run.older", f.Kind)
+			}
 		default:
 			return planError(field+".kind", "%q is not known", f.Kind)
 		}
@@ -351,7 +362,7 @@
 // needsTime says whether the fault lasts.
 func (f *FaultPlan) needsTime() bool {
 	switch f.Kind {
-	case FaultStateOutage, FaultMachineChurn, FaultRollRestart, FaultFreezeLeader, FaultFreezeOther:
+	case FaultStateOutage, FaultMachineChurn, FaultRollRestart, FaultFreezeLeader, FaultFreezeOther, FaultUpgrade, FaultRollback:
 		return true
 	}
 	return false
--- a/internal/scalerun/region.go
+++ b/internal/scalerun/region.go
@@ -20,10 +20,9 @@
 // region plays one region: its state service, its cloud, its workers and its users, against
 // controllers of its own.
 type region struct {
-	plan     *Plan
-	number   int
-	dir      string // for settings and logs
-	operator string // the controllers' operator settings
+	plan   *Plan
+	number int
+	dir    string // for settings and logs
 
 	loop        *loop
 	state       *emulator.StateService
@@ -43,6 +42,7 @@
 
 	ownership   *ownership
 	detection   *detection
+	upgrade     upgradeWatch
 	leaderToken uint64
 	leaderLost  time.Duration // since when there is no leader; 0: there is one
 	stateBase   emulator.StateStats
@@ -101,6 +101,9 @@
 	if err == nil {
 		err = r.lastBroken()
 	}
+	if err == nil && result.Upgrade != nil {
+		err = result.Upgrade.check(number)
+	}
 	return result, err
 }
 
@@ -224,6 +227,7 @@
 
 func (r *region) taskBegins(k *emulator.Worker, task string, t *emulator.Task) {
 	r.rules.begins(k, task, t)
+	r.noteBegin(task, t)
 	r.measure.running++
 	r.detection.began(t.Try >> attemptBlockBits)
 	if r.ownership.began(t.UID, t.Try, r.loop.agenda.Now()) {
@@ -239,6 +243,7 @@
 
 func (r *region) taskLeaves(k *emulator.Worker, task string, t *emulator.Task) {
 	r.rules.leaves(k, task, t)
+	r.noteLeave(task, t)
 	r.measure.running--
 }
 
@@ -294,8 +299,14 @@
 type leaderValue struct {
 	Label string `msgpack:"l"`
 	Token uint64 `msgpack:"n"`
+	// Form is not 0 while the feature gate is not closed: then the key is permanent, and the key of
+	// the lease tells whether its holder leads.
+	Form uint64 `msgpack:"f"`
 }
 
+// leaseKey hangs on the leader's lease while the feature gate is not closed.
+const leaseKey = "c/lease"
+
 // leader is who holds the leader key, or nobody.
 func (r *region) leader() (leaderValue, bool) {
 	var v leaderValue
@@ -303,13 +314,14 @@
 	if it == nil || protocol.Decode(it.Value, &v) != nil {
 		return v, false
 	}
-	return v, true
+	return v, v.Form == 0 || r.state.Item(leaseKey) != nil
 }
 
 // watchLeader counts changes of the leader and how long there was none.
 func (r *region) watchLeader() {
 	now := r.loop.agenda.Now()
 	v, some := r.leader()
+	r.watchGate(v)
 	if !some {
 		r.loseLeader()
 		return
--- a/internal/scalerun/result.go
+++ b/internal/scalerun/result.go
@@ -38,6 +38,7 @@
 	StateKeys       int                   `json:"state_keys"`
 	Ownership       Ownership             `json:"ownership"`
 	Detections      []Detection           `json:"detections,omitempty"`
+	Upgrade         *UpgradeResult        `json:"upgrade,omitempty"`
 	Processes       map[string]ProcessUse `json:"processes"`
 	LoopLateS       float64               `json:"stand_in_latest_s"`
 }
@@ -63,6 +64,9 @@
 		logs = append(logs, c.log)
 	}
 	out.Detections = r.detection.results(logs)
+	if r.plan.Run.Older != "" {
+		out.Upgrade = r.upgradeResult(logs)
+	}
 	for class, d := range m.timeToStart {
 		out.TimeToStart[class] = d.quantiles()
 	}
@@ -114,6 +118,9 @@
 		fmt.Fprintf(b, "  %-17s suspect %.0f to %.0f ms, dead %.0f to %.0f ms, alive %.0f ms; elected %.0f ms, loaded %.0f ms, placed %.0f ms\n",
 			d.Kind, d.SuspectMS, d.SuspectAll, d.DeadMS, d.DeadAll, d.AliveMS, d.ElectedMS, d.LoadedMS, d.PlacedMS)
 	}
+	if u := r.Upgrade; u != nil {
+		fmt.Fprintf(b, "  upgrade           placements dropped %d, unreadable records %d, gate %s\n", u.Dropped, u.Unreadable, strings.Join(u.Gate, ", "))
+	}
 	for _, key := range slices.Sorted(maps.Keys(r.Statuses)) {
 		fmt.Fprintf(b, "  %-17s %d\n", key, r.Statuses[key])
 	}
--- a/internal/scalerun/run_test.go
+++ b/internal/scalerun/run_test.go
@@ -42,7 +42,13 @@
 // play its regions.
 func planFile(t *testing.T, program, rest string) *Plan {
 	t.Helper()
-	text := smallPlan("program = \""+program+"\"\nwarmup_s = 6.0\nduration_s = 8.0\nbase_port = 31000", "workers = 50", rest)
+	return planFileFor(t, "program = \""+program+"\"\nduration_s = 8.0", rest)
+}
+
+// planFileFor is planFile with other settings of the run.
+func planFileFor(t *testing.T, run, rest string) *Plan {
+	t.Helper()
+	text := smallPlan(run+"\nwarmup_s = 6.0\nbase_port = 31000", "workers = 50", rest)
 	file := filepath.Join(t.TempDir(), "plan.toml")
 	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
--- /dev/null
+++ b/internal/scalerun/upgrade_test.go
@@ -0,0 +1,59 @@
+package scalerun
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+)
+
+// Three controllers are upgraded one at a time under load, one is killed and one frozen in the midst; then
+// the gate is held closed and they go back. The older program is this one with the feature withheld.
+func TestUpgradeAndRollback(t *testing.T) {
+	program := buildProgram(t)
+	plan := planFileFor(t, fmt.Sprintf("program = %q\nolder = %q\nduration_s = 36.0", program, program), `[control]
+operator = "[end_journal]\nenabled = true\n"
+restart_s = 1.0
+[[faults]]
+kind = "upgrade"
+at_s = 1.0
+for_s = 3.0
+[[faults]]
+kind = "kill_leader"
+at_s = 5.5
+[[faults]]
+kind = "freeze_other"
+at_s = 8.5
+for_s = 2.0
+[[faults]]
+kind = "hold"
+at_s = 18.0
+[[faults]]
+kind = "rollback"
+at_s = 24.0
+for_s = 3.0`)
+	result, err := Run(context.Background(), plan, os.Args[0], nil)
+	if err != nil {
+		t.Fatalf("%v\n%s", err, result.Summary())
+	}
+	u := result.Regions[0].Upgrade
+	if u == nil || u.Dropped+u.Unreadable > 0 || len(u.Gate) != 2 || !strings.HasPrefix(u.Gate[0], "open at") || !strings.HasPrefix(u.Gate[1], "closed at") {
+		t.Errorf("%+v\n%s", u, result.Summary())
+	}
+	noChildren(t, program)
+}
+
+// What must not happen in an upgrade ends a run as a broken rule does.
+func TestUpgradeResultIsChecked(t *testing.T) {
+	for rule, u := range map[string]UpgradeResult{
+		"": {}, "opened_early": {Early: "controller-1"}, "unreadable": {Unreadable: 1}, "dropped": {Dropped: 2},
+	} {
+		err := u.check(0)
+		var broken *BrokenRule
+		if errors.As(err, &broken) != (rule != "") || broken != nil && broken.Rule != rule {
+			t.Errorf("%+v: %v", u, err)
+		}
+	}
+}
--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -12,6 +12,7 @@
 
 	"claybarrow/internal/config"
 	"claybarrow/internal/coordination"
+	"claybarrow/internal/featuregate"
 	"claybarrow/internal/membership"
 )
 
@@ -38,6 +39,9 @@
 	r.Detoured()
 	r.Retried()
 	r.Resumed(2*time.Second, true)
+	r.GateChanged(coordination.GateChange{Token: 3, From: featuregate.Closed, To: featuregate.Opening})
+	r.GateChanged(coordination.GateChange{Token: 3, From: featuregate.Opening, To: featuregate.Open})
+	r.Journal(coordination.JournalSize{Values: 4, Ends: 60, Unreadable: 1})
 	r.HandedOver(coordination.Handover{Token: 3, Gone: time.Second, Elected: 2 * time.Second, Loaded: 3 * time.Second})
 	w := httptest.NewRecorder()
 	r.ServeHTTP(w, httptest.NewRequest("GET", "/metrics", nil))
@@ -46,7 +50,8 @@
 		`claybarrow_member_state{controller="n1"} 1`, `claybarrow_member_state{controller="n2"} 0`,
 		`claybarrow_messages_dropped_total{reason="sequence_went_backwards"} 1`, `claybarrow_machines_sent_total{to="n2"} 1`,
 		"claybarrow_requests_detoured_total 1", "claybarrow_requests_retried_total 1", `claybarrow_standstills_total{led="true"} 1`,
-		"claybarrow_handovers_total 1",
+		"claybarrow_handovers_total 1", "claybarrow_feature_gate_state 2", `claybarrow_feature_gate_changes_total{to="open"} 1`,
+		"claybarrow_end_journal_values 4", "claybarrow_end_journal_ends 60", "claybarrow_end_journal_unreadable 1",
 	} {
 		if !strings.Contains(w.Body.String(), line) {
 			t.Errorf("no line %s in:\n%s", line, w.Body.String())
