--- a/internal/coordination/gate_test.go
+++ b/internal/coordination/gate_test.go
@@ -254,3 +254,68 @@
 		}
 	}
 }
+
+// Zones part in the midst of an upgrade, while both reach the state service: before the last controller is
+// upgraded, as the gate opens, and while it closes.
+func TestUpgradeWhileZonesPart(t *testing.T) {
+	for _, when := range []gateStep{noStep, opens, closes} {
+		t.Run(string(when), func(t *testing.T) {
+			ro := newRollout(t, 370, wideShape)
+			part := func() {
+				ro.partZones(when != opens, 25*second)
+				parted := ro.world.script
+				ro.world.script = func(node int, c Call) fate {
+					if f := parted(node, c); f != (fate{}) {
+						return f
+					}
+					return ro.fate(node, c)
+				}
+				ro.at(25*second, func() { ro.world.script, ro.reports, ro.off = ro.fate, nil, nil })
+			}
+			struck := false
+			ro.onStep = func(step gateStep, _ int) fate {
+				if step == when && !struck {
+					struck = true
+					ro.at(0, part)
+				}
+				return fate{}
+			}
+			order := ro.leaderAt(2)
+			ro.roll(order[:4], newerOperator(""))
+			if when == noStep {
+				part()
+			}
+			ro.roll(order[4:], newerOperator(""))
+			ro.until(90*second, "the gate is open", func() bool { return ro.gateIs("open") })
+			ro.run(30 * second)
+			ro.restart(ro.leaderAt(0)[3], newerOperator(holdOn))
+			ro.until(90*second, "the gate is closed", func() bool { return ro.gateIs("closed") && len(ro.journalKeys()) == 0 })
+			ro.interrupts = true // a zone's only controller may be restarted while the zone is apart
+			ro.over()
+		})
+	}
+}
+
+// The state service's lower limits come in the midst: values of the journal that were written under the
+// higher ones are folded, and none is refused.
+func TestUpgradeAcrossLowerLimits(t *testing.T) {
+	ro := newRollout(t, 380, usualShape)
+	for i := range ro.cfgs {
+		ro.announced[i] = true
+	}
+	ro.opened()
+	for i := range 30 {
+		ro.submit(fmt.Sprintf("j-%d", 5000+i), map[string]any{"shards": 4, "cores": 0.5, "owner": "blue"})
+	}
+	ro.run(4 * second)
+	ro.state.Limits = lowerLimits
+	ro.run(30 * second)
+	ro.endSoon(ro.awaitLeader())
+	ro.run(20 * second)
+	if ro.state.Over > 0 {
+		t.Errorf("%d transactions were over the limits", ro.state.Over)
+	}
+	ro.restart(ro.leaderAt(0)[1], newerOperator(holdOn))
+	ro.until(60*second, "the gate is closed", func() bool { return ro.gateIs("closed") && len(ro.journalKeys()) == 0 })
+	ro.over()
+}
--- a/internal/coordination/rollout_test.go
+++ b/internal/coordination/rollout_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
+	"claybarrow/internal/config"
 	"claybarrow/internal/endjournal"
 	"claybarrow/internal/protocol"
 )
@@ -24,6 +25,8 @@
 	newerSince []time.Duration
 	// operators are the operators' settings of each; nil: it runs the older version.
 	operators [][]byte
+	// announced are the controllers whose settings name lower limits to come.
+	announced map[int]bool
 	// onStep decides what becomes of a transaction that changes the state of the gate, or the
 	// journal; nil: nothing is broken.
 	onStep func(step gateStep, node int) fate
@@ -31,7 +34,8 @@
 	// states are those that the leader key has gone through.
 	states []string
 	jobs   int
-	// moved counts how often a task was moved to empty its machine, which drops nothing.
+	// moved counts how often the scheduler stopped a task by its own plan, to empty its machine or for
+	// what ranks before it: that drops nothing.
 	moved map[string]int
 	// interrupts: tasks may be started again, as workers' leases run out.
 	interrupts bool
@@ -67,7 +71,7 @@
 // newRollout is a world of older controllers, with replicas and arrays that come and go.
 func newRollout(t *testing.T, seed uint64, shape shape) *rollout {
 	ro := &rollout{world: newShapedWorld(t, seed, nil, shape), newerSince: make([]time.Duration, len(shape.controllers)),
-		operators: make([][]byte, len(shape.controllers)), steps: map[gateStep]int{}, moved: map[string]int{}}
+		operators: make([][]byte, len(shape.controllers)), steps: map[gateStep]int{}, moved: map[string]int{}, announced: map[int]bool{}}
 	w := ro.world
 	w.runs = func(task string) time.Duration { return loadRuns }
 	w.logged = ro.readLog
@@ -89,7 +93,8 @@
 	if bytes.Contains(line, []byte("can't be read")) {
 		ro.breaks("n%d: %s", node, line)
 	}
-	if !bytes.Contains(line, []byte("msg=halt")) || !bytes.Contains(line, []byte("why=moved")) {
+	planned := bytes.Contains(line, []byte("why=moved")) || bytes.Contains(line, []byte(`why="a round's stop"`))
+	if !planned || !bytes.Contains(line, []byte("msg=halt")) {
 		return
 	}
 	for field := range strings.FieldsSeq(string(line)) {
@@ -122,6 +127,9 @@
 		ro.newerSince[i] = ro.Now()
 	}
 	ro.cfgs[i] = testConfig(ro.t, ro.shape, i, operator)
+	if ro.announced[i] {
+		ro.cfgs[i].Cluster.State.Next = &config.NextState{ValueKB: 2, TxnOps: 10, WriteRPS: 35}
+	}
 	ro.nodes[i].older, ro.nodes[i].withoutGate = operator == nil, operator == nil
 	ro.boot(i)
 }
--- a/internal/endjournal/journal.go
+++ b/internal/endjournal/journal.go
@@ -83,6 +83,7 @@
 	key     string
 	bytes   int    // of its body, as last rendered
 	ends    []*end // as stored
+	open    int    // of these, not folded
 	begun   time.Duration
 	stored  bool
 	folding bool
@@ -118,7 +119,7 @@
 // Size is what the journal holds: values, the ends in them that are not folded, and ends that wait.
 func (j *Journal) Size() (values, open, pending int) {
 	for _, v := range j.values {
-		open += len(v.unfolded())
+		open += v.open
 	}
 	for _, e := range j.pending {
 		if !e.folded {
@@ -153,6 +154,7 @@
 		v.ends = append(v.ends, e)
 		j.byRecord[record] = append(j.byRecord[record], e)
 	}
+	v.open = len(v.ends)
 	slices.SortFunc(v.ends, func(a, b *end) int { return compareEntries(a.entry, b.entry) })
 }
 
@@ -194,7 +196,11 @@
 	}
 	e.folded = true
 	e.durable()
-	if v := e.value; v != nil && v != j.tail && len(v.unfolded()) == 0 {
+	v := e.value
+	if v == nil {
+		return
+	}
+	if v.open--; v.open == 0 && v != j.tail {
 		j.remove(v)
 	}
 }
@@ -243,7 +249,7 @@
 	j.next++
 	j.tail = &value{key: Key(j.token, j.next), begun: j.now()}
 	j.values = append(j.values, j.tail)
-	if former != nil && former.stored && len(former.unfolded()) == 0 {
+	if former != nil && former.stored && former.open == 0 {
 		j.remove(former)
 	}
 }
@@ -304,6 +310,7 @@
 	for _, e := range j.rendered {
 		e.value = t
 	}
+	t.open = len(t.unfolded())
 	j.pending = slices.DeleteFunc(j.pending, func(e *end) bool { return e.value != nil || e.folded })
 	ready := j.rendered
 	j.rendered = nil
@@ -371,7 +378,7 @@
 		}
 		old := j.now() >= v.begun+j.limits.FoldAfter
 		switch {
-		case len(v.unfolded()) == 0 && (old || !j.enabled):
+		case v.open == 0 && (old || !j.enabled):
 			j.remove(v)
 		case !v.folding && (old || !j.enabled || len(j.values) > j.limits.Values/2):
 			begun++
@@ -409,7 +416,7 @@
 			j.folder.Fold(e.entry, e.record, j.foldPriority())
 		}
 	}
-	if len(v.unfolded()) == 0 {
+	if v.open == 0 {
 		j.remove(v)
 	}
 }
