--- a/internal/protocol/peers_test.go
+++ b/internal/protocol/peers_test.go
@@ -44,6 +44,20 @@
 	if err := DecodePeer(EncodePeer(Relay{Op: "poll", UID: "j-1", To: "n0"}), &older); err != nil || older.UID != "j-1" {
 		t.Errorf("an older version reads %+v, %v", older, err)
 	}
+	type olderHeartbeat struct {
+		From        string `cbor:"1,keyasint"`
+		Incarnation string `cbor:"2,keyasint"`
+		ServedMS    int64  `cbor:"5,keyasint"`
+	}
+	var olderBeat olderHeartbeat
+	stating := Heartbeat{From: "n1", Incarnation: "ab", ServedMS: -1, Forms: &FormStatement{Reads: 1, Writes: 1, Hold: true}}
+	if err := DecodePeer(EncodePeer(stating), &olderBeat); err != nil || olderBeat != (olderHeartbeat{"n1", "ab", -1}) {
+		t.Errorf("an older version reads %+v, %v", olderBeat, err)
+	}
+	var read Heartbeat
+	if err := DecodePeer(EncodePeer(stating), &read); err != nil || cmp.Diff(stating, read) != "" {
+		t.Errorf("a statement is read as %+v, %v", read.Forms, err)
+	}
 	// Fields that are not known yet do no harm.
 	var h Heartbeat
 	if err := DecodePeer(EncodePeer(map[int]any{1: "n1", 2: "ab", 5: -1, 99: "later"}), &h); err != nil || h.From != "n1" {
