--- a/internal/coordination/records.go
+++ b/internal/coordination/records.go
@@ -76,16 +76,9 @@
 		return
 	}
 	uid, isJob := strings.CutPrefix(key, ledger.JobPrefix)
-	if !isJob || r.proposals[uid] == nil {
-		return
-	}
-	for _, from := range r.proposals[uid].wants {
-		if r.waiting(from) {
-			r.c.refuse(from)
-		}
+	if isJob {
+		r.users.abandon(uid)
 	}
-	delete(r.proposals, uid)
-	r.RemoveJob(uid)
 }
 
 // Rendered is part of statestore.Host.
--- a/internal/coordination/schedule.go
+++ b/internal/coordination/schedule.go
@@ -14,7 +14,7 @@
 	c := r.c
 	g := c.cfg.Operator.Green
 	r.accrue()
-	r.dropStale()
+	r.users.dropStale()
 	if c.now >= r.fillAt {
 		r.fillAt = c.now + seconds(g.FillS)
 		r.fillDirty = true
--- a/internal/coordination/term.go
+++ b/internal/coordination/term.go
@@ -39,8 +39,7 @@
 	suspendedUntil time.Duration
 
 	*ledger.Ledger
-	proposals map[string]*proposal
-	cancels   map[string][]requester
+	users userRequests
 
 	attempts attemptNumbers
 	calls    callLimiter
@@ -104,12 +103,6 @@
 	return left
 }
 
-// proposal is a submission whose record is being written.
-type proposal struct {
-	job   *ledger.Job
-	wants []requester
-}
-
 // loadOrder are the prefixes of a leader's records in the order in which they are read. The journal
 // of ends changes what jobs and machines hold; it is only there while the feature gate is not closed.
 func loadOrder(form featuregate.Form) []string {
@@ -125,8 +118,6 @@
 	r := &term{c: c, token: token, lease: elected.Lease, stored: *elected, confirmed: confirmed, since: c.now,
 		renewAt:     c.now + c.cfg.LeaderTTL()/8,
 		Ledger:      ledger.New(c.cfg.LayoutBytes(), c.cfg.ValueBytes()),
-		proposals:   map[string]*proposal{},
-		cancels:     map[string][]requester{},
 		arrivals:    map[string]*arrivals{},
 		claims:      map[string]claim{},
 		calls:       newCallLimiter(c.cfg.Cluster.Resources),
@@ -145,6 +136,7 @@
 	r.records = r.newRecords(version)
 	r.gate = r.newGate()
 	r.ends = r.newEndRecorder()
+	r.users = newUserRequests(r)
 	r.pool = r.newPool()
 	for _, t := range c.cfg.Cluster.Teams {
 		r.Teams[t.Name] = &sched.Team{
