--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -99,6 +99,29 @@
 	}
 }
 
+// A change of the feature gate is a span with its reason and what every controller stated.
+func TestTraceOfTheGate(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "trace.json")
+	r, err := New(settings(t, file), time.Now())
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.GateChanged(coordination.GateChange{Token: 3, At: time.Second, From: featuregate.Open, To: featuregate.Closing, Why: "n1 is told to hold",
+		Statements: map[string]string{"n1": "reads 1, writes 1, holds", "n2": "no statement"}})
+	if err := r.Close(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	raw, err := os.ReadFile(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, text := range []string{`"feature gate"`, `"closing"`, "n1 is told to hold", "statement.n1", "reads 1, writes 1, holds", "no statement"} {
+		if !strings.Contains(string(raw), text) {
+			t.Errorf("no %s in %s", text, raw)
+		}
+	}
+}
+
 func TestTraceFileThatCantBeOpened(t *testing.T) {
 	if _, err := New(settings(t, filepath.Join(t.TempDir(), "no", "such", "folder")), time.Now()); err == nil || !strings.Contains(err.Error(), "telemetry.trace_file") {
 		t.Errorf("the error is %v", err)
