--- a/internal/coordination/gate_test.go
+++ b/internal/coordination/gate_test.go
@@ -319,3 +319,59 @@
 	ro.until(60*second, "the gate is closed", func() bool { return ro.gateIs("closed") && len(ro.journalKeys()) == 0 })
 	ro.over()
 }
+
+// Transactions that are carried out when the gate has another state than when they were sent: an older
+// leader's and an older candidate's after the opening, the journal's and the opening itself after the closing. All
+// fail by their conditions.
+func TestTransactionsThatCrossTheGate(t *testing.T) {
+	const late = 70 * second
+	for _, c := range []struct {
+		name    string
+		holds   func(ro *rollout, step gateStep, node int) bool
+		closing bool // they arrive after the closing
+	}{
+		{"an older leader's", func(ro *rollout, step gateStep, node int) bool { return ro.nodes[node].withoutGate && step == noStep }, false},
+		{"an older candidate's", func(ro *rollout, step gateStep, node int) bool { return ro.nodes[node].withoutGate && step == elects }, false},
+		{"the journal's", func(_ *rollout, step gateStep, _ int) bool { return step == journals }, true},
+		{"the opening", func(_ *rollout, step gateStep, _ int) bool { return step == opens }, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			ro := newRollout(t, 390, usualShape)
+			held, until := 0, ro.Now()+late
+			ro.world.script = func(node int, call Call) fate {
+				f := ro.fate(node, call)
+				if call.Path == "/multi" && held < 3 && c.holds(ro, ro.stepOf(call.Body), node) {
+					held++
+					f.hold = until - ro.Now()
+					ro.endSoon(node)
+				}
+				return f
+			}
+			if !c.closing {
+				ro.run(3 * second)
+				ro.endSoon(ro.awaitLeader())
+				ro.run(5 * second)
+			}
+			ro.roll(ro.leaderAt(0), newerOperator(""))
+			ro.until(30*second, "the gate is open", func() bool { return ro.gateIs("open") })
+			if c.closing {
+				ro.run(8 * second)
+				ro.restart(ro.leaderAt(0)[1], newerOperator(holdOn))
+				ro.until(30*second, "the gate is closed", func() bool { return ro.gateIs("closed") })
+			}
+			if held == 0 || ro.Now() >= until {
+				t.Fatalf("%d were held until %v, it is %v", held, until, ro.Now())
+			}
+			gate := ro.gateIs("open")
+			conflicts := ro.state.Stats.Conflicts
+			ro.agenda.RunUntil(until + second)
+			if ro.state.Stats.Conflicts == conflicts {
+				t.Error("what was late has met its conditions")
+			}
+			if ro.gateIs("open") != gate {
+				t.Error("what was late has changed the gate")
+			}
+			ro.over()
+		})
+	}
+}
