--- a/internal/coordination/ends.go
+++ b/internal/coordination/ends.go
@@ -24,7 +24,7 @@
 // Ratios of the journal.
 const (
 	// foldLeases is how many workers' leases a value may be there before its ends are folded.
-	foldLeases = 4
+	foldLeases = 2
 	// journalPages is how many of a take-over's requests the journal may take, each of which has
 	// pageBytes at the most.
 	journalPages = 4
--- a/internal/scalerun/run.go
+++ b/internal/scalerun/run.go
@@ -68,6 +68,9 @@
 	}
 	played := *plan
 	played.Run.Program = filepath.Base(plan.Run.Program) // its folder says nothing to others
+	if plan.Run.Older != "" {
+		played.Run.Older = filepath.Base(plan.Run.Older)
+	}
 	result := &Result{Plan: &played, Version: programVersion(ctx, plan.Run.Program), Regions: make([]*RegionResult, plan.Fleet.Regions)}
 	group, ctx := errgroup.WithContext(ctx)
 	for number := range plan.Fleet.Regions {
