Log lines and metrics that the incident at about 4,000 machines lacked

Nothing that was kept tells why questions went unanswered. Added: changes of /ready with their reason, refused requests by reason (one line a workers' lease), records, requests, failures and duration of the loading, since when there was no leader at an election and how long a leadership lasted, the longest event of the loop; counters of the first two. The scale run checks the operators' symptom (75 s without an answer after all faults, however others fare); its earlier check was silent when nobody was answered at all.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -25,6 +25,10 @@
 	follower  *follower
 	relay     *leaderRelay
 	detection *failureDetection
+
+	// loggedReadiness is the last logged answer to readiness checks, if readinessLogged is set.
+	loggedReadiness unreadyReason
+	readinessLogged bool
 }
 
 // New returns a controller in its initial state. All its random numbers come from rng, so that runs are reproducible.
@@ -105,6 +109,7 @@
 // tick runs the periodic work. The leadership's tick comes last because it depends on the results of the other steps.
 func (c *Controller) tick() {
 	c.pending.expire()
+	c.outbox.refusals.tick()
 	c.relay.runRetries()
 	c.catalog.refreshMachineTypes()
 	c.detection.tickFailureDetector()
@@ -121,7 +126,7 @@
 func (c *Controller) becomeLeader(record *leaderRecord, version uint64) {
 	candidate := c.election.candidate
 	c.election.candidate = nil
-	c.env.log.Info("elected leader", "token", record.Token, "lease", record.LeaseID)
+	c.env.log.Info("elected leader", "token", record.Token, "lease", record.LeaseID, "leaderless_s", (c.env.now - c.election.leaderKeys.leaderlessSince).Seconds())
 	c.leadership = newLeadership(c, record, version, candidate.leaseRequestedAt)
 	c.leadership.trace.failover = c.preparer.beginFailover(record.Token)
 	c.leadership.loader.preload = c.preparer.preparation.preload
@@ -136,10 +141,10 @@
 	if l == nil {
 		return
 	}
-	c.env.log.Info("leadership ended", "token", l.lease.token, "reason", reason)
+	c.env.log.Info("leadership ended", "token", l.lease.token, "reason", reason, "led_s", (c.env.now - l.lease.electedAt).Seconds(), "loaded", l.loader.ready)
 	l.lease.ended = true
 	c.leadership = nil
-	c.pending.refuseAll()
+	c.pending.refuseAll(refusedLeadershipEnded)
 	// The copy of the leader keys may be out of date, so they are listed again before they are used.
 	keys := &c.election.leaderKeys
 	keys.leader, keys.leaderlessSince = nil, c.env.now
--- a/internal/controller/follower.go
+++ b/internal/controller/follower.go
@@ -104,18 +104,20 @@
 	return ""
 }
 
-// isReady reports whether a follower should receive users' requests. It is not ready before it has read the leader keys
+// unreadyReason returns why a follower should receive no users' requests, or ready. It is not ready before it has read the leader keys
 // for the first time, after the leader has been unreachable for too long, or after no leader has been known for half a
 // worker lease: in these cases it would reject each request.
-func (f *follower) isReady() bool {
+func (f *follower) unreadyReason() unreadyReason {
 	keys := &f.election.leaderKeys
-	if !keys.listed && keys.leader == nil && keys.leaderlessSince == 0 {
-		return false
-	}
-	if f.lostLeaderTooLong() {
-		return false
-	}
-	return f.leaderLabel() != "" || f.env.now < keys.leaderlessSince+f.env.cfg.WorkerLease()/2
+	switch {
+	case !keys.listed && keys.leader == nil && keys.leaderlessSince == 0:
+		return unreadyKeysUnread
+	case f.lostLeaderTooLong():
+		return unreadyLeaderLost
+	case f.leaderLabel() == "" && f.env.now >= keys.leaderlessSince+f.env.cfg.WorkerLease()/2:
+		return unreadyNoLeader
+	}
+	return ready
 }
 
 // lostLeaderTooLong reports whether no leader has answered for longer than a failover should take. The limit is short
--- a/internal/controller/machines.go
+++ b/internal/controller/machines.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -148,4 +149,4 @@
 	m.ReleaseStored = m.ReleaseStored || m.Releasing
 }
 
-func sortedKeys[V any](m map[string]V) []string { return slices.Sorted(maps.Keys(m)) }
+func sortedKeys[K cmp.Ordered, V any](m map[K]V) []K { return slices.Sorted(maps.Keys(m)) }
--- a/internal/controller/observer.go
+++ b/internal/controller/observer.go
@@ -31,6 +31,11 @@
 	RequestRerouted()
 	// RequestRetried reports a request to the leader whose retry was scheduled.
 	RequestRetried()
+	// RequestRefused reports a user's request that was answered with status 503 or 429, and the reason.
+	RequestRefused(reason string)
+	// ReadinessChanged reports a change of the answer to the load balancer's readiness check. The reason is empty if
+	// the controller is ready.
+	ReadinessChanged(ready bool, reason string)
 	// ProcessResumed reports the length of a process pause that has just ended, and whether this controller was the
 	// leader before the pause.
 	ProcessResumed(pause time.Duration, led bool)
@@ -99,4 +104,6 @@
 func (noObserver) MachineRedirected(string, string)             {}
 func (noObserver) RequestRerouted()                             {}
 func (noObserver) RequestRetried()                              {}
+func (noObserver) RequestRefused(string)                        {}
+func (noObserver) ReadinessChanged(bool, string)                {}
 func (noObserver) ProcessResumed(time.Duration, bool)           {}
--- a/internal/controller/outbox.go
+++ b/internal/controller/outbox.go
@@ -20,6 +20,8 @@
 
 	env   *environment
 	pause *pauseRecovery
+	// refusals counts the refused users' requests.
+	refusals *refusalCounter
 
 	effects    []Effect
 	lastCallID uint64                  // the ID of the latest call
@@ -45,7 +47,7 @@
 
 func newOutbox(env *environment) *outbox {
 	state, cloud := env.cfg.Cluster.State.EffectiveLimits(), env.cfg.Cluster.Cloud
-	o := &outbox{env: env, callbacks: map[uint64]func(Result){},
+	o := &outbox{env: env, refusals: &refusalCounter{env: env, counts: map[refusal]int{}}, callbacks: map[uint64]func(Result){},
 		stateRequests: ratelimit.New(state.RPS*stateRequestShare, state.RPS*stateRequestShare),
 		stateChanges:  ratelimit.New(state.WriteRPS*stateChangeShare, state.WriteRPS*stateChangeBurst),
 		cloudRequests: ratelimit.New(cloud.RPS*cloudRequestShare, cloud.RPS),
@@ -132,6 +134,12 @@
 	o.reply(to, http.StatusServiceUnavailable, nil, retryAfterSeconds)
 }
 
+// refuse refuses a user's request that this controller can't decide now, and counts the reason.
+func (o *outbox) refuse(to requester, reason refusal) {
+	o.refusals.record(reason)
+	o.replyUnavailable(to)
+}
+
 // replyStatus answers a request with the status of a job.
 func (o *outbox) replyStatus(to requester, status int, job protocol.JobStatus) {
 	o.reply(to, status, protocol.Encode(job), 0)
--- a/internal/controller/pending_requests.go
+++ b/internal/controller/pending_requests.go
@@ -45,6 +45,7 @@
 // request with status 429 and returns false.
 func (p *pendingTable) add(from requester) bool {
 	if p.isFull() {
+		p.outbox.refusals.record(refusedTooManyPending)
 		p.outbox.reply(from, http.StatusTooManyRequests, nil, retryAfterSeconds)
 		return false
 	}
@@ -71,15 +72,15 @@
 func (p *pendingTable) expire() {
 	for _, id := range p.sortedIDs() {
 		if pending := p.pendingRequests[id]; p.env.now >= pending.deadline {
-			p.refuse(pending)
+			p.refuse(pending, refusedTimedOut)
 		}
 	}
 }
 
 // refuseAll refuses all waiting requests, so that the users retry at once instead of after their own timeouts.
-func (p *pendingTable) refuseAll() {
+func (p *pendingTable) refuseAll(reason refusal) {
 	for _, id := range p.sortedIDs() {
-		p.refuse(p.pendingRequests[id])
+		p.refuse(p.pendingRequests[id], reason)
 	}
 }
 
@@ -91,9 +92,9 @@
 // isWaiting reports whether the requester still waits for its reply.
 func (p *pendingTable) isWaiting(from requester) bool { return p.pendingRequests[from.id] != nil }
 
-func (p *pendingTable) refuse(pending *pendingRequest) {
+func (p *pendingTable) refuse(pending *pendingRequest, reason refusal) {
 	delete(p.pendingRequests, pending.from.id)
-	p.outbox.replyUnavailable(pending.from)
+	p.outbox.refuse(pending.from, reason)
 }
 
 // sortedIDs returns the IDs of the waiting requests in order of arrival, which keeps simulation runs reproducible.
--- a/internal/controller/process_pause.go
+++ b/internal/controller/process_pause.go
@@ -61,7 +61,7 @@
 	p.election.candidate = nil
 	p.preparer.preparation = failoverPreparation{}
 	p.follower.discardContact()
-	p.pending.refuseAll()
+	p.pending.refuseAll(refusedAfterPause)
 	p.relay.discardRetries()
 }
 
--- a/internal/controller/reasons.go
+++ b/internal/controller/reasons.go
@@ -15,6 +15,19 @@
 	endShutdown                endReason = "shutdown"
 )
 
+// unreadyReason is the logged reason why the readiness check is answered with status 503.
+type unreadyReason string
+
+// Reasons for not being ready.
+const (
+	// ready means that the readiness check is answered with status 200.
+	ready             unreadyReason = ""
+	unreadyLoading    unreadyReason = "records not loaded within a worker lease"
+	unreadyKeysUnread unreadyReason = "leader keys not read yet"
+	unreadyLeaderLost unreadyReason = "leader unreachable"
+	unreadyNoLeader   unreadyReason = "no leader known"
+)
+
 // stopReason is the logged reason for the stop request of an attempt.
 type stopReason string
 
--- a/internal/controller/relay.go
+++ b/internal/controller/relay.go
@@ -69,7 +69,7 @@
 func (r *leaderRelay) relayFromPeer(from requester, path string, forwarded protocol.ForwardedRequest) {
 	leader := r.follower.leaderLabel()
 	if !r.detection.enabled() || forwarded.To == "" || forwarded.To != leader || leader == r.env.cfg.Label {
-		r.outbox.replyUnavailable(from)
+		r.outbox.refuse(from, refusedLeadersDiffer)
 		return
 	}
 	forwarded.To = ""
@@ -79,8 +79,15 @@
 // relayToLeader relays a request to the leader and returns the leader's reply to the requester. It rejects the request
 // if the leader is unreachable, too many requests are pending or the leader does not reply in time.
 func (r *leaderRelay) relayToLeader(from requester, leader, path string, forwarded protocol.ForwardedRequest) {
-	if r.env.peerAddr(leader) == "" || r.isUnreachable(leader) || r.pending.isFull() {
-		r.outbox.replyUnavailable(from)
+	switch {
+	case r.env.peerAddr(leader) == "":
+		r.outbox.refuse(from, refusedNoLeader)
+		return
+	case r.isUnreachable(leader):
+		r.outbox.refuse(from, refusedLeaderUnreachable)
+		return
+	case r.pending.isFull():
+		r.outbox.refuse(from, refusedTooManyPending)
 		return
 	}
 	r.pending.start(from)
@@ -101,7 +108,7 @@
 	}
 	reply, ok := readRelayReply(res)
 	if !ok {
-		r.outbox.replyUnavailable(from)
+		r.outbox.refuse(from, refusedNoReply)
 		return
 	}
 	r.outbox.reply(from, reply.Status, reply.Body, reply.RetryAfter)
--- a/internal/controller/requests.go
+++ b/internal/controller/requests.go
@@ -22,7 +22,7 @@
 	from := requester{id: request.ID}
 	if c.pause.isRecovering() && request.Op.needsLeader() {
 		from.relayed = request.Op == OpRelay || request.Op == OpForwardedHeartbeat
-		c.outbox.replyUnavailable(from)
+		c.outbox.refuse(from, refusedAfterPause)
 		return
 	}
 	switch request.Op {
@@ -101,20 +101,36 @@
 
 // onReadinessCheck answers the load balancer's readiness check.
 func (c *Controller) onReadinessCheck(from requester) {
-	if !c.isReady() {
+	reason := c.unreadyReason()
+	c.logReadiness(reason)
+	if reason != ready {
 		c.outbox.replyUnavailable(from)
 		return
 	}
 	c.outbox.reply(from, http.StatusOK, nil, 0)
 }
 
-// isReady reports whether the load balancer should send requests to this controller. The result must not flap, because
+// logReadiness logs a change of the answer to readiness checks.
+func (c *Controller) logReadiness(reason unreadyReason) {
+	if c.readinessLogged && reason == c.loggedReadiness {
+		return
+	}
+	c.readinessLogged, c.loggedReadiness = true, reason
+	c.env.log.Info("readiness changed", "ready", reason == ready, "reason", reason)
+	c.env.observer.ReadinessChanged(reason == ready, string(reason))
+}
+
+// unreadyReason returns why the load balancer should send no requests to this controller, or ready. The result must not flap, because
 // the load balancer doubles its pause with each removal. A controller is therefore ready while a leader is known, and
 // for a short time after the last leader was lost; requests that need a leader are refused at once with status 503
 // during that time.
-func (c *Controller) isReady() bool {
-	if l := c.leadership; l != nil {
-		return l.loader.ready || c.env.now < l.lease.electedAt+c.env.cfg.WorkerLease()
+func (c *Controller) unreadyReason() unreadyReason {
+	l := c.leadership
+	switch {
+	case l == nil:
+		return c.follower.unreadyReason()
+	case l.loader.ready || c.env.now < l.lease.electedAt+c.env.cfg.WorkerLease():
+		return ready
 	}
-	return c.follower.isReady()
+	return unreadyLoading
 }
--- a/internal/controller/state_loader.go
+++ b/internal/controller/state_loader.go
@@ -35,8 +35,9 @@
 	trace       *failoverTrace
 	views       *schedulerViews
 
-	ready   bool           // all records are loaded
-	preload *recordPreload // the records that were read ahead of the election; nil if there are none
+	ready    bool           // all records are loaded
+	progress loadProgress   // for the log
+	preload  *recordPreload // the records that were read ahead of the election; nil if there are none
 	// loadCapacity caches the fleet's capacity while the counters are loaded (see loadedCapacity).
 	loadCapacity *scheduler.Resources
 	// orphanedCompletions holds the keys of completion records whose job has ended. They were left behind by an earlier
@@ -44,6 +45,11 @@
 	orphanedCompletions []string
 }
 
+// loadProgress counts the steps of the loading.
+type loadProgress struct {
+	records, requests, failedRequests int
+}
+
 // recordKind describes the stored records under one prefix and how they are loaded.
 type recordKind struct {
 	prefix string
@@ -118,7 +124,9 @@
 
 // onPage loads the records of a page and requests the next page. A failed request is retried after a pause.
 func (s *stateLoader) onPage(prefixIndex int, after string, page stateclient.Page, err error) {
+	s.progress.requests++
 	if err != nil {
+		s.recordFailedRequest(err)
 		s.timers.runAt(s.env.now+s.env.retryPause(), func() { s.loadPage(prefixIndex, after) })
 		return
 	}
@@ -131,6 +139,14 @@
 	s.loadPage(prefixIndex+1, "")
 }
 
+// recordFailedRequest counts a failed request, and logs the first one of a leadership.
+func (s *stateLoader) recordFailedRequest(err error) {
+	s.progress.failedRequests++
+	if s.progress.failedRequests == 1 {
+		s.env.log.Info("loading the records failed; retrying", "token", s.lease.token, "err", err)
+	}
+}
+
 // requestChanges requests the changes under a preloaded prefix since the preload. It is called after the election, when
 // earlier leaders can no longer write.
 func (s *stateLoader) requestChanges(prefixIndex int, prefix string, preloaded *preloadedPrefix) {
@@ -158,6 +174,7 @@
 
 // loadRecords loads records. An unreadable record is logged and skipped, so that it does not block the other records.
 func (s *stateLoader) loadRecords(items []protocol.KeyValue) {
+	s.progress.records += len(items)
 	for _, item := range items {
 		s.store.SetVersion(item.Key, item.Version)
 		if err := s.loadRecord(item); err != nil {
@@ -281,7 +298,8 @@
 	s.reviewLoadedAttempts()
 	s.deleteOrphanedCompletions()
 	s.completions.logLoaded()
-	s.env.log.Info("cluster state loaded", "token", s.lease.token, "jobs", len(s.state.Jobs), "terminal_jobs", len(s.state.TerminalJobs), "machines", len(s.state.Machines))
+	s.env.log.Info("cluster state loaded", "token", s.lease.token, "jobs", len(s.state.Jobs), "terminal_jobs", len(s.state.TerminalJobs), "machines", len(s.state.Machines),
+		"records", s.progress.records, "requests", s.progress.requests, "failed_requests", s.progress.failedRequests, "duration_s", (s.env.now - s.lease.electedAt).Seconds())
 	s.placement.fillPending = true
 	s.trace.recordStateLoaded()
 }
--- a/internal/controller/store.go
+++ b/internal/controller/store.go
@@ -74,7 +74,7 @@
 
 // OnUnavailable implements statestore.Host: it rejects the pending requests, so that users need not wait for the state
 // service.
-func (h recordHost) OnUnavailable() { h.leader.controller.pending.refuseAll() }
+func (h recordHost) OnUnavailable() { h.leader.controller.pending.refuseAll(refusedStateUnavailable) }
 
 // OnAbandoned implements statestore.Host. Operations that wait for the abandoned record would otherwise wait
 // indefinitely. Therefore attempts that are not durable and submissions are dropped, a requested deletion of the
--- a/internal/controller/user_requests.go
+++ b/internal/controller/user_requests.go
@@ -75,7 +75,7 @@
 		return
 	}
 	if len(u.catalog.types) == 0 {
-		u.outbox.replyUnavailable(from) // feasibility depends on the machine types, which are not loaded yet
+		u.outbox.refuse(from, refusedNoMachineTypes) // feasibility depends on the machine types, which are not loaded yet
 		return
 	}
 	if reason := u.infeasibleReason(spec); reason != feasible {
@@ -97,8 +97,8 @@
 		u.outbox.replyStatus(from, http.StatusOK, status)
 		return true
 	}
-	if !u.canDecide() {
-		u.outbox.replyUnavailable(from)
+	if reason := u.undecidable(); reason != "" {
+		u.outbox.refuse(from, reason)
 		return true
 	}
 	if j := u.state.Jobs[uid]; j != nil && j.Stored {
@@ -201,7 +201,7 @@
 	}
 	for _, waiter := range submission.waiters {
 		if u.pending.take(waiter) {
-			u.outbox.replyUnavailable(waiter)
+			u.outbox.refuse(waiter, refusedRecordRejected)
 		}
 	}
 	delete(u.pendingSubmissions, uid)
@@ -266,22 +266,31 @@
 		u.outbox.replyStatus(from, http.StatusOK, status)
 		return nil
 	}
-	j := u.state.Jobs[uid]
+	j, reason := u.state.Jobs[uid], u.undecidable()
 	switch {
-	case !u.canDecide():
-		u.outbox.replyUnavailable(from)
+	case reason != "":
+		u.outbox.refuse(from, reason)
 	case j == nil:
 		u.outbox.replyUntil(from, http.StatusNotFound, nil, 0, u.lease.holdsLeaseUntil())
 	case !j.Stored:
-		u.outbox.replyUnavailable(from) // the job's record is not durable yet
+		u.outbox.refuse(from, refusedNotStored)
 	default:
 		return j
 	}
 	return nil
 }
 
-// canDecide reports whether this controller has loaded all records and is certain to be the leader.
-func (u *userRequests) canDecide() bool { return u.loader.ready && u.lease.holdsLease() }
+// undecidable returns why this controller can't answer as the leader: it has not loaded all records, or is not certain
+// to be the leader. The result is empty if it can.
+func (u *userRequests) undecidable() refusal {
+	switch {
+	case !u.loader.ready:
+		return refusedLoading
+	case !u.lease.holdsLease():
+		return refusedLeaseUnconfirmed
+	}
+	return ""
+}
 
 // terminalStatus returns the final status of a job. It returns false if the job is unknown or has no final state yet.
 func (u *userRequests) terminalStatus(uid string) (protocol.JobStatus, bool) {
--- a/internal/scalerun/faultplan.go
+++ b/internal/scalerun/faultplan.go
@@ -59,3 +59,22 @@
 	}
 	return false
 }
+
+// faultsEndS returns when the last fault of the plan has ended, in seconds after the start of the measured phase. A
+// killed controller is restarted after control.restart_s.
+func (p *Plan) faultsEndS() float64 {
+	end := 0.0
+	for _, f := range p.Faults {
+		duration := f.ForS
+		if f.stepsThroughControllers() {
+			duration *= float64(p.Control.Controllers - 1)
+		}
+		end = max(end, f.AtS+duration+p.Control.RestartS)
+	}
+	return end
+}
+
+// stepsThroughControllers reports whether the fault affects the controllers one after another, for_s apart.
+func (f *FaultPlan) stepsThroughControllers() bool {
+	return f.Kind == FaultRollRestart || f.Kind == FaultUpgrade || f.Kind == FaultRollback
+}
--- a/internal/scalerun/invariants.go
+++ b/internal/scalerun/invariants.go
@@ -45,6 +45,8 @@
 	// cancelDeadline is how long a job's tasks may keep running after the job was reported cancelled.
 	cancelDeadline time.Duration
 	violations     chan *RuleViolation
+	// faultsEndedAt is when the last injected fault ends; 0: faults may still occur.
+	faultsEndedAt time.Duration
 }
 
 func newInvariants(queue *emulator.EventQueue, region int, plan *Plan) *invariants {
@@ -172,6 +174,25 @@
 	}
 }
 
+// answerTimeout is the operators' bound: after the end of all faults, no accepted job may go without an answer for
+// longer, however the others fare.
+const answerTimeout = 75 * time.Second
+
+// checkAnswered reports a violation if, since the end of all faults, no request about some accepted job was answered
+// for answerTimeout.
+func (i *invariants) checkAnswered() {
+	if i.faultsEndedAt == 0 {
+		return
+	}
+	now := i.queue.Now()
+	for _, j := range i.jobs {
+		if j.acceptedAt > 0 && !j.finished() && now > max(j.answeredAt, j.acceptedAt, i.faultsEndedAt)+answerTimeout {
+			i.reportViolation(j, "unanswered", "no request about %s was answered for %v after the end of all faults", j.uid, answerTimeout)
+			return
+		}
+	}
+}
+
 // checkOrphanedJobs reports a violation at the end of a run if requests about some jobs went unanswered for
 // orphanTimeout, and returns the number of these jobs.
 func (i *invariants) checkOrphanedJobs() int {
--- a/internal/scalerun/region.go
+++ b/internal/scalerun/region.go
@@ -159,6 +159,7 @@
 	r.loop.every(checkInterval, func() {
 		r.metrics.endSecond()
 		r.invariants.checkForgottenJobs()
+		r.invariants.checkAnswered()
 	})
 }
 
@@ -171,6 +172,7 @@
 	for _, fault := range r.plan.Faults {
 		r.loop.queue.After(seconds(fault.AtS), func() { r.faults.inject(ctx, fault) })
 	}
+	r.loop.queue.After(seconds(r.plan.faultsEndS()), func() { r.invariants.faultsEndedAt = r.loop.queue.Now() })
 }
 
 // fail ends the run with an error. Later errors are dropped.
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -93,6 +93,21 @@
 // RequestRetried counts a retry of a request to the leader.
 func (r *Recorder) RequestRetried() { r.incrementCounter("claybarrow_requests_retried_total") }
 
+// RequestRefused counts a refused user's request by its reason.
+func (r *Recorder) RequestRefused(reason string) {
+	r.incrementCounter(fmt.Sprintf(`claybarrow_requests_refused_total{reason=%q}`, strings.ReplaceAll(reason, " ", "_")))
+}
+
+// ReadinessChanged counts a change of the answer to readiness checks, and sets the gauge of the present answer.
+func (r *Recorder) ReadinessChanged(ready bool, reason string) {
+	value := 0.0
+	if ready {
+		value = 1
+	}
+	r.setGauge("claybarrow_ready", value)
+	r.incrementCounter(fmt.Sprintf(`claybarrow_readiness_changes_total{reason=%q}`, strings.ReplaceAll(reason, " ", "_")))
+}
+
 // ProcessResumed records the length of a process pause and whether the controller was the leader before it.
 func (r *Recorder) ProcessResumed(pause time.Duration, wasLeader bool) {
 	r.incrementCounter(fmt.Sprintf(`claybarrow_standstills_total{led="%t"}`, wasLeader))
--- a/internal/telemetry/recorder_test.go
+++ b/internal/telemetry/recorder_test.go
@@ -39,6 +39,8 @@
 	r.MachineRedirected("i-1", "n2")
 	r.RequestRerouted()
 	r.RequestRetried()
+	r.RequestRefused("records not loaded")
+	r.ReadinessChanged(false, "no leader known")
 	r.ProcessResumed(2*time.Second, true)
 	r.GateChanged(controller.GateChange{Token: 3, From: featuregate.Closed, To: featuregate.Opening})
 	r.GateChanged(controller.GateChange{Token: 3, From: featuregate.Opening, To: featuregate.Open})
@@ -51,6 +53,7 @@
 		`claybarrow_member_state{controller="n1"} 1`, `claybarrow_member_state{controller="n2"} 0`,
 		`claybarrow_messages_dropped_total{reason="sequence_went_backwards"} 1`, `claybarrow_machines_sent_total{to="n2"} 1`,
 		"claybarrow_requests_detoured_total 1", "claybarrow_requests_retried_total 1", `claybarrow_standstills_total{led="true"} 1`,
+		`claybarrow_requests_refused_total{reason="records_not_loaded"} 1`, "claybarrow_ready 0",
 		"claybarrow_handovers_total 1", "claybarrow_feature_gate_state 2", `claybarrow_feature_gate_changes_total{to="open"} 1`,
 		"claybarrow_end_journal_values 4", "claybarrow_end_journal_ends 60", "claybarrow_end_journal_unreadable 1",
 	} {
--- a/internal/transport/event_loop.go
+++ b/internal/transport/event_loop.go
@@ -34,9 +34,14 @@
 			return
 		}
 		if _, isTick := event.(controller.Tick); isTick {
-			s.shedding.logChanges(s.now().Monotonic, s.cfg.WorkerLease(), s.log)
+			now := s.now().Monotonic
+			s.shedding.logChanges(now, s.cfg.WorkerLease(), s.log)
+			s.longest.logLongest(now, s.cfg.WorkerLease(), s.cfg.TickInterval(), s.log)
 		}
-		for _, effect := range s.core.Handle(s.now(), event) {
+		began := s.now()
+		effects := s.core.Handle(began, event)
+		s.longest.record(event, s.now().Monotonic-began.Monotonic)
+		for _, effect := range effects {
 			switch effect := effect.(type) {
 			case controller.Reply:
 				if reply := replyChannels[effect.ID]; reply != nil {
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -40,6 +40,7 @@
 	// clientListener is nil until Run opens it.
 	clientListener *connLimiter
 	shedding       loadShedding
+	longest        longestEvent
 	clients        map[controller.Target]*http.Client
 	startTime      time.Time
 	// metrics handles GET /metrics at peer_listen. If it is nil, the route does not exist.
