A restarted controller asks the leader first, and stays ready while a sibling hangs

Callers saw a restarted controller turn ready and, two or three seconds later, unready again, although another controller led and was reachable; the check that fails then is the third of six for the load balancer, which removes the controller once more and doubles its pause. Cause: the first heartbeat left before the leader keys had been read, to the first sibling; if that one hangs, its timeout passes twice before the leader is asked, which is longer than a leader may stay lost. Now no heartbeat leaves before the first list of the keys was answered or has failed, so the first one goes to the leader that they name. TestRestartedControllerDoesNotFlapReadinessWhileSiblingHangs failed before.

--- a/internal/controller/follower.go
+++ b/internal/controller/follower.go
@@ -146,6 +146,9 @@
 	if contact.inFlight || f.env.now < contact.nextAt || len(f.env.cfg.Siblings) == 0 {
 		return
 	}
+	if !f.election.leaderKeys.attempted {
+		return // a sibling asked before the leader is known may hang, and hold up the first heartbeat to the leader
+	}
 	target := f.heartbeatTarget()
 	if f.env.peerAddr(target) == "" {
 		return
