The leader counts as lost by a new process once it was asked itself

Taken back; the same fault is mended where it is decided: a new process whose first heartbeats went to a sibling that hangs is unready only once the leader that the state service names has left a heartbeat unanswered. Relays go to that leader directly, so such a controller can serve. No message changes.

--- a/internal/controller/election.go
+++ b/internal/controller/election.go
@@ -138,7 +138,6 @@
 // onLeaderKeysListed replaces the copy of the leader keys with the result of a list request.
 func (e *election) onLeaderKeysListed(page stateclient.Page, err error) {
 	keys := &e.leaderKeys
-	keys.attempted = true
 	if err != nil {
 		keys.retryAt = e.env.now + e.env.retryPause()
 		e.logListFailure(apicall.StatusOf(err))
--- a/internal/controller/follower.go
+++ b/internal/controller/follower.go
@@ -57,6 +57,7 @@
 	// the time of the first failure since the last reply.
 	leaderLost        bool
 	leaderLostAt      time.Duration
+	unansweredBy      string        // label of the presumed leader that last left a heartbeat unanswered
 	connectionRefused bool          // the last connection to the leader was refused without delay
 	keysRefreshedAt   time.Duration // when the loss of the leader last caused the leader keys to be listed again
 	leaderProbes      leaderProbes  // probes of the workers' route to the leader since it was lost
@@ -128,6 +129,9 @@
 	}
 	limit := f.env.cfg.WorkerLease() / 2
 	if f.storeNamesLeader() {
+		if f.contact.leaderLostAt == 0 && f.contact.unansweredBy != f.election.leaderKeys.leader.Label {
+			return false // a new process whose heartbeats other controllers hold up; its relays to the leader may work
+		}
 		limit = min(f.env.maxFailoverTime(), f.env.cfg.WorkerLease()*3/20)
 	}
 	return f.env.now > f.contact.leaderLostAt+limit
@@ -146,9 +150,6 @@
 	if contact.inFlight || f.env.now < contact.nextAt || len(f.env.cfg.Siblings) == 0 {
 		return
 	}
-	if !f.election.leaderKeys.attempted {
-		return // a sibling asked before the leader is known may hang, and hold up the first heartbeat to the leader
-	}
 	target := f.heartbeatTarget()
 	if f.env.peerAddr(target) == "" {
 		return
@@ -235,6 +236,7 @@
 	}
 	contact.unansweredHeartbeats++
 	if target == f.leaderLabel() {
+		contact.unansweredBy = target
 		contact.connectionRefused = res.ConnectionFailed && f.env.now < sent+f.env.cfg.WorkerLease()/refusedConnectionDivisor
 	}
 	f.onLeaderUnanswered()
--- a/internal/controller/leader_keys.go
+++ b/internal/controller/leader_keys.go
@@ -67,9 +67,8 @@
 
 // leaderKeys is this controller's copy of the leader keys. Its lifetime is that of the process.
 type leaderKeys struct {
-	attempted bool   // a list request has been answered or has failed since the process started
-	listed    bool   // the keys have been listed, and a watch can continue from revision
-	revision  uint64 // revision of the state service up to which changes have been applied
+	listed   bool   // the keys have been listed, and a watch can continue from revision
+	revision uint64 // revision of the state service up to which changes have been applied
 
 	counter         uint64 // highest fencing token
 	counterVersion  uint64 // version of the counter key
