One type decides what the leader may do, and asserts it at run time

Users' requests, commands, heartbeats, fills, rounds, launches, consolidation, the feature gate and writes each had their own copy of 'records loaded, lease certain, not verifying'. They now ask authority; a path that acts against it is refused and reported (typed Violation, error line, metric), and every simulated world fails on it. Two copies differed: a heartbeat that was forwarded before the election was answered with the leader's token during the check after a pause, and a start command in a heartbeat's reply had no end of validity, while one in a direct call has. Both are now as in the other path.

--- a/internal/controller/attempts.go
+++ b/internal/controller/attempts.go
@@ -10,6 +10,7 @@
 // It has no state of its own: the attempts are in the cluster state. After a failover the next leader loads them from
 // the stored records, and learns from the workers' heartbeats which of them are still on their machines.
 type attemptTracker struct {
+	authority   *authority
 	completions *completionRecorder
 	dispatcher  *commandDispatcher
 	env         *environment
@@ -65,6 +66,10 @@
 // removeAttempt removes an attempt that is proven to have left its machine from the cluster state.
 func (t *attemptTracker) removeAttempt(a *clusterstate.Attempt, proof absenceProof) {
 	m, j := a.Machine, a.Job
+	if !t.authority.mayForget(proof) {
+		t.authority.violated(RemovalNeedsProof, a.Key().Task)
+		return
+	}
 	t.state.RemoveAttempt(a)
 	if m.Images[j.Spec.Image] {
 		t.machines.recordImageUse(m, j)
--- a/internal/controller/commands.go
+++ b/internal/controller/commands.go
@@ -20,8 +20,8 @@
 type commandDispatcher struct {
 	env          *environment
 	heartbeats   *heartbeatReceiver
+	authority    *authority
 	lease        *leaderLease
-	loader       *stateLoader
 	outbox       *outbox
 	reachability *reachability
 	state        *clusterstate.State
@@ -81,12 +81,12 @@
 }
 
 // canCall reports whether a direct call to the machine is possible now: its address is known, no call is in flight or
-// backed off, all records are loaded, and the leadership has not ended and is not verifying its lease after a pause.
+// backed off, and the leader may serve workers.
 func (d *commandDispatcher) canCall(m *clusterstate.Machine) bool {
 	if m.CallInFlight || m.Addr == "" || d.env.now < m.NextCallAt {
 		return false
 	}
-	return d.loader.ready && !d.lease.ended && !d.lease.isVerifyingLease()
+	return d.authority.mayServe()
 }
 
 // sendCommands starts a direct call with the commands; a call without commands is a probe.
@@ -98,13 +98,18 @@
 			call.attempts = append(call.attempts, m.Attempts[key])
 		}
 	}
+	if len(call.attempts) > 0 && !d.authority.mayDecide() {
+		d.authority.violated(StartNeedsAuthority, m.ID)
+		call.recordRunOutcome(workerclient.NoAnswer)
+		return
+	}
 	d.callLimiter.begin(d.env.now, call.likelyTimeout)
 	m.CallInFlight, m.Probed = true, true
 	body := workerclient.NewCommandRequest(d.lease.token, m.Epoch, commands)
 	validUntil := time.Duration(0)
 	if len(call.attempts) > 0 {
 		// A run command must not be sent once another leader may have been elected.
-		validUntil = d.lease.holdsLeaseUntil()
+		validUntil = d.authority.decidesUntil()
 		d.trace.recordFirstPlacement()
 	}
 	d.outbox.callUntil(ToWorker, m.Addr, workerclient.CommandsMethod, workerclient.CommandsPath, body, d.callTimeout(), validUntil,
@@ -253,7 +258,7 @@
 // leader. The run commands of a gang are sent together, once all of its placements are durable; only an attempt whose
 // stop was requested does not wait for the others.
 func (d *commandDispatcher) mayRun(m *clusterstate.Machine, a *clusterstate.Attempt) bool {
-	if !a.Durable || a.Acknowledged || a.Loaded || m.Releasing || !d.lease.holdsLease() {
+	if !a.Durable || a.Acknowledged || a.Loaded || m.Releasing || !d.authority.mayDecide() {
 		return false
 	}
 	return a.Job.Gang == nil || a.StopRequested || a.Job.Gang.Complete()
--- a/internal/controller/consolidation.go
+++ b/internal/controller/consolidation.go
@@ -19,7 +19,7 @@
 	catalog    *machineCatalog
 	env        *environment
 	forecast   *demandForecast
-	lease      *leaderLease
+	authority  *authority
 	partitions *partitionDetector
 	pool       *machinepool.Pool
 	state      *clusterstate.State
@@ -56,7 +56,7 @@
 // Otherwise long-lived replicas, and the last tasks of batch jobs when the load falls, would keep expensive machines up
 // for a few tasks each. The number of machines that are drained at a time grows with the fleet.
 func (c *consolidator) consolidate() {
-	if c.env.now < c.drainAt || !c.lease.holdsLease() || c.manyUnresponsive() {
+	if c.env.now < c.drainAt || !c.authority.mayDecide() || c.manyUnresponsive() {
 		return
 	}
 	snapshot := c.cache.fullSnapshot()
--- a/internal/controller/feature_gate.go
+++ b/internal/controller/feature_gate.go
@@ -30,6 +30,7 @@
 type featureGateManager struct {
 	completions *completionRecorder
 	env         *environment
+	authority   *authority
 	lease       *leaderLease
 	store       *statestore.Writer
 
@@ -84,10 +85,9 @@
 	g.gate.RecordStatement(g.env.now, heartbeat.From, heartbeat.Incarnation, readVersionStatement(heartbeat.Versions))
 }
 
-// tick executes the gate's next action. It does nothing while this controller does not hold the leader's lease for
-// certain.
+// tick executes the gate's next action. It does nothing while the leader may not decide.
 func (g *featureGateManager) tick() {
-	if !g.lease.holdsLease() {
+	if !g.authority.mayDecide() {
 		return
 	}
 	before := g.gate.State()
--- a/internal/controller/leadership.go
+++ b/internal/controller/leadership.go
@@ -23,6 +23,7 @@
 	peers map[string]*peer
 	// pool launches and deletes machines in the cloud.
 	pool           *machinepool.Pool
+	authority      *authority
 	lease          *leaderLease
 	timers         *timerQueue
 	loader         *stateLoader
@@ -64,6 +65,7 @@
 			token: elected.Token, leaseID: elected.LeaseID, electedAt: now, leaseConfirmedAt: leaseConfirmedAt,
 			renewLeaseAt: now + cfg.LeaderLease()/firstRenewalDivisor,
 		},
+		authority:      &authority{},
 		timers:         &timerQueue{},
 		loader:         &stateLoader{},
 		trace:          &failoverTrace{failover: &Failover{Token: elected.Token, Elected: now}},
@@ -103,7 +105,7 @@
 		return
 	}
 	l.timers.runDue(l.controller.env.now)
-	if !l.mayAct() {
+	if !l.authority.mayServe() {
 		return
 	}
 	l.health.watchMachines()
@@ -119,13 +121,9 @@
 	l.placement.runScheduling()
 }
 
-// mayAct reports whether the leader may make decisions: the cluster state is loaded, and the leader is not waiting
-// for its lease to be confirmed after a process pause.
-func (l *leadership) mayAct() bool { return l.loader.ready && !l.lease.isVerifyingLease() }
-
 // afterEvent runs after each event: it runs a pending fill and sends the queued writes.
 func (l *leadership) afterEvent() {
-	if l.lease.ended || !l.mayAct() {
+	if !l.authority.mayServe() {
 		return
 	}
 	// While a transaction is in flight, new placements could only be stored by the next transaction. The fill
@@ -136,10 +134,9 @@
 	l.flush()
 }
 
-// flush sends the queued writes if the cluster state is loaded and the leader's lease is valid, so that no other
-// controller can be the leader.
+// flush sends the queued writes if the leader may decide.
 func (l *leadership) flush() {
-	if l.loader.ready && l.lease.holdsLease() {
+	if l.authority.mayDecide() {
 		l.store.Flush()
 	}
 }
--- a/internal/controller/observer.go
+++ b/internal/controller/observer.go
@@ -36,6 +36,8 @@
 	// ReadinessChanged reports a change of the answer to the load balancer's readiness check. The reason is empty if
 	// the controller is ready.
 	ReadinessChanged(ready bool, reason string)
+	// InvariantViolated reports an action that the leader has refused because it would have violated an invariant.
+	InvariantViolated(Violation)
 	// ProcessResumed reports the length of a process pause that has just ended, and whether this controller was the
 	// leader before the pause.
 	ProcessResumed(pause time.Duration, led bool)
@@ -106,4 +108,5 @@
 func (noObserver) RequestRetried()                              {}
 func (noObserver) RequestRefused(string)                        {}
 func (noObserver) ReadinessChanged(bool, string)                {}
+func (noObserver) InvariantViolated(Violation)                  {}
 func (noObserver) ProcessResumed(time.Duration, bool)           {}
--- a/internal/controller/observer_test.go
+++ b/internal/controller/observer_test.go
@@ -24,6 +24,10 @@
 	membership.StateChange
 }
 
+func (o *worldObserver) InvariantViolated(v Violation) {
+	o.w.t.Errorf("node %d at %v: invariant violated: %+v", o.node, o.w.Now(), v)
+}
+
 func (o *worldObserver) MemberChanged(c membership.StateChange) {
 	o.changes = append(o.changes, memberChange{o.w.Now(), c})
 }
--- a/internal/controller/refusals.go
+++ b/internal/controller/refusals.go
@@ -15,13 +15,11 @@
 	refusedAfterPause        refusal = "process was paused"
 )
 
-// Reasons for refusals by the leader.
+// Reasons for refusals by the leader; its restrictions are further reasons.
 const (
-	refusedLoading          refusal = "records not loaded"
-	refusedLeaseUnconfirmed refusal = "leader lease not confirmed"
-	refusedNotStored        refusal = "job not stored yet"
-	refusedNoMachineTypes   refusal = "machine types not loaded"
-	refusedRecordRejected   refusal = "record rejected"
+	refusedNotStored      refusal = "job not stored yet"
+	refusedNoMachineTypes refusal = "machine types not loaded"
+	refusedRecordRejected refusal = "record rejected"
 )
 
 // Reasons for refusals of requests that waited for an answer.
--- a/internal/controller/scaling.go
+++ b/internal/controller/scaling.go
@@ -15,6 +15,7 @@
 	env          *environment
 	forecast     *demandForecast
 	health       *machineHealth
+	authority    *authority
 	lease        *leaderLease
 	machines     *machineRegistry
 	outbox       *outbox
@@ -92,7 +93,7 @@
 
 // planScaling launches machines for waiting and expected tasks, and releases machines that none of these tasks need.
 func (a *autoscaler) planScaling() {
-	if len(a.catalog.types) == 0 || !a.pool.HasList() || !a.lease.holdsLease() {
+	if len(a.catalog.types) == 0 || !a.pool.HasList() || !a.authority.mayDecide() {
 		return
 	}
 	plan := a.cache.snapshotForPlan()
--- a/internal/controller/scheduling.go
+++ b/internal/controller/scheduling.go
@@ -28,7 +28,7 @@
 	failures       *failureTracker
 	forecast       *demandForecast
 	health         *machineHealth
-	lease          *leaderLease
+	authority      *authority
 	machines       *machineRegistry
 	partitions     *partitionDetector
 	scaler         *autoscaler
@@ -107,7 +107,7 @@
 // after the state service has stored the attempt durably.
 func (t *taskScheduler) runFill() {
 	t.fillPending = false
-	if !t.lease.holdsLease() || len(t.catalog.types) == 0 || !t.attemptNumbers.hasEnough() {
+	if !t.authority.mayDecide() || len(t.catalog.types) == 0 || !t.attemptNumbers.hasEnough() {
 		return
 	}
 	snapshot := t.cache.snapshotForFill()
@@ -178,7 +178,7 @@
 			j.Scale.EndRound(j.CompletedTasks, j.Spec.Tasks, t.env.cfg.Operator.Green.Gamma)
 		}
 	}
-	if !t.lease.holdsLease() {
+	if !t.authority.mayDecide() {
 		return
 	}
 	snapshot := t.cache.snapshotForRound()
--- a/internal/controller/user_requests.go
+++ b/internal/controller/user_requests.go
@@ -15,12 +15,11 @@
 // Retry-After header, and users repeat them at the next leader: requests are idempotent by the job's ID.
 type userRequests struct {
 	attempts  *attemptTracker
+	authority *authority
 	catalog   *machineCatalog
 	env       *environment
 	forecast  *demandForecast
 	jobs      *jobCompletion
-	lease     *leaderLease
-	loader    *stateLoader
 	machines  *machineRegistry
 	outbox    *outbox
 	pending   *pendingTable
@@ -97,8 +96,8 @@
 		u.outbox.replyStatus(from, http.StatusOK, status)
 		return true
 	}
-	if reason := u.undecidable(); reason != "" {
-		u.outbox.refuse(from, reason)
+	if reason := u.authority.restriction(); reason != unrestricted {
+		u.outbox.refuse(from, refusal(reason))
 		return true
 	}
 	if j := u.state.Jobs[uid]; j != nil && j.Stored {
@@ -249,7 +248,11 @@
 
 // replyCancelled answers the users who wait for a job's cancellation with its final state.
 func (u *userRequests) replyCancelled(uid string) {
-	status, _ := u.terminalStatus(uid)
+	status, durable := u.terminalStatus(uid)
+	if !durable {
+		u.authority.violated(FinalStateIsDurable, uid)
+		return
+	}
 	for _, waiter := range u.cancelWaiters[uid] {
 		if u.pending.take(waiter) {
 			u.outbox.replyStatus(waiter, http.StatusOK, status)
@@ -266,12 +269,12 @@
 		u.outbox.replyStatus(from, http.StatusOK, status)
 		return nil
 	}
-	j, reason := u.state.Jobs[uid], u.undecidable()
+	j, reason := u.state.Jobs[uid], u.authority.restriction()
 	switch {
-	case reason != "":
-		u.outbox.refuse(from, reason)
+	case reason != unrestricted:
+		u.refuseQuestion(from, j, reason)
 	case j == nil:
-		u.outbox.replyUntil(from, http.StatusNotFound, nil, 0, u.lease.holdsLeaseUntil())
+		u.outbox.replyUntil(from, http.StatusNotFound, nil, 0, u.authority.decidesUntil())
 	case !j.Stored:
 		u.outbox.refuse(from, refusedNotStored)
 	default:
@@ -280,16 +283,12 @@
 	return nil
 }
 
-// undecidable returns why this controller can't answer as the leader: it has not loaded all records, or is not certain
-// to be the leader. The result is empty if it can.
-func (u *userRequests) undecidable() refusal {
-	switch {
-	case !u.loader.ready:
-		return refusedLoading
-	case !u.lease.holdsLease():
-		return refusedLeaseUnconfirmed
+// refuseQuestion refuses a request about a job, nil if it is unknown, because of a restriction.
+func (u *userRequests) refuseQuestion(from requester, j *clusterstate.Job, reason restriction) {
+	if j != nil && j.Stored && u.authority.mayDecide() {
+		u.authority.violated(StoredJobIsAnswered, j.Spec.UID)
 	}
-	return ""
+	u.outbox.refuse(from, refusal(reason))
 }
 
 // terminalStatus returns the final status of a job. It returns false if the job is unknown or has no final state yet.
@@ -316,5 +315,5 @@
 // replyAsLeader answers with a job status that only the leader may report. The reply is sent only while this controller
 // is certain to be the leader.
 func (u *userRequests) replyAsLeader(to requester, status int, job protocol.JobStatus) {
-	u.outbox.replyUntil(to, status, protocol.Encode(job), 0, u.lease.holdsLeaseUntil())
+	u.outbox.replyUntil(to, status, protocol.Encode(job), 0, u.authority.decidesUntil())
 }
--- a/internal/controller/wiring.go
+++ b/internal/controller/wiring.go
@@ -21,6 +21,11 @@
 	lease.env = l.controller.env
 	lease.outbox = l.controller.outbox
 
+	authority := l.authority
+	authority.env = l.controller.env
+	authority.lease = l.lease
+	authority.loader = l.loader
+
 	loader := l.loader
 	loader.attempts = l.attempts
 	loader.completions = l.completions
@@ -46,6 +51,7 @@
 	featureGate := l.featureGate
 	featureGate.completions = l.completions
 	featureGate.env = l.controller.env
+	featureGate.authority = l.authority
 	featureGate.lease = l.lease
 	featureGate.store = l.store
 }
@@ -76,6 +82,7 @@
 func (l *leadership) wireHeartbeats() {
 	heartbeats := l.heartbeats
 	heartbeats.attempts = l.attempts
+	heartbeats.authority = l.authority
 	heartbeats.completions = l.completions
 	heartbeats.controller = l.controller
 	heartbeats.env = l.controller.env
@@ -83,7 +90,6 @@
 	heartbeats.follower = l.controller.follower
 	heartbeats.jobs = l.jobs
 	heartbeats.lease = l.lease
-	heartbeats.loader = l.loader
 	heartbeats.machines = l.machines
 	heartbeats.outbox = l.controller.outbox
 	heartbeats.placement = l.placement
@@ -100,8 +106,8 @@
 	dispatcher := l.dispatcher
 	dispatcher.env = l.controller.env
 	dispatcher.heartbeats = l.heartbeats
+	dispatcher.authority = l.authority
 	dispatcher.lease = l.lease
-	dispatcher.loader = l.loader
 	dispatcher.outbox = l.controller.outbox
 	dispatcher.reachability = l.reachability
 	dispatcher.state = l.state
@@ -145,6 +151,7 @@
 // wireWork wires the components that handle attempts, their failures, jobs and users' requests.
 func (l *leadership) wireWork() {
 	attempts := l.attempts
+	attempts.authority = l.authority
 	attempts.completions = l.completions
 	attempts.dispatcher = l.dispatcher
 	attempts.env = l.controller.env
@@ -169,12 +176,11 @@
 
 	userRequests := l.userRequests
 	userRequests.attempts = l.attempts
+	userRequests.authority = l.authority
 	userRequests.catalog = l.controller.catalog
 	userRequests.env = l.controller.env
 	userRequests.forecast = l.forecast
 	userRequests.jobs = l.jobs
-	userRequests.lease = l.lease
-	userRequests.loader = l.loader
 	userRequests.machines = l.machines
 	userRequests.outbox = l.controller.outbox
 	userRequests.pending = l.controller.pending
@@ -197,7 +203,7 @@
 	placement.failures = l.failures
 	placement.forecast = l.forecast
 	placement.health = l.health
-	placement.lease = l.lease
+	placement.authority = l.authority
 	placement.machines = l.machines
 	placement.partitions = l.partitions
 	placement.scaler = l.scaler
@@ -238,6 +244,7 @@
 	scaler.env = l.controller.env
 	scaler.forecast = l.forecast
 	scaler.health = l.health
+	scaler.authority = l.authority
 	scaler.lease = l.lease
 	scaler.machines = l.machines
 	scaler.outbox = l.controller.outbox
@@ -252,7 +259,7 @@
 	consolidator.catalog = l.controller.catalog
 	consolidator.env = l.controller.env
 	consolidator.forecast = l.forecast
-	consolidator.lease = l.lease
+	consolidator.authority = l.authority
 	consolidator.partitions = l.partitions
 	consolidator.pool = l.pool
 	consolidator.state = l.state
--- a/internal/controller/worker_heartbeats.go
+++ b/internal/controller/worker_heartbeats.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"time"
 
 	"claybarrow/internal/clusterstate"
@@ -17,6 +18,7 @@
 // leader waits for a new heartbeat of every worker.
 type heartbeatReceiver struct {
 	attempts    *attemptTracker
+	authority   *authority
 	completions *completionRecorder
 	controller  *Controller
 	env         *environment
@@ -24,7 +26,6 @@
 	follower    *follower
 	jobs        *jobCompletion
 	lease       *leaderLease
-	loader      *stateLoader
 	machines    *machineRegistry
 	outbox      *outbox
 	placement   *taskScheduler
@@ -80,7 +81,7 @@
 // onWorkerHeartbeat answers a worker's heartbeat as the leader.
 func (l *leadership) onWorkerHeartbeat(from requester, msg *protocol.WorkerHeartbeat) {
 	env, outbox := l.controller.env, l.controller.outbox
-	if !l.loader.ready || l.lease.isVerifyingLease() {
+	if !l.authority.mayServe() {
 		l.heartbeats.renewWithoutCommands(from, msg)
 		return
 	}
@@ -108,7 +109,11 @@
 // replyWithCommands answers a heartbeat with the leader's token and commands, which renews the worker's lease.
 func (h *heartbeatReceiver) replyWithCommands(to requester, commands []protocol.Command) {
 	reply := protocol.WorkerHeartbeatReply{Token: h.lease.token, Commands: commands}
-	h.outbox.reply(to, http.StatusOK, protocol.Encode(reply), 0)
+	validUntil := time.Duration(0)
+	if slices.ContainsFunc(commands, func(command protocol.Command) bool { return command.Verb == protocol.VerbRun }) {
+		validUntil = h.authority.decidesUntil()
+	}
+	h.outbox.replyUntil(to, http.StatusOK, protocol.Encode(reply), 0, validUntil)
 }
 
 // answerForwardedHeartbeat answers a heartbeat that this controller forwarded to the previous leader as a follower,
@@ -117,7 +122,7 @@
 // the heartbeat is out of date and is not applied to the cluster state, but the reply still renews the worker's lease.
 func (h *heartbeatReceiver) answerForwardedHeartbeat(from requester, msg *protocol.WorkerHeartbeat, body []byte) {
 	m := h.state.Machines[msg.Machine]
-	if !h.loader.ready || m == nil || m.Epoch != msg.Epoch || msg.Sequence > m.Sequence || msg.Token > h.lease.token {
+	if !h.authority.mayServe() || m == nil || m.Epoch != msg.Epoch || msg.Sequence > m.Sequence || msg.Token > h.lease.token {
 		h.controller.onWorkerHeartbeat(from, body)
 		return
 	}
--- a/internal/scalerun/invariants_test.go
+++ b/internal/scalerun/invariants_test.go
@@ -153,3 +153,37 @@
 		}},
 	})
 }
+
+func TestUnansweredJobsAfterTheLastFault(t *testing.T) {
+	testInvariants(t, []invariantsCase{
+		{"no request is answered after the last fault", "unanswered", func(b *invariantsFixture) {
+			b.job.acceptedAt, b.job.answeredAt, b.faultsEndedAt = 1, 10*time.Second, 20*time.Second
+			b.queue.RunUntil(20*time.Second + answerTimeout + 1)
+			b.checkAnswered()
+		}},
+		{"the bound counts from the last fault", "", func(b *invariantsFixture) {
+			b.job.acceptedAt, b.job.answeredAt, b.faultsEndedAt = 1, 10*time.Second, 20*time.Second
+			b.queue.RunUntil(20*time.Second + answerTimeout)
+			b.checkAnswered()
+		}},
+		{"faults go on", "", func(b *invariantsFixture) {
+			b.job.acceptedAt = 1
+			b.queue.RunUntil(time.Hour)
+			b.checkAnswered()
+		}},
+		{"the job is over", "", func(b *invariantsFixture) {
+			b.job.acceptedAt, b.job.reportedState, b.faultsEndedAt = 1, protocol.JobDone, time.Second
+			b.queue.RunUntil(time.Hour)
+			b.checkAnswered()
+		}},
+	})
+}
+
+func TestFaultsEndAfterTheLastRestart(t *testing.T) {
+	plan := DefaultPlan()
+	plan.Control.Controllers, plan.Control.RestartS = 3, 4
+	plan.Faults = []FaultPlan{{AtS: 10, Kind: FaultRollRestart, ForS: 5}, {AtS: 12, Kind: FaultKillLeader}}
+	if got := plan.faultsEndS(); got != 24 {
+		t.Errorf("faults end after %v s, want 24", got)
+	}
+}
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -108,6 +108,11 @@
 	r.incrementCounter(fmt.Sprintf(`claybarrow_readiness_changes_total{reason=%q}`, strings.ReplaceAll(reason, " ", "_")))
 }
 
+// InvariantViolated counts a violated invariant.
+func (r *Recorder) InvariantViolated(violation controller.Violation) {
+	r.incrementCounter(fmt.Sprintf(`claybarrow_invariant_violations_total{invariant=%q}`, strings.ReplaceAll(string(violation.Invariant), " ", "_")))
+}
+
 // ProcessResumed records the length of a process pause and whether the controller was the leader before it.
 func (r *Recorder) ProcessResumed(pause time.Duration, wasLeader bool) {
 	r.incrementCounter(fmt.Sprintf(`claybarrow_standstills_total{led="%t"}`, wasLeader))
--- a/internal/telemetry/recorder_test.go
+++ b/internal/telemetry/recorder_test.go
@@ -41,6 +41,7 @@
 	r.RequestRetried()
 	r.RequestRefused("records not loaded")
 	r.ReadinessChanged(false, "no leader known")
+	r.InvariantViolated(controller.Violation{Invariant: controller.StartNeedsAuthority})
 	r.ProcessResumed(2*time.Second, true)
 	r.GateChanged(controller.GateChange{Token: 3, From: featuregate.Closed, To: featuregate.Opening})
 	r.GateChanged(controller.GateChange{Token: 3, From: featuregate.Opening, To: featuregate.Open})
@@ -54,6 +55,7 @@
 		`claybarrow_messages_dropped_total{reason="sequence_went_backwards"} 1`, `claybarrow_machines_sent_total{to="n2"} 1`,
 		"claybarrow_requests_detoured_total 1", "claybarrow_requests_retried_total 1", `claybarrow_standstills_total{led="true"} 1`,
 		`claybarrow_requests_refused_total{reason="records_not_loaded"} 1`, "claybarrow_ready 0",
+		`claybarrow_invariant_violations_total{invariant="start_without_authority"} 1`,
 		"claybarrow_handovers_total 1", "claybarrow_feature_gate_state 2", `claybarrow_feature_gate_changes_total{to="open"} 1`,
 		"claybarrow_end_journal_values 4", "claybarrow_end_journal_ends 60", "claybarrow_end_journal_unreadable 1",
 	} {
