scalerun soak: seeded random faults on small regions of real processes

Every connection of a controller to its peers, the state service and the cloud, and of workers and users to it, goes through a TCP proxy of the tool that cuts, holds, or delays. From the seed follow plan and schedule, two or three faults at a time for 30 s, then 100 s without any. New checks, each seen to fail on a planted violation: answers within 75 s after the last fault (also by each ready controller), jobs that wait for 90 s beside room, controllers that are not ready, answers about jobs that nobody submitted, invalid submissions accepted, violations in a controller's log. A controller that was killed twice before its restart was started twice; it no longer is.

--- a/cmd/scalerun/main.go
+++ b/cmd/scalerun/main.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"log/slog"
 	"os"
@@ -72,6 +73,7 @@
 
 type commands struct {
 	Run    runCmd    `cmd:"" help:"Run a plan: real controllers, emulated workers and users, faults. Exits non-zero if an invariant was violated."`
+	Soak   soakCmd   `cmd:"" help:"Run seeded random faults against small regions of real processes. Exits 2 if an invariant was violated, 1 if a setting is invalid."`
 	Check  checkCmd  `cmd:"" help:"Check that a plan is valid and that this machine has the resources to run it."`
 	Region regionCmd `cmd:"" hidden:""`
 }
@@ -91,10 +93,49 @@
 	if err := command.Run(); err != nil {
 		fmt.Fprintln(os.Stderr, "scalerun:", err)
 		stop()
-		os.Exit(1)
+		os.Exit(exitCode(err))
 	}
 }
 
+// Exit codes.
+const (
+	exitFailure    = 1
+	exitSoakFailed = 2 // a run of a soak test failed
+)
+
+// exitCode returns the exit code for an error.
+func exitCode(err error) int {
+	if errors.Is(err, scalerun.ErrSoakFailed) {
+		return exitSoakFailed
+	}
+	return exitFailure
+}
+
+// soakCmd runs a soak test.
+type soakCmd struct {
+	Seed     uint64 `default:"1" help:"The first seed. Plan and schedule of faults of a run follow from its seed; the timing of the processes does not."`
+	Seeds    int    `default:"1" help:"Number of seeds."`
+	Parallel int    `default:"4" help:"Runs at a time. Each has three controllers and uses ten ports."`
+	Workers  int    `default:"40" help:"Emulated workers of each run."`
+	Program  string `default:"target/claybarrow" placeholder:"FILE" help:"Path of the controller program to test."`
+	Dir      string `default:"soak" placeholder:"DIR" help:"Directory for the result of each seed, and for the logs of all controllers of a failed one."`
+	BasePort int    `default:"22000" placeholder:"PORT" help:"First port."`
+	Operator string `placeholder:"FILE" help:"Operators' settings (TOML) of the controllers."`
+}
+
+// Run implements the soak command.
+func (c soakCmd) Run(ctx context.Context) error {
+	settings := &scalerun.SoakSettings{Program: c.Program, Seed: c.Seed, Seeds: c.Seeds, Parallel: c.Parallel, Workers: c.Workers, BasePort: c.BasePort, Dir: c.Dir}
+	if c.Operator != "" {
+		text, err := os.ReadFile(c.Operator)
+		if err != nil {
+			return fmt.Errorf("operator: %w", err)
+		}
+		settings.Operator = string(text)
+	}
+	return scalerun.Soak(ctx, settings, os.Stdout)
+}
+
 // Run implements the check command.
 func (c checkCmd) Run() error {
 	plan, err := c.loadPlan()
--- a/internal/scalerun/clients.go
+++ b/internal/scalerun/clients.go
@@ -5,9 +5,11 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -110,6 +112,9 @@
 		j.acceptedAt = r.loop.queue.Now()
 		r.metrics.jobAccepted(j.acceptedAt - j.submittedAt)
 		c.poll(j)
+		if r.soakUsers != nil {
+			r.soakUsers.accepted(j)
+		}
 	}
 	cancelAfterS := j.load.RunS
 	switch {
@@ -120,14 +125,30 @@
 		return
 	}
 	r.loop.queue.After(seconds(cancelAfterS), func() {
-		if !j.finished() && !r.closing {
-			j.cancelRequested = true
-			j.addHistory(r.loop.queue.Now(), "client requests to cancel the job")
-			c.requestUntilAccepted(j, opCancel, nil, func() {})
-		}
+		c.cancel(j)
 	})
 }
 
+// cancel requests to cancel a job that has not ended, until a controller confirms it.
+func (c *clients) cancel(j *job) {
+	r := c.region
+	if j.finished() || j.cancelRequested || r.closing {
+		return
+	}
+	j.cancelRequested = true
+	j.addHistory(r.loop.queue.Now(), "client requests to cancel the job")
+	c.requestUntilAccepted(j, opCancel, nil, func() {})
+}
+
+// cancelShare requests to cancel a random share of the accepted jobs at once.
+func (c *clients) cancelShare(share float64) {
+	for _, uid := range slices.Sorted(maps.Keys(c.region.invariants.jobs)) {
+		if j := c.region.invariants.jobs[uid]; j.acceptedAt > 0 && c.random.Float64() < share {
+			c.cancel(j)
+		}
+	}
+}
+
 // poll requests a job's status every pollInterval until a response reports that the job has ended.
 func (c *clients) poll(j *job) {
 	r := c.region
@@ -181,19 +202,27 @@
 // send makes one request and calls onResult with its result on the event loop. Status 0 means that there was no
 // response.
 func (c *clients) send(j *job, op string, body []byte, onResult func(status int, retryAfter time.Duration)) {
-	r := c.region
-	controller := r.controlPlane.pick()
+	controller := c.region.controlPlane.pick()
 	if controller == nil {
-		r.metrics.responseReceived(op, 0)
+		c.region.metrics.responseReceived(op, 0)
 		onResult(0, 0)
 		return
 	}
+	c.sendTo(controller, j, op, body, onResult)
+}
+
+// sendTo is like send for a request to a given controller.
+func (c *clients) sendTo(controller *controller, j *job, op string, body []byte, onResult func(status int, retryAfter time.Duration)) {
+	r := c.region
 	sentAt := r.loop.queue.Now()
 	go func() {
 		status, answer, retryAfter := c.roundTrip(controller.clientAddress, op, j.uid, body)
 		r.loop.post(func() {
 			r.metrics.responseReceived(op, status)
 			c.checkResponse(j, op, status, answer, sentAt)
+			if r.soakUsers != nil && succeeded(status) {
+				r.soakUsers.answered(controller.label)
+			}
 			onResult(status, retryAfter)
 		})
 	}()
--- a/internal/scalerun/controller_settings.go
+++ b/internal/scalerun/controller_settings.go
@@ -42,11 +42,11 @@
 	s := &config.Settings{Label: controllerLabel(i), Zone: p.controllerZone(i), ClientListen: p.clientAddress(region, i), PeerListen: p.peerAddress(region, i)}
 	for other := range p.Control.Controllers {
 		if other != i {
-			s.Siblings = append(s.Siblings, config.Peer{Label: controllerLabel(other), Zone: p.controllerZone(other), Addr: p.peerAddress(region, other)})
+			s.Siblings = append(s.Siblings, config.Peer{Label: controllerLabel(other), Zone: p.controllerZone(other), Addr: p.peerAddressFrom(region, i, other)})
 		}
 	}
-	s.Services.State = fmt.Sprintf("127.0.0.1:%d", p.port(region, portState))
-	s.Services.Cloud = fmt.Sprintf("127.0.0.1:%d", p.port(region, portCloud))
+	s.Services.State = p.serviceAddressFrom(region, i, portState)
+	s.Services.Cloud = p.serviceAddressFrom(region, i, portCloud)
 	c := &s.Cluster
 	c.Size, c.Zones = p.Control.Controllers, p.Fleet.Zones
 	c.Teams, c.Objectives = p.teamSettings(), p.objectiveSettings()
--- a/internal/scalerun/controllers.go
+++ b/internal/scalerun/controllers.go
@@ -121,7 +121,7 @@
 	}
 	for i := range p.plan.Control.Controllers {
 		label := controllerLabel(i)
-		c := &controller{label: label, clientAddress: p.plan.clientAddress(p.region, i), settings: filepath.Join(p.dir, label+".json"),
+		c := &controller{label: label, clientAddress: p.plan.userAddress(p.region, i), settings: filepath.Join(p.dir, label+".json"),
 			log: filepath.Join(p.dir, label+".log"), runsNewer: p.plan.Run.Older == ""}
 		if err := p.plan.writeControllerSettings(c.settings, p.region, i); err != nil {
 			return err
@@ -192,11 +192,20 @@
 
 // kill kills a controller's process and restarts it after control.restart_s.
 func (p *controlPlane) kill(ctx context.Context, c *controller) {
+	p.killFor(ctx, c, seconds(p.plan.Control.RestartS))
+}
+
+// killFor kills a controller's process and restarts it after a delay. It does nothing if the process is already killed.
+func (p *controlPlane) killFor(ctx context.Context, c *controller, delay time.Duration) {
 	c.mu.Lock()
+	alreadyKilled := c.killed
 	c.killed = true
 	c.terminate()
 	c.mu.Unlock()
-	time.AfterFunc(seconds(p.plan.Control.RestartS), func() {
+	if alreadyKilled {
+		return
+	}
+	time.AfterFunc(delay, func() {
 		if ctx.Err() != nil {
 			return
 		}
--- a/internal/scalerun/fleet.go
+++ b/internal/scalerun/fleet.go
@@ -66,14 +66,20 @@
 	fleet.Random, fleet.RefuseUnfit, fleet.FetchTime = r.random.Float64, true, emulator.FetchImage
 	var addresses, labels []string
 	for i := range r.plan.Control.Controllers {
-		addresses = append(addresses, r.plan.clientAddress(r.number, i))
+		addresses = append(addresses, r.plan.workerLinkAddress(r.number, i))
 		labels = append(labels, controllerLabel(i))
 	}
 	r.heartbeatSender = newHeartbeatSender(r.loop, addresses, r.metrics)
 	r.heartbeatSender.onResponse = func(machine string, controller int) {
 		r.ownership.workerAnswered(machine, controller, r.loop.queue.Now())
 	}
-	fleet.SendHeartbeat, fleet.Controllers = r.heartbeatSender.send, len(addresses)
+	fleet.Controllers = len(addresses)
+	fleet.SendHeartbeat = func(worker *emulator.Worker, controller int, body []byte, answer emulator.Reply) {
+		if r.soak != nil {
+			r.soak.copyHeartbeat(worker, body)
+		}
+		r.heartbeatSender.send(worker, controller, body, answer)
+	}
 	fleet.ControllerByName = func(name string) int { return slices.Index(labels, name) }
 	fleet.Jobs = func(uid string) *emulator.Job {
 		if j := r.invariants.jobs[uid]; j != nil {
@@ -162,6 +168,9 @@
 	if j := r.invariants.jobs[t.UID]; j != nil {
 		j.completed[task] = true
 		r.metrics.tasksCompleted++
+		if r.soak != nil && len(j.completed) == j.Tasks && r.soak.happens(r.soak.cancelsAtEnd) {
+			r.clients.cancel(j)
+		}
 	}
 }
 
--- a/internal/scalerun/invariants.go
+++ b/internal/scalerun/invariants.go
@@ -47,11 +47,13 @@
 	violations     chan *RuleViolation
 	// faultsEndedAt is when the last injected fault ends; 0: faults may still occur.
 	faultsEndedAt time.Duration
+	// waitingSince is since when jobs have had no task although a machine has room for one.
+	waitingSince map[string]time.Duration
 }
 
 func newInvariants(queue *emulator.EventQueue, region int, plan *Plan) *invariants {
 	checks := &invariants{queue: queue, region: region, jobs: map[string]*job{}, teams: map[string]*teamUsage{},
-		cancelDeadline: seconds(plan.Workers.CancelS), violations: make(chan *RuleViolation, 1)}
+		cancelDeadline: seconds(plan.Workers.CancelS), violations: make(chan *RuleViolation, 1), waitingSince: map[string]time.Duration{}}
 	regions := float64(plan.Fleet.Regions)
 	for n := range plan.Teams.Count {
 		checks.teams[teamName(n)] = &teamUsage{coresMax: plan.Teams.CoresMax / regions, acceleratorsMax: plan.Teams.AcceleratorsMax / regions}
--- a/internal/scalerun/plan.go
+++ b/internal/scalerun/plan.go
@@ -33,6 +33,8 @@
 	BasePort  int     `toml:"base_port"` // first port; each region uses ten consecutive ports
 	LogLevel  string  `toml:"log_level"` // of the controllers
 	KeepLogs  bool    `toml:"keep_logs"` // keep the regions' temporary directories
+	// Links makes the controllers' connections go through links, which can be cut, held and delayed.
+	Links bool `toml:"links"`
 }
 
 // FleetPlan sets the machines. Workers is the total over all regions.
--- a/internal/scalerun/region.go
+++ b/internal/scalerun/region.go
@@ -27,8 +27,11 @@
 	heartbeatSender  *heartbeatSender
 	clients          *clients
 	controlPlane     *controlPlane
-	random           *rand.Rand // used by the event loop only
-	closing          bool       // the run is ending; clients start no new requests
+	links            *links        // nil unless run.links
+	soak             *soakInjector // nil unless this is a soak run
+	soakUsers        *soakUsers    // nil unless this is a soak run
+	random           *rand.Rand    // used by the event loop only
+	closing          bool          // the run is ending; clients start no new requests
 
 	invariants        *invariants
 	metrics           *metrics
@@ -58,13 +61,23 @@
 			_ = os.RemoveAll(dir) // temporary files; a failed removal does not affect the result
 		}
 	}()
+	return newRegion(plan, number, dir).run(ctx)
+}
+
+// run starts the region, runs it for the plan's duration and stops it.
+func (r *region) run(ctx context.Context) (*RegionResult, error) {
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
-	r := newRegion(plan, number, dir)
 	go r.loop.run(ctx)
 	if err := r.startServers(ctx); err != nil {
 		return nil, err
 	}
+	if r.plan.Run.Links {
+		var err error
+		if r.links, err = startLinks(ctx, r.plan, r.number); err != nil {
+			return nil, err
+		}
+	}
 	if err := r.controlPlane.prepare(); err != nil {
 		return nil, err
 	}
@@ -101,6 +114,9 @@
 		orphans := 0
 		if err == nil {
 			orphans = r.invariants.checkOrphanedJobs()
+			if r.soak != nil {
+				r.invariants.checkControllers(r.controlPlane.controllers, r.soakUsers.answeredAt)
+			}
 		}
 		result = r.result(time.Since(started))
 		result.Ownership.JobsOrphaned = orphans
@@ -151,6 +167,9 @@
 		checkInterval = time.Second
 	)
 	r.bootFleet()
+	if r.soakUsers != nil {
+		r.soakUsers.start()
+	}
 	r.clients.startArrivals()
 	r.loop.every(stepInterval, func() {
 		r.fleet.StepGangs()
@@ -160,6 +179,7 @@
 		r.metrics.endSecond()
 		r.invariants.checkForgottenJobs()
 		r.invariants.checkAnswered()
+		r.invariants.checkWaiting(r.fleet)
 	})
 }
 
@@ -172,6 +192,10 @@
 	for _, fault := range r.plan.Faults {
 		r.loop.queue.After(seconds(fault.AtS), func() { r.faults.inject(ctx, fault) })
 	}
+	if r.soak != nil {
+		r.soak.schedule(ctx)
+		return
+	}
 	r.loop.queue.After(seconds(r.plan.faultsEndS()), func() { r.invariants.faultsEndedAt = r.loop.queue.Now() })
 }
 
--- a/internal/scalerun/servers.go
+++ b/internal/scalerun/servers.go
@@ -101,7 +101,11 @@
 
 // serveState serves a request to the state service and replies after the plan's latency.
 func (r *region) serveState(request *http.Request, body []byte, reply emulator.Reply) {
-	r.state.Serve(0, request.Method, request.URL.RequestURI(), body, func(status int, body []byte) {
+	if r.soak != nil {
+		r.soak.serveState(stateClient(request.RemoteAddr), request, body, reply)
+		return
+	}
+	r.state.Serve(stateClient(request.RemoteAddr), request.Method, request.URL.RequestURI(), body, func(status int, body []byte) {
 		r.loop.queue.After(seconds(r.plan.State.LatencyMS/millisPerSecond), func() { reply(status, body) })
 	})
 }
@@ -124,6 +128,9 @@
 		return
 	}
 	r.metrics.directMessage(len(body))
+	if r.soak != nil && r.soak.delaysCommand(worker, request.URL.Path, body) {
+		return
+	}
 	worker.Serve(request.URL.Path, body, func(status int, answer []byte) {
 		r.metrics.directMessage(len(answer))
 		reply(status, answer)
--- /dev/null
+++ b/internal/scalerun/soak_test.go
@@ -0,0 +1,269 @@
+package scalerun
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"claybarrow/internal/emulator"
+	"claybarrow/internal/protocol"
+)
+
+func TestInvalidSoakSettingsAreNamed(t *testing.T) {
+	valid := SoakSettings{Program: os.Args[0], Seed: 1, Seeds: 1, Parallel: 1, Workers: 40, BasePort: 22000, Dir: "soak"}
+	for field, change := range map[string]func(s *SoakSettings){
+		"seeds":     func(s *SoakSettings) { s.Seeds = 0 },
+		"parallel":  func(s *SoakSettings) { s.Parallel = maxSoakParallel + 1 },
+		"workers":   func(s *SoakSettings) { s.Workers = 1 },
+		"base-port": func(s *SoakSettings) { s.BasePort = 65_530 },
+		"dir":       func(s *SoakSettings) { s.Dir = "" },
+		"program":   func(s *SoakSettings) { s.Program = "no such file" },
+	} {
+		settings := valid
+		change(&settings)
+		err := Soak(context.Background(), &settings, io.Discard)
+		var planErr *PlanError
+		if !errors.As(err, &planErr) || planErr.Field != field || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%s: error %v", field, err)
+		}
+	}
+}
+
+func TestSoakScheduleFollowsFromTheSeed(t *testing.T) {
+	kinds, overlaps := map[SoakKind]bool{}, 0
+	for seed := range uint64(200) {
+		faults := soakSchedule(seed, 3, 25)
+		if !slices.Equal(faults, soakSchedule(seed, 3, 25)) {
+			t.Fatalf("seed %d has two schedules", seed)
+		}
+		for i, fault := range faults {
+			kinds[fault.Kind] = true
+			if fault.Peer == fault.Controller || fault.AtS > soakFaultPhase+1 || fault.AtS+fault.ForS > soakEndS(faults, 3) {
+				t.Errorf("seed %d: %v", seed, fault)
+			}
+			if i > 0 && fault.AtS < faults[i-1].AtS+faults[i-1].ForS {
+				overlaps++
+			}
+		}
+	}
+	if len(kinds) != len(soakKinds) || overlaps == 0 {
+		t.Errorf("%d of %d kinds, %d overlaps", len(kinds), len(soakKinds), overlaps)
+	}
+	if slices.Equal(soakSchedule(1, 3, 25), soakSchedule(2, 3, 25)) {
+		t.Error("two seeds have the same schedule")
+	}
+}
+
+// echoServer accepts connections and sends back what it receives; it returns its address.
+func echoServer(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { closeQuietly(listener) })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				_, _ = io.Copy(conn, conn)
+				closeQuietly(conn)
+			}()
+		}
+	}()
+	return listener.Addr().String()
+}
+
+// startTestLink starts a link to an echo server and connects to it.
+func startTestLink(t *testing.T) (*link, net.Conn) {
+	t.Helper()
+	reserved, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := reserved.Addr().String()
+	closeQuietly(reserved)
+	ctx, stop := context.WithCancel(context.Background())
+	t.Cleanup(stop)
+	l := newLink(address, echoServer(t), nil)
+	if err := l.run(ctx); err != nil {
+		t.Fatal(err)
+	}
+	conn, err := net.Dial("tcp4", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { closeQuietly(conn) })
+	return l, conn
+}
+
+// echoes reports whether a message comes back within a duration.
+func echoes(t *testing.T, conn net.Conn, message string, within time.Duration) bool {
+	t.Helper()
+	if _, err := io.WriteString(conn, message); err != nil {
+		return false
+	}
+	return arrives(conn, message, within)
+}
+
+// arrives reports whether a message arrives within a duration.
+func arrives(conn net.Conn, message string, within time.Duration) bool {
+	_ = conn.SetReadDeadline(time.Now().Add(within)) // on an error the read below fails
+	received := make([]byte, len(message))
+	_, err := io.ReadFull(conn, received)
+	return err == nil && string(received) == message
+}
+
+const linkTestTimeout = 5 * time.Second
+
+func TestLinkHoldsAndDeliversInOrder(t *testing.T) {
+	for name, held := range map[string]linkState{"requests": {holdRequests: true}, "replies": {holdReplies: true}} {
+		t.Run(name, func(t *testing.T) {
+			l, conn := startTestLink(t)
+			if !echoes(t, conn, "first", linkTestTimeout) {
+				t.Fatal("no answer over a healthy link")
+			}
+			l.set(held)
+			if echoes(t, conn, "second", 200*time.Millisecond) {
+				t.Error("an answer over a link that holds data")
+			}
+			if _, err := io.WriteString(conn, "third"); err != nil {
+				t.Fatal(err)
+			}
+			l.set(linkState{})
+			if !arrives(conn, "secondthird", linkTestTimeout) {
+				t.Error("held data did not arrive in order")
+			}
+		})
+	}
+}
+
+func TestLinkCutResetsAndRefuses(t *testing.T) {
+	l, conn := startTestLink(t)
+	if !echoes(t, conn, "first", linkTestTimeout) {
+		t.Fatal("no answer over a healthy link")
+	}
+	l.set(linkState{cut: true})
+	if echoes(t, conn, "second", linkTestTimeout) {
+		t.Error("an answer over a link that is cut")
+	}
+	if again, err := net.Dial("tcp4", l.address); err == nil && echoes(t, again, "third", linkTestTimeout) {
+		t.Error("an answer over a new connection while the link is cut")
+	}
+	l.set(linkState{})
+	again, err := net.Dial("tcp4", l.address)
+	if err != nil || !echoes(t, again, "fourth", linkTestTimeout) {
+		t.Errorf("no answer after the cut: %v", err)
+	}
+}
+
+func TestOverlappingLinkFaultsEndIndependently(t *testing.T) {
+	states := []linkState{{cut: true}, {cut: true}, {holdRequests: true}}
+	if got := combined(withoutFirst(states, linkState{cut: true})); !got.cut || !got.holdRequests {
+		t.Errorf("after the end of one of two cuts: %+v", got)
+	}
+}
+
+func TestStateClientIsTheControllerOfTheLink(t *testing.T) {
+	for addr, want := range map[string]int{linkHost(0, serviceLinkOctet, 3) + ":4711": 2, "127.0.0.1:4711": 0, "nonsense": 0} {
+		if got := stateClient(addr); got != want {
+			t.Errorf("%s: controller %d, want %d", addr, got, want)
+		}
+	}
+}
+
+func TestWaitingJobs(t *testing.T) {
+	setup := func(b *invariantsFixture, free float64) *emulator.Fleet {
+		fleet := emulator.NewFleet(b.queue, emulator.Timing{})
+		fleet.Jobs = func(string) *emulator.Job { return &b.job.Job }
+		worker := fleet.Add("i-9", "", "m", "a", false)
+		worker.Up, worker.MachineType = true, protocol.MachineType{Cores: free, MemoryGB: 64}
+		b.job.acceptedAt, b.job.team, b.faultsEndedAt = 1, teamName(0), 1
+		return fleet
+	}
+	check := func(b *invariantsFixture, fleet *emulator.Fleet) {
+		b.checkWaiting(fleet)
+		b.queue.RunUntil(b.queue.Now() + waitTimeout + time.Second)
+		b.checkWaiting(fleet)
+	}
+	testInvariants(t, []invariantsCase{
+		{"a machine has room", "waiting", func(b *invariantsFixture) { check(b, setup(b, 16)) }},
+		{"no machine has room", "", func(b *invariantsFixture) { check(b, setup(b, 1)) }},
+		{"the team is at its limit", "", func(b *invariantsFixture) {
+			fleet := setup(b, 16)
+			b.teams[teamName(0)].cores = 4
+			check(b, fleet)
+		}},
+		{"a task runs", "", func(b *invariantsFixture) {
+			fleet := setup(b, 16)
+			b.start(b.workerInZoneA, "j-1/0")
+			check(b, fleet)
+		}},
+		{"the job is to be cancelled", "", func(b *invariantsFixture) {
+			fleet := setup(b, 16)
+			b.job.cancelRequested = true
+			check(b, fleet)
+		}},
+	})
+}
+
+func TestControllersAtTheEndOfASoakRun(t *testing.T) {
+	testInvariants(t, []invariantsCase{
+		{"a controller is not ready", "unready", func(b *invariantsFixture) { b.checkControllers([]*controller{{label: "c"}}, nil) }},
+		{"a ready controller answers nothing", "unanswered", func(b *invariantsFixture) {
+			b.faultsEndedAt = 1
+			b.queue.RunUntil(answerTimeout + time.Second)
+			b.checkControllers([]*controller{{label: "c", healthy: true}}, nil)
+		}},
+		{"a ready controller answers", "", func(b *invariantsFixture) {
+			b.queue.RunUntil(answerTimeout + time.Second)
+			b.checkControllers([]*controller{{label: "c", healthy: true}}, map[string]time.Duration{"c": answerTimeout})
+		}},
+	})
+}
+
+func TestAnswersAboutStrangers(t *testing.T) {
+	testInvariants(t, []invariantsCase{
+		{"a job that nobody submitted", "invented", func(b *invariantsFixture) { b.strangerAnswered(b.job, opPoll, 200) }},
+		{"an invalid submission is accepted", "invalid_accepted", func(b *invariantsFixture) { b.strangerAnswered(b.job, opSubmit, 201) }},
+		{"refused", "", func(b *invariantsFixture) { b.strangerAnswered(b.job, opPoll, 404) }},
+	})
+}
+
+func TestViolationInAControllersLogFailsARun(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "controller-0.log")
+	for text, fails := range map[string]bool{"level=INFO msg=starting\n": false, "level=ERROR msg=\"invariant violated\" subject=j-1\n": true, "panic: nil map\n": true} {
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		var violation *RuleViolation
+		if got := errors.As(violationInLogs([]string{path}), &violation); got != fails {
+			t.Errorf("%q: violation %t, want %t", text, got, fails)
+		}
+	}
+}
+
+// Two seeds with real processes, beside each other.
+func TestSoak(t *testing.T) {
+	program, dir := buildProgram(t), t.TempDir()
+	var out bytes.Buffer
+	settings := &SoakSettings{Program: program, Seed: 1, Seeds: 2, Parallel: 2, Workers: minSoakWorkers, BasePort: 32000, Dir: dir}
+	if err := Soak(context.Background(), settings, &out); err != nil {
+		t.Errorf("%v\n%s", err, out.String())
+	}
+	if lines := strings.Count(out.String(), "\n"); lines != settings.Seeds {
+		t.Errorf("%d lines for %d seeds:\n%s", lines, settings.Seeds, out.String())
+	}
+	assertNoProcesses(t, program)
+}
--- /dev/null
+++ b/internal/scalerun/soakplan.go
@@ -0,0 +1,34 @@
+package scalerun
+
+// Times of a soak run, in seconds.
+const (
+	soakWarmupS = 8
+	// soakQuietS is how long a run goes on after the last fault: longer than answerTimeout and waitTimeout.
+	soakQuietS = 100
+)
+
+// plan returns the plan of a seed: a small region whose workers have short leases, with all kinds of jobs.
+func (s *SoakSettings) plan(seed uint64, slot int) *Plan {
+	p := DefaultPlan()
+	p.Run = RunPlan{Program: s.Program, WarmupS: soakWarmupS, Seed: seed, BasePort: s.BasePort + slot*portsPerRegion, LogLevel: "info", KeepLogs: true, Links: true}
+	p.Fleet = FleetPlan{Workers: s.Workers, Regions: 1, Zones: []string{"a", "b", "c"}, Types: []TypePlan{
+		{Name: "m16", Share: 0.75, Cores: 16, MemoryGB: 64, CacheGB: 400, FetchGBPerS: 2, Price: 1, BootS: 5},
+		{Name: "g64", Share: 0.25, Cores: 64, Accelerators: 8, MemoryGB: 384, CacheGB: 400, FetchGBPerS: 2, Price: 20, BootS: 5},
+	}}
+	p.Control = ControlPlan{Controllers: 3, Cores: 1, MemoryMB: 256, Sockets: 1024, RestartS: 3, Operator: s.Operator}
+	p.Workers = WorkerPlan{ReportS: 1, LeaseS: 10, CancelS: 25, GangWaitS: 10, GangPeerS: 3}
+	p.Cloud = CloudPlan{RPS: 12, ListLagS: 2}
+	scale := float64(s.Workers)
+	p.Teams = TeamPlan{Count: minTeams, Cores: scale, CoresMax: 4 * scale, Accelerators: scale / 8, AcceleratorsMax: scale / 2, UrgentWithinS: 4.5, UrgentStartShare: 0.95}
+	rate := scale / soakWorkersPerStart
+	p.Load = []LoadPlan{
+		{Name: "single", Shape: "batch", Priority: "normal", StartsPerS: rate, Tasks: 1, RunS: 6, Cores: 2, MemoryGB: 3, Images: 4, ImageGB: 0.4, Cancelled: 0.2},
+		{Name: "array", Shape: "batch", Priority: "normal", StartsPerS: rate, Tasks: 6, RunS: 10, Cores: 2, MemoryGB: 3, Images: 4, ImageGB: 0.4, Cancelled: 0.1},
+		{Name: "replicas", Shape: "service", Priority: "production", StartsPerS: rate / 2, Tasks: 3, RunS: 40, Cores: 2, MemoryGB: 3, Images: 4, ImageGB: 0.4, Spread: true, Urgent: true},
+		{Name: "gang", Shape: "group", Priority: "normal", StartsPerS: rate / 4, Tasks: 3, RunS: 10, Cores: 4, Accelerators: 1, MemoryGB: 20, Images: 2, ImageGB: 1},
+	}
+	return &p
+}
+
+// soakWorkersPerStart is the number of workers for each task start a second of a class.
+const soakWorkersPerStart = 40
