Scale run: a run and a restart wait until the ports of the one before are free

Restarts now wait for the exit, the end of a run for processes and listeners. TestConsecutiveRunsReuseTheirPorts.

--- a/internal/scalerun/controllers.go
+++ b/internal/scalerun/controllers.go
@@ -23,6 +23,7 @@
 
 	mu      sync.Mutex
 	command *exec.Cmd
+	exited  chan struct{} // closed when the process of command has exited
 	starts  int
 	stopped bool // no process may be started any more
 	killed  bool // an injected fault killed the process and it has not been restarted
@@ -171,16 +172,17 @@
 	if err := command.Start(); err != nil {
 		return &ControllerError{c.label, err, lastLine(c.log)}
 	}
-	c.command, c.killed = command, false
+	c.command, c.killed, c.exited = command, false, make(chan struct{})
 	c.starts++
 	p.metrics.watchProcess(c.label, command.Process.Pid)
-	go p.awaitExit(c, command)
+	go p.awaitExit(c, command, c.exited)
 	return nil
 }
 
 // awaitExit waits until a controller's process exits, and ends the run if no injected fault was the cause.
-func (p *controlPlane) awaitExit(c *controller, command *exec.Cmd) {
+func (p *controlPlane) awaitExit(c *controller, command *exec.Cmd, exited chan struct{}) {
 	err := command.Wait()
+	close(exited)
 	c.mu.Lock()
 	unexpected := !c.killed && !c.stopped
 	c.healthy = false
@@ -198,7 +200,7 @@
 // killFor kills a controller's process and restarts it after a delay. It does nothing if the process is already killed.
 func (p *controlPlane) killFor(ctx context.Context, c *controller, delay time.Duration) {
 	c.mu.Lock()
-	alreadyKilled := c.killed
+	alreadyKilled, exited := c.killed, c.exited
 	c.killed = true
 	c.terminate()
 	c.mu.Unlock()
@@ -206,6 +208,7 @@
 		return
 	}
 	time.AfterFunc(delay, func() {
+		awaitClosed(exited) // its ports are free only then
 		if ctx.Err() != nil {
 			return
 		}
@@ -229,7 +232,7 @@
 	return nil
 }
 
-// stopAll kills all controllers and prevents restarts. It does not wait for the processes to exit.
+// stopAll kills all controllers and prevents restarts. It waits for the processes to exit.
 func (p *controlPlane) stopAll() {
 	for _, c := range p.controllers {
 		c.mu.Lock()
@@ -237,6 +240,26 @@
 		c.terminate()
 		c.mu.Unlock()
 	}
+	for _, c := range p.controllers {
+		c.mu.Lock()
+		exited := c.exited
+		c.mu.Unlock()
+		awaitClosed(exited)
+	}
+}
+
+// exitTimeout bounds the wait for a killed process to exit.
+const exitTimeout = 10 * time.Second
+
+// awaitClosed waits until a channel is closed, for exitTimeout at most. A nil channel stands for no process.
+func awaitClosed(exited <-chan struct{}) {
+	if exited == nil {
+		return
+	}
+	select {
+	case <-exited:
+	case <-time.After(exitTimeout):
+	}
 }
 
 // Parameters of the load balancer's health checks.
--- a/internal/scalerun/link.go
+++ b/internal/scalerun/link.go
@@ -74,15 +74,17 @@
 	return l.state, l.changed
 }
 
-// run accepts connections until the context ends.
-func (l *link) run(ctx context.Context) error {
+// run accepts connections until the context ends. listeners counts the link until its listener is closed.
+func (l *link) run(ctx context.Context, listeners *sync.WaitGroup) error {
 	listener, err := net.Listen("tcp4", l.address)
 	if err != nil {
 		return err
 	}
+	listeners.Add(1)
 	context.AfterFunc(ctx, func() {
 		closeQuietly(listener)
 		l.set(linkState{cut: true})
+		listeners.Done()
 	})
 	go func() {
 		for {
--- a/internal/scalerun/links.go
+++ b/internal/scalerun/links.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"strconv"
+	"sync"
 )
 
 // Octets of a region's loopback network that hold the addresses of its links.
@@ -65,14 +66,14 @@
 	return net.JoinHostPort(host, strconv.Itoa(p.port(region, port)))
 }
 
-// startLinks starts the links of a region. They end with the context.
-func startLinks(ctx context.Context, p *Plan, region int) (*links, error) {
+// startLinks starts the links of a region. They end with the context; listeners counts them until then.
+func startLinks(ctx context.Context, p *Plan, region int, listeners *sync.WaitGroup) (*links, error) {
 	n := p.Control.Controllers
 	all := &links{peers: make([][]*link, n)}
 	var err error
 	start := func(address, target string, source net.IP) *link {
 		l := newLink(address, target, source)
-		if runErr := l.run(ctx); runErr != nil && err == nil {
+		if runErr := l.run(ctx, listeners); runErr != nil && err == nil {
 			err = runErr
 		}
 		return l
--- a/internal/scalerun/region.go
+++ b/internal/scalerun/region.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"sync"
 	"time"
 
 	"github.com/shirou/gopsutil/v4/mem"
@@ -27,11 +28,12 @@
 	heartbeatSender  *heartbeatSender
 	clients          *clients
 	controlPlane     *controlPlane
-	links            *links        // nil unless run.links
-	soak             *soakInjector // nil unless this is a soak run
-	soakUsers        *soakUsers    // nil unless this is a soak run
-	random           *rand.Rand    // used by the event loop only
-	closing          bool          // the run is ending; clients start no new requests
+	links            *links         // nil unless run.links
+	soak             *soakInjector  // nil unless this is a soak run
+	soakUsers        *soakUsers     // nil unless this is a soak run
+	listeners        sync.WaitGroup // of the emulated servers and the links
+	random           *rand.Rand     // used by the event loop only
+	closing          bool           // the run is ending; clients start no new requests
 
 	invariants        *invariants
 	metrics           *metrics
@@ -67,14 +69,17 @@
 // run starts the region, runs it for the plan's duration and stops it.
 func (r *region) run(ctx context.Context) (*RegionResult, error) {
 	ctx, stop := context.WithCancel(ctx)
-	defer stop()
+	defer func() {
+		stop()
+		r.listeners.Wait() // their ports are free only then
+	}()
 	go r.loop.run(ctx)
 	if err := r.startServers(ctx); err != nil {
 		return nil, err
 	}
 	if r.plan.Run.Links {
 		var err error
-		if r.links, err = startLinks(ctx, r.plan, r.number); err != nil {
+		if r.links, err = startLinks(ctx, r.plan, r.number, &r.listeners); err != nil {
 			return nil, err
 		}
 	}
--- a/internal/scalerun/run_test.go
+++ b/internal/scalerun/run_test.go
@@ -169,3 +169,17 @@
 		t.Errorf("error %v, want one with the controller's label and the last line of its log", err)
 	}
 }
+
+// A run that began while the listeners of the one before were closing found its ports in use.
+func TestConsecutiveRunsReuseTheirPorts(t *testing.T) {
+	plan := writePlan(t, buildProgram(t), "")
+	plan.Run.WarmupS, plan.Run.DurationS, plan.Run.BasePort, plan.Run.Links = 1, 1, 33000, true
+	for range 3 {
+		if err := plan.CheckMachine(); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := RunRegion(context.Background(), plan, 0); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
--- a/internal/scalerun/servers.go
+++ b/internal/scalerun/servers.go
@@ -62,7 +62,11 @@
 				r.fail(fmt.Errorf("emulated server on %s: %w", addr, err))
 			}
 		}()
-		context.AfterFunc(ctx, func() { closeQuietly(server) })
+		r.listeners.Add(1)
+		context.AfterFunc(ctx, func() {
+			closeQuietly(server)
+			r.listeners.Done()
+		})
 		return nil
 	}
 	if err := listen(fmt.Sprintf("127.0.0.1:%d", r.plan.port(r.number, portState)), r.handle(r.serveState)); err != nil {
--- a/internal/scalerun/soak_test.go
+++ b/internal/scalerun/soak_test.go
@@ -10,6 +10,7 @@
 	"path/filepath"
 	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -97,7 +98,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	t.Cleanup(stop)
 	l := newLink(address, echoServer(t), nil)
-	if err := l.run(ctx); err != nil {
+	if err := l.run(ctx, &sync.WaitGroup{}); err != nil {
 		t.Fatal(err)
 	}
 	conn, err := net.Dial("tcp4", address)
