--- /dev/null
+++ b/internal/transport/overload_test.go
@@ -0,0 +1,246 @@
+package transport
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"claybarrow/internal/config"
+	"claybarrow/internal/controller"
+)
+
+// slowCore is a core that takes a fixed time for each kind of event, and answers every request.
+type slowCore struct {
+	requestCost map[controller.Op]time.Duration
+	resultCost  time.Duration
+	// stallFor is how long the next request takes, if it is positive.
+	stallFor time.Duration
+	handled  map[controller.Op]int
+}
+
+func (c *slowCore) Handle(_ controller.Clock, event controller.Event) []controller.Effect {
+	switch event := event.(type) {
+	case controller.Request:
+		stall := c.stallFor
+		c.stallFor = 0
+		time.Sleep(c.requestCost[event.Op] + stall)
+		c.handled[event.Op]++
+		return []controller.Effect{controller.Reply{ID: event.ID, Status: http.StatusOK}}
+	case controller.Result:
+		time.Sleep(c.resultCost)
+	}
+	return nil
+}
+
+// overloadWorld is a server with a slow core, workers, users and a load balancer, in simulated time.
+type overloadWorld struct {
+	t       *testing.T
+	server  *Server
+	core    *slowCore
+	clients http.Handler
+	peers   http.Handler
+	random  *rand.Rand
+	ctx     context.Context
+}
+
+// Settings of an overloadWorld.
+const (
+	overloadLease      = 10 * time.Second
+	overloadSockets    = 600
+	overloadHeartbeatS = 1
+	overloadSeed       = 1
+)
+
+// Timeouts of the clients, by the protocol.
+const (
+	questionTimeout  = 2 * time.Second
+	readinessTimeout = time.Second
+	reportTimeout    = 4 * time.Second
+)
+
+// runOverload runs a function with a world in a bubble of simulated time.
+func runOverload(t *testing.T, core *slowCore, play func(*overloadWorld)) {
+	synctest.Test(t, func(t *testing.T) {
+		cfg := &config.Config{}
+		cfg.Cluster.Workers = config.Workers{HeartbeatS: overloadHeartbeatS, LeaseS: overloadLease.Seconds(), CancelS: 35}
+		cfg.Cluster.Resources.FDs = overloadSockets
+		cfg.Cluster.Resources.Cores = 1
+		cfg.Cluster.State.RPS = 1000
+		core.handled = map[controller.Op]int{}
+		ctx, cancel := context.WithCancel(t.Context())
+		server := New(cfg, core, slog.New(slog.DiscardHandler))
+		w := &overloadWorld{t: t, server: server, core: core, clients: server.clientRoutes(), peers: server.peerRoutes(),
+			random: rand.New(rand.NewPCG(overloadSeed, 0)), ctx: ctx}
+		loopEnded := make(chan struct{})
+		go server.runEventLoop(ctx, ctx, loopEnded)
+		play(w)
+		cancel()
+		<-loopEnded
+	})
+}
+
+// request sends a request and reports whether it was answered with 200 within the client's timeout.
+func (w *overloadWorld) request(handler http.Handler, method, path string, timeout time.Duration) bool {
+	ctx, cancel := context.WithTimeout(w.ctx, timeout)
+	defer cancel()
+	recorder := httptest.NewRecorder()
+	recorder.Code = 0
+	handler.ServeHTTP(recorder, httptest.NewRequestWithContext(ctx, method, path, nil))
+	return recorder.Code == http.StatusOK && ctx.Err() == nil
+}
+
+// tally counts the requests of one client.
+type tally struct {
+	sent, answered int
+	lastAnsweredAt time.Time
+	longestGap     time.Duration
+}
+
+func (a *tally) record(ok bool) {
+	a.sent++
+	if !ok {
+		return
+	}
+	a.answered++
+	a.longestGap = max(a.longestGap, time.Since(a.lastAnsweredAt))
+	a.lastAnsweredAt = time.Now()
+}
+
+// client describes a client that repeats one request.
+type client struct {
+	handler      http.Handler
+	method, path string
+	timeout      time.Duration
+	period       time.Duration
+	// retryAfter is the pause after a request without a 200; 0: the period.
+	retryAfter time.Duration
+}
+
+// start starts a number of equal clients until stop is closed, each at a random phase of its period.
+func (w *overloadWorld) start(count int, c client, stop <-chan struct{}) []*tally {
+	tallies := make([]*tally, count)
+	for i := range tallies {
+		tallies[i] = &tally{lastAnsweredAt: time.Now()}
+		phase := time.Duration(w.random.Int64N(int64(c.period)))
+		go w.repeat(c, tallies[i], phase, stop)
+	}
+	return tallies
+}
+
+func (w *overloadWorld) repeat(c client, counts *tally, phase time.Duration, stop <-chan struct{}) {
+	pause := phase
+	for {
+		select {
+		case <-stop:
+			return
+		case <-w.ctx.Done():
+			return
+		case <-time.After(pause):
+		}
+		ok := w.request(c.handler, c.method, c.path, c.timeout)
+		counts.record(ok)
+		pause = c.period
+		if !ok && c.retryAfter > 0 {
+			pause = c.retryAfter
+		}
+	}
+}
+
+// share returns the share of the clients' requests that were answered in time.
+func share(tallies []*tally) float64 {
+	sent, answered := 0, 0
+	for _, counts := range tallies {
+		sent += counts.sent
+		answered += counts.answered
+	}
+	return float64(answered) / float64(max(1, sent))
+}
+
+// reset forgets what was counted so far.
+func reset(tallies []*tally) {
+	for _, counts := range tallies {
+		*counts = tally{lastAnsweredAt: time.Now()}
+	}
+}
+
+// longestSilence returns the longest time that one of the clients was without an answer.
+func longestSilence(tallies []*tally) time.Duration {
+	longest := time.Duration(0)
+	for _, counts := range tallies {
+		longest = max(longest, counts.longestGap, time.Since(counts.lastAnsweredAt))
+	}
+	return longest
+}
+
+func (w *overloadWorld) question() client {
+	return client{handler: w.clients, method: http.MethodGet, path: "/api/jobs/j-1", timeout: questionTimeout, period: 5 * time.Second}
+}
+
+func (w *overloadWorld) readiness() client {
+	return client{handler: w.clients, method: http.MethodGet, path: "/ready", timeout: readinessTimeout, period: time.Second}
+}
+
+func (w *overloadWorld) report() client {
+	return client{handler: w.clients, method: http.MethodPost, path: "/hello", timeout: reportTimeout,
+		period: overloadHeartbeatS * time.Second, retryAfter: time.Second}
+}
+
+// While workers' heartbeats alone exceed the capacity, questions and readiness checks still get their share.
+func TestHeartbeatOverloadDoesNotStarveQuestionsAndReadiness(t *testing.T) {
+	core := &slowCore{requestCost: map[controller.Op]time.Duration{controller.OpWorkerHeartbeat: 10 * time.Millisecond, controller.OpPoll: 2 * time.Millisecond}}
+	runOverload(t, core, func(w *overloadWorld) {
+		stopOverload, stop := make(chan struct{}), make(chan struct{})
+		users := w.start(20, w.question(), stop)
+		loadBalancer := w.start(1, w.readiness(), stop)
+		w.start(60, w.report(), stop)
+		w.start(140, w.report(), stopOverload)
+		time.Sleep(time.Minute)
+		if got := share(users); got < 0.9 {
+			t.Errorf("during the overload by heartbeats %.0f%% of the questions were answered within 2 s, want 90%%", 100*got)
+		}
+		if got := share(loadBalancer); got < 1 {
+			t.Errorf("during the overload by heartbeats %.0f%% of the readiness checks were answered within 1 s, want all", 100*got)
+		}
+		close(stopOverload)
+		time.Sleep(5 * time.Second)
+		reset(users)
+		time.Sleep(30 * time.Second)
+		if got := share(users); got < 1 {
+			t.Errorf("after the overload %.0f%% of the questions were answered within 2 s, want all", 100*got)
+		}
+		close(stop)
+		time.Sleep(10 * time.Second)
+	})
+}
+
+// After a stall, users who repeat their requests do not keep the server busy with requests that they gave up.
+func TestRequestsGivenUpByUsersDoNotKeepOthersUnanswered(t *testing.T) {
+	core := &slowCore{requestCost: map[controller.Op]time.Duration{controller.OpPoll: 20 * time.Millisecond}}
+	runOverload(t, core, func(w *overloadWorld) {
+		stop := make(chan struct{})
+		impatient := w.question()
+		impatient.retryAfter = time.Second
+		users := w.start(220, impatient, stop) // 44 questions a second while they are answered, of 50 that the core can do
+		time.Sleep(20 * time.Second)
+		if got := share(users); got < 1 {
+			t.Fatalf("before the stall %.0f%% of the questions were answered within 2 s, want all", 100*got)
+		}
+		core.stallFor = 10 * time.Second
+		time.Sleep(30 * time.Second)
+		reset(users)
+		time.Sleep(75 * time.Second)
+		if got := longestSilence(users); got >= 60*time.Second {
+			t.Errorf("a user got no answer for %s from 20 s after the stall on", got)
+		}
+		if got := share(users); got < 0.5 {
+			t.Errorf("from 20 s after the stall on, %.0f%% of the questions were answered within 2 s, want half", 100*got)
+		}
+		close(stop)
+		time.Sleep(10 * time.Second)
+	})
+}
