Fair queueing of events: questions and readiness checks are no longer starved by heartbeats

Callers saw: while workers' heartbeats and the answers of workers used up a controller's time, no question about a job was answered and no readiness check, so that the load balancer removed the controller and doubled its pause.

Cause: nextEvent took results and heartbeats before users' requests and readiness checks whenever one was there, without a bound.

Class: priority without a bound.

Fix: one queue decides what is served next. The state service's responses come first, as only a few are in flight; all other classes share the event loop by start-time fair queueing with weights, on the time that their events really took. An unused share goes to the others. The queue checks at run time that no class waits while the others use more than a bound; a violation is an error line and a metric, and fails the tests. Per class: waiting, longest wait, served, rejected, time used, as metrics, and one line a workers' lease while requests are shed.

--- a/cmd/claybarrow/serve.go
+++ b/cmd/claybarrow/serve.go
@@ -53,6 +53,7 @@
 		}
 		defer closeTelemetry(recorder, log)
 		core.Observe(recorder)
+		server.Observe(recorder)
 		if cfg.Operator.Telemetry.Metrics {
 			server.SetMetricsHandler(recorder)
 		}
--- a/internal/controller/follower.go
+++ b/internal/controller/follower.go
@@ -156,7 +156,7 @@
 	}
 	contact.inFlight = true
 	sent := f.env.now
-	body, timeout := protocol.EncodePeer(f.peerHeartbeat()), f.env.cfg.WorkerLease()/peerHeartbeatTimeoutDivisor
+	body, timeout := protocol.EncodePeer(f.peerHeartbeat()), peerHeartbeatTimeout(f.env.cfg)
 	f.outbox.peerCall(target, peerHeartbeatPath, body, timeout, func(res Result) {
 		f.onPeerHeartbeatReply(target, sent, res)
 	})
@@ -313,7 +313,7 @@
 // leader does not reply, this controller answers the worker itself.
 func (f *follower) forwardHeartbeat(from requester, heartbeat *protocol.WorkerHeartbeat, body []byte) {
 	leader := f.contact.leader
-	timeout := min(f.env.cfg.WorkerLease()/forwardTimeoutDivisor, maxForwardTimeout)
+	timeout := forwardTimeout(f.env.cfg)
 	f.relay.sendToLeader(&leaderRequest{
 		from:      from,
 		leader:    leader,
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -8,6 +8,7 @@
 
 	"claybarrow/internal/controller"
 	"claybarrow/internal/membership"
+	"claybarrow/internal/transport"
 )
 
 // ServeHTTP responds with the metrics in the Prometheus text format.
@@ -113,6 +114,25 @@
 	r.incrementCounter(fmt.Sprintf(`claybarrow_invariant_violations_total{invariant=%q}`, strings.ReplaceAll(string(violation.Invariant), " ", "_")))
 }
 
+// AdmissionViolated counts a violated invariant of the admission.
+func (r *Recorder) AdmissionViolated(violation transport.AdmissionViolation) {
+	r.incrementCounter(fmt.Sprintf(`claybarrow_invariant_violations_total{invariant=%q}`, strings.ReplaceAll(string(violation.Invariant), " ", "_")))
+}
+
+// ClassSampled records the state of a class of events that wait for the event loop.
+func (r *Recorder) ClassSampled(class string, sample transport.ClassSample) {
+	label := fmt.Sprintf(`{class=%q}`, class)
+	r.setGauge("claybarrow_events_waiting"+label, float64(sample.Waiting))
+	r.setGauge("claybarrow_events_longest_wait_seconds"+label, sample.LongestWait.Seconds())
+	r.setGauge("claybarrow_events_busy_seconds"+label, sample.Busy.Seconds())
+	for outcome, count := range map[string]uint64{
+		"served":   sample.Served,
+		"rejected": sample.Rejected,
+	} {
+		r.metricSet.GetOrCreateCounter(fmt.Sprintf(`claybarrow_events_total{class=%q,outcome=%q}`, class, outcome)).Set(count)
+	}
+}
+
 // ProcessResumed records the length of a process pause and whether the controller was the leader before it.
 func (r *Recorder) ProcessResumed(pause time.Duration, wasLeader bool) {
 	r.incrementCounter(fmt.Sprintf(`claybarrow_standstills_total{led="%t"}`, wasLeader))
--- a/internal/telemetry/recorder_test.go
+++ b/internal/telemetry/recorder_test.go
@@ -14,6 +14,7 @@
 	"claybarrow/internal/controller"
 	"claybarrow/internal/featuregate"
 	"claybarrow/internal/membership"
+	"claybarrow/internal/transport"
 )
 
 // newTestConfig returns the settings of a controller with two peers and metrics enabled. The trace file is optional.
@@ -42,6 +43,8 @@
 	r.RequestRefused("records not loaded")
 	r.ReadinessChanged(false, "no leader known")
 	r.InvariantViolated(controller.Violation{Invariant: controller.StartNeedsAuthority})
+	r.AdmissionViolated(transport.AdmissionViolation{Invariant: transport.NoClassStarves})
+	r.ClassSampled("question", transport.ClassSample{Waiting: 3, LongestWait: time.Second, Served: 8, Rejected: 2, Busy: time.Minute})
 	r.ProcessResumed(2*time.Second, true)
 	r.GateChanged(controller.GateChange{Token: 3, From: featuregate.Closed, To: featuregate.Opening})
 	r.GateChanged(controller.GateChange{Token: 3, From: featuregate.Opening, To: featuregate.Open})
@@ -56,6 +59,9 @@
 		"claybarrow_requests_detoured_total 1", "claybarrow_requests_retried_total 1", `claybarrow_standstills_total{led="true"} 1`,
 		`claybarrow_requests_refused_total{reason="records_not_loaded"} 1`, "claybarrow_ready 0",
 		`claybarrow_invariant_violations_total{invariant="start_without_authority"} 1`,
+		`claybarrow_invariant_violations_total{invariant="class_of_events_starved"} 1`, `claybarrow_events_waiting{class="question"} 3`,
+		`claybarrow_events_longest_wait_seconds{class="question"} 1`, `claybarrow_events_busy_seconds{class="question"} 60`,
+		`claybarrow_events_total{class="question",outcome="served"} 8`, `claybarrow_events_total{class="question",outcome="rejected"} 2`,
 		"claybarrow_handovers_total 1", "claybarrow_feature_gate_state 2", `claybarrow_feature_gate_changes_total{to="open"} 1`,
 		"claybarrow_end_journal_values 4", "claybarrow_end_journal_ends 60", "claybarrow_end_journal_unreadable 1",
 	} {
--- /dev/null
+++ b/internal/transport/admission_invariants.go
@@ -0,0 +1,34 @@
+package transport
+
+import (
+	"time"
+)
+
+// AdmissionInvariant names a condition that the admission of events must never violate.
+type AdmissionInvariant string
+
+// The invariants.
+const (
+	// NoClassStarves: no class waits while the other classes use more than the starvation bound.
+	NoClassStarves AdmissionInvariant = "class of events starved"
+)
+
+// AdmissionViolation is a violated invariant of the admission.
+type AdmissionViolation struct {
+	Invariant AdmissionInvariant
+	Class     string        // the class that was served late or not at all
+	Waited    time.Duration // the time that other classes used meanwhile
+	Bound     time.Duration
+}
+
+// checkServed checks the invariants for an event that is about to be handed to the core.
+func (q *admissionQueue) checkServed(event *queuedEvent) {
+	for class := classTick; class <= classRelay; class++ {
+		queue := &q.classes[class]
+		if class == event.class || queue.events.Len() == 0 || queue.usedByOthers <= q.starvationBound {
+			continue
+		}
+		q.onViolation(AdmissionViolation{NoClassStarves, class.String(), queue.usedByOthers, q.starvationBound})
+		queue.usedByOthers = 0 // one report for each time that the bound is exceeded
+	}
+}
--- /dev/null
+++ b/internal/transport/admission_report.go
@@ -0,0 +1,68 @@
+package transport
+
+import (
+	"log/slog"
+	"time"
+)
+
+// Observer receives the measurements behind the metrics of the admission, once per workers' lease. Its methods are
+// called on the event loop's goroutine, so they must not block.
+type Observer interface {
+	// ClassSampled reports the state of a class of events.
+	ClassSampled(class string, sample ClassSample)
+	// AdmissionViolated reports a violated invariant of the admission.
+	AdmissionViolated(AdmissionViolation)
+}
+
+// ClassSample is the state of a class of events: how many wait, the longest wait since the sample before, and counters
+// since the process started.
+type ClassSample struct {
+	Waiting     int
+	LongestWait time.Duration
+	Served      uint64
+	Rejected    uint64        // the queue was full
+	Busy        time.Duration // time that the core took
+}
+
+// noObserver ignores all measurements.
+type noObserver struct{}
+
+func (noObserver) ClassSampled(string, ClassSample)     {}
+func (noObserver) AdmissionViolated(AdmissionViolation) {}
+
+// admissionReport remembers what was reported last. It is accessed only by the event loop's goroutine.
+type admissionReport struct {
+	dueAt time.Duration // reading of the monotonic clock
+	last  [classCount]classStats
+}
+
+// reportAdmission samples all classes once per workers' lease. It logs a line if requests were shed, with the classes
+// that they belong to.
+func (s *Server) reportAdmission(now time.Duration) {
+	if now < s.report.dueAt {
+		return
+	}
+	s.report.dueAt = now + s.cfg.WorkerLease()
+	stats, waiting := s.queue.takeStats()
+	var affected []any
+	for class := range eventClass(classCount) {
+		current, last := stats[class], s.report.last[class]
+		s.observer.ClassSampled(class.String(), ClassSample{Waiting: waiting[class], LongestWait: current.longestWait, Served: current.served,
+			Rejected: current.rejected, Busy: current.busy})
+		if current.rejected > last.rejected {
+			affected = append(affected, slog.Group(class.String(), "waiting", waiting[class], "longest_wait_s", current.longestWait.Seconds(),
+				"rejected", current.rejected-last.rejected, "served", current.served-last.served, "busy_s", (current.busy-last.busy).Seconds()))
+		}
+	}
+	s.report.last = stats
+	if len(affected) > 0 {
+		s.log.Info("requests shed", affected...)
+	}
+}
+
+// onAdmissionViolation logs a violated invariant and reports it to the observer.
+func (s *Server) onAdmissionViolation(violation AdmissionViolation) {
+	s.log.Error("invariant violated", "invariant", string(violation.Invariant), "subject", violation.Class,
+		"waited_s", violation.Waited.Seconds(), "bound_s", violation.Bound.Seconds())
+	s.observer.AdmissionViolated(violation)
+}
--- a/internal/transport/client.go
+++ b/internal/transport/client.go
@@ -64,14 +64,11 @@
 	if err != nil {
 		s.logFailedCall(call, err)
 	}
-	results := s.results
-	if call.Target == controller.ToState {
-		results = s.stateResults
-	}
-	select {
-	case results <- controller.Result{ID: call.ID, Status: status, Body: body, ConnectionFailed: !connected}:
-	case <-ctx.Done():
+	if ctx.Err() != nil {
+		return // the event loop has ended
 	}
+	result := controller.Result{ID: call.ID, Status: status, Body: body, ConnectionFailed: !connected}
+	s.queue.add(&queuedEvent{class: resultClass(call.Target), event: result, arrivedAt: s.now().Monotonic})
 }
 
 func (s *Server) logFailedCall(call controller.Call, err error) {
--- a/internal/transport/event_loop.go
+++ b/internal/transport/event_loop.go
@@ -19,73 +19,83 @@
 	defer close(done)
 	ticker := time.NewTicker(s.cfg.TickInterval())
 	defer ticker.Stop()
-	replyChannels := map[uint64]chan controller.Reply{}
-	var lastID uint64
-	register := func(pending pendingRequest) controller.Event {
-		lastID++
-		pending.request.ID = lastID
-		replyChannels[lastID] = pending.reply
-		return pending.request
-	}
+	loop := &eventLoop{server: s, callCtx: callCtx, replyChannels: map[uint64]chan controller.Reply{}}
 	for {
-		event := s.nextEvent(ctx, ticker.C, register)
+		event := s.nextEvent(ctx, ticker.C)
 		if event == nil {
 			s.sendShutdownCalls(callCtx)
 			return
 		}
-		if _, isTick := event.(controller.Tick); isTick {
-			now := s.now().Monotonic
-			s.shedding.logChanges(now, s.cfg.WorkerLease(), s.log)
-			s.longest.logLongest(now, s.cfg.WorkerLease(), s.cfg.TickInterval(), s.log)
-		}
-		began := s.now()
-		effects := s.core.Handle(began, event)
-		s.longest.record(event, s.now().Monotonic-began.Monotonic)
-		for _, effect := range effects {
-			switch effect := effect.(type) {
-			case controller.Reply:
-				if reply := replyChannels[effect.ID]; reply != nil {
-					reply <- effect // does not block: the channel is buffered and receives one reply
-					delete(replyChannels, effect.ID)
-				}
-			case controller.Call:
-				go s.executeCall(callCtx, effect)
-			}
-		}
+		loop.handle(event)
 	}
 }
 
-// nextEvent returns the next event, or nil after ctx is cancelled. The register function assigns an ID to a request.
-// Ticks and the state service's responses have the highest priority, then come other responses and heartbeats, and
-// users' requests come last. With this order, overload by users costs neither the leadership nor the workers' leases,
-// and overload by workers does not cost the leadership.
-func (s *Server) nextEvent(ctx context.Context, ticks <-chan time.Time, register func(pendingRequest) controller.Event) controller.Event {
-	select {
-	case event := <-s.stateResults:
-		return event
-	case <-ticks:
-		return controller.Tick{}
-	default:
+// eventLoop is the state of the event loop. Only its goroutine uses it.
+type eventLoop struct {
+	server        *Server
+	callCtx       context.Context // of the calls that the core requests
+	replyChannels map[uint64]chan controller.Reply
+	lastID        uint64
+}
+
+// handle passes an event to the core and executes the effects.
+func (l *eventLoop) handle(queued *queuedEvent) {
+	s := l.server
+	event := queued.event
+	switch kind := event.(type) {
+	case controller.Request:
+		l.lastID++
+		kind.ID = l.lastID
+		l.replyChannels[l.lastID] = queued.reply
+		event = kind
+	case controller.Tick:
+		s.logPeriodically()
 	}
-	select {
-	case event := <-s.results:
-		return event
-	case pending := <-s.heartbeats:
-		return register(pending)
-	default:
+	began := s.now()
+	effects := s.core.Handle(began, event)
+	duration := s.now().Monotonic - began.Monotonic
+	s.longest.record(event, duration)
+	s.queue.served(queued.class, duration)
+	for _, effect := range effects {
+		switch effect := effect.(type) {
+		case controller.Reply:
+			if reply := l.replyChannels[effect.ID]; reply != nil {
+				reply <- effect // does not block: the channel is buffered and receives one reply
+				delete(l.replyChannels, effect.ID)
+			}
+		case controller.Call:
+			go s.executeCall(l.callCtx, effect)
+		}
 	}
-	select {
-	case <-ctx.Done():
-		return nil
-	case event := <-s.stateResults:
-		return event
-	case event := <-s.results:
-		return event
-	case pending := <-s.heartbeats:
-		return register(pending)
-	case <-ticks:
-		return controller.Tick{}
-	case pending := <-s.requests:
-		return register(pending)
+}
+
+// logPeriodically logs what the event loop observes of itself. It is called at each tick.
+func (s *Server) logPeriodically() {
+	now := s.now().Monotonic
+	s.shedding.logChanges(now, s.cfg.WorkerLease(), s.log)
+	s.longest.logLongest(now, s.cfg.WorkerLease(), s.cfg.TickInterval(), s.log)
+	s.reportAdmission(now)
+}
+
+// nextEvent waits for the next event and returns it, or nil after ctx is cancelled.
+func (s *Server) nextEvent(ctx context.Context, ticks <-chan time.Time) *queuedEvent {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticks:
+			s.queue.addTick(s.now().Monotonic)
+		default:
+		}
+		if event := s.queue.next(s.now().Monotonic); event != nil {
+			return event
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticks:
+			s.queue.addTick(s.now().Monotonic)
+		case <-s.queue.arrivals:
+		}
 	}
 }
--- a/internal/transport/handler.go
+++ b/internal/transport/handler.go
@@ -13,13 +13,6 @@
 // retryAfterSeconds is the Retry-After value of the 503 responses that this package generates itself.
 const retryAfterSeconds = 1
 
-// pendingRequest is a request that is queued for the event loop.
-type pendingRequest struct {
-	request controller.Request
-	// reply has a buffer of one, so the event loop never blocks on a handler.
-	reply chan controller.Reply
-}
-
 // handleWithoutBody returns a handler for an operation whose request has no body.
 func (s *Server) handleWithoutBody(op controller.Op) http.HandlerFunc {
 	admission := s.admissionFor(op)
@@ -63,11 +56,8 @@
 	}
 	timeout := time.NewTimer(replyTimeout)
 	defer timeout.Stop()
-	pending := pendingRequest{request: request, reply: make(chan controller.Reply, 1)}
-	select {
-	case admission.queue <- pending:
-	default:
-		// The queue is full: the request is rejected immediately.
+	pending := newRequest(request, s.now().Monotonic)
+	if !s.queue.add(pending) {
 		s.shedding.countRejection()
 		writeUnavailable(w)
 		return
--- a/internal/transport/limits.go
+++ b/internal/transport/limits.go
@@ -29,19 +29,13 @@
 	minConnsPerPeer   = 4 // for each peer, also where the socket limit is small
 )
 
-// Capacities of the event loop's queues.
-const (
-	// stateResultQueueSize is enough for the state service's responses, as only a few requests to it are in flight
-	// at a time.
-	stateResultQueueSize = 64
-	// minRequestQueueSize is the lower bound of the queue capacities that are derived from the socket limit.
-	minRequestQueueSize = 16
-)
+// minRequestQueueSize is the lower bound of the queue capacities that are derived from the socket limit.
+const minRequestQueueSize = 16
 
 // Timeouts and delays.
 const (
-	// replyTimeout bounds how long a request may wait for the event loop. Users give up after 5 s. The controller
-	// itself normally replies much earlier.
+	// replyTimeout bounds how long a request may wait for its reply. Users give up after 5 s. The controller itself
+	// normally replies much earlier.
 	replyTimeout = 4500 * time.Millisecond
 	// maxDialTimeout is the upper bound of the dial timeout, which is otherwise a fifth of the workers' lease.
 	maxDialTimeout = 2 * time.Second
--- a/internal/transport/overload_test.go
+++ b/internal/transport/overload_test.go
@@ -76,6 +76,7 @@
 		server := New(cfg, core, slog.New(slog.DiscardHandler))
 		w := &overloadWorld{t: t, server: server, core: core, clients: server.clientRoutes(), peers: server.peerRoutes(),
 			random: rand.New(rand.NewPCG(overloadSeed, 0)), ctx: ctx}
+		server.queue.onViolation = func(violation AdmissionViolation) { t.Errorf("violated: %+v", violation) }
 		loopEnded := make(chan struct{})
 		go server.runEventLoop(ctx, ctx, loopEnded)
 		play(w)
@@ -244,3 +245,46 @@
 		time.Sleep(10 * time.Second)
 	})
 }
+
+// An overload by users and other controllers' users delays neither the renewal of the leader's lease nor the answers
+// that workers need to keep theirs.
+func TestUserOverloadCostsNeitherLeadershipNorWorkersLeases(t *testing.T) {
+	core := &slowCore{resultCost: time.Millisecond, requestCost: map[controller.Op]time.Duration{
+		controller.OpWorkerHeartbeat: 10 * time.Millisecond, controller.OpPoll: 5 * time.Millisecond,
+		controller.OpSubmit: 20 * time.Millisecond, controller.OpRelay: 5 * time.Millisecond}}
+	runOverload(t, core, func(w *overloadWorld) {
+		stop := make(chan struct{})
+		workers := w.start(60, w.report(), stop) // 60% of the core's time
+		loadBalancer := w.start(1, w.readiness(), stop)
+		impatient := w.question()
+		impatient.period, impatient.retryAfter = 500*time.Millisecond, 100*time.Millisecond
+		w.start(300, impatient, stop)
+		impatient.method, impatient.path = http.MethodPost, "/api/jobs"
+		w.start(100, impatient, stop)
+		impatient.handler, impatient.path = w.peers, "/relay"
+		w.start(300, impatient, stop)
+		longestRenewal := w.renewLease(time.Minute)
+		if got := longestSilence(workers); got > overloadLease/2 {
+			t.Errorf("a worker got no answer for %s, want half of its lease of %s at the most", got, overloadLease)
+		}
+		if got := share(loadBalancer); got < 1 {
+			t.Errorf("%.0f%% of the readiness checks were answered within 1 s, want all", 100*got)
+		}
+		if limit := w.server.cfg.LeaderLease() / 5; longestRenewal > limit {
+			t.Errorf("the state service's answer waited for %s, want %s at the most", longestRenewal, limit)
+		}
+		close(stop)
+		time.Sleep(10 * time.Second)
+	})
+}
+
+// renewLease delivers an answer of the state service each tick for a time, and returns the longest wait of one.
+func (w *overloadWorld) renewLease(duration time.Duration) time.Duration {
+	longest := time.Duration(0)
+	for began := time.Now(); time.Since(began) < duration; time.Sleep(w.server.cfg.TickInterval()) {
+		w.server.queue.add(&queuedEvent{class: classStateResult, event: controller.Result{}, arrivedAt: w.server.now().Monotonic})
+		stats, _ := w.server.queue.takeStats()
+		longest = max(longest, stats[classStateResult].longestWait)
+	}
+	return longest
+}
--- a/internal/transport/routes.go
+++ b/internal/transport/routes.go
@@ -34,7 +34,6 @@
 
 // admission holds the admission limits for the requests of one operation.
 type admission struct {
-	queue chan pendingRequest
 	// maxBodyBytes bounds the request's body if the operation has one.
 	maxBodyBytes int64
 	// closeAbovePercent is a percentage of the connection limit of client_listen. While more connections are open, the
@@ -42,26 +41,22 @@
 	closeAbovePercent int
 }
 
-// admissionFor returns the admission limits of an operation. Heartbeats and probes have a queue of their own, so
-// overload by users does not cost a worker its lease.
+// admissionFor returns the admission limits of an operation.
 func (s *Server) admissionFor(op controller.Op) admission {
-	limits := admission{queue: s.requests, maxBodyBytes: protocol.MaxBodyBytes, closeAbovePercent: closeUsersAbovePercent}
+	limits := admission{maxBodyBytes: protocol.MaxBodyBytes, closeAbovePercent: closeUsersAbovePercent}
 	switch op {
 	case controller.OpSubmit, controller.OpPoll, controller.OpCancel, controller.OpReady:
 		// These operations use the limits set above.
 	case controller.OpWorkerHeartbeat:
-		limits.queue, limits.closeAbovePercent = s.heartbeats, closeWorkersAbovePercent
+		limits.closeAbovePercent = closeWorkersAbovePercent
 	case controller.OpPeerHeartbeat:
-		limits.queue, limits.closeAbovePercent = s.heartbeats, neverClosePercent
-	case controller.OpForwardedHeartbeat:
-		limits.queue, limits.closeAbovePercent = s.heartbeats, neverClosePercent
+		limits.closeAbovePercent = neverClosePercent
+	case controller.OpForwardedHeartbeat, controller.OpRelay:
+		limits.closeAbovePercent = neverClosePercent
 		limits.maxBodyBytes += forwardingOverheadBytes
 	case controller.OpProbe:
-		limits.queue, limits.closeAbovePercent = s.heartbeats, neverClosePercent
-		limits.maxBodyBytes = membership.MaxMessageBytes
-	case controller.OpRelay:
 		limits.closeAbovePercent = neverClosePercent
-		limits.maxBodyBytes += forwardingOverheadBytes
+		limits.maxBodyBytes = membership.MaxMessageBytes
 	}
 	return limits
 }
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -27,20 +27,14 @@
 	cfg  *config.Config
 	core Core
 	log  *slog.Logger
-	// stateResults holds the state service's responses, which have priority over all other responses: after a failover,
-	// thousands of workers respond at the same time. When all responses shared one queue, the response to a lease
-	// renewal waited behind the workers' responses until the new leader had lost its lease.
-	stateResults chan controller.Event
-	// results holds the responses of workers, the cloud and other controllers.
-	results chan controller.Event
-	// requests holds users' requests, forwarded requests and the load balancer's readiness checks.
-	requests chan pendingRequest
-	// heartbeats holds the heartbeats of workers and other controllers, and probes.
-	heartbeats chan pendingRequest
+	// queue holds all events that wait for the event loop.
+	queue *admissionQueue
 	// clientListener is nil until Run opens it.
 	clientListener *connLimiter
 	shedding       loadShedding
 	longest        longestEvent
+	report         admissionReport
+	observer       Observer
 	clients        map[controller.Target]*http.Client
 	startTime      time.Time
 	// metrics handles GET /metrics at peer_listen. If it is nil, the route does not exist.
@@ -51,27 +45,24 @@
 
 // New returns a server for a core. The server listens only once Run is called.
 func New(cfg *config.Config, core Core, log *slog.Logger) *Server {
-	maxSockets := cfg.Cluster.Resources.FDs
-	return &Server{
-		cfg:          cfg,
-		core:         core,
-		log:          log,
-		stateResults: make(chan controller.Event, stateResultQueueSize),
-		results:      make(chan controller.Event, maxSockets),
-		// A process with a slow share of a CPU core still answers a full queue within about a second. Requests
-		// beyond the capacity are rejected immediately.
-		requests: make(chan pendingRequest, max(minRequestQueueSize, maxSockets/4)),
-		// Each worker waits for one response at a time, so the connection limit bounds the number of queued
-		// heartbeats.
-		heartbeats: make(chan pendingRequest, max(minRequestQueueSize, maxSockets/2)),
-		clients:    newClients(cfg),
-		startTime:  time.Now(),
+	s := &Server{
+		cfg:       cfg,
+		core:      core,
+		log:       log,
+		clients:   newClients(cfg),
+		observer:  noObserver{},
+		startTime: time.Now(),
 	}
+	s.queue = newAdmissionQueue(cfg.Cluster.Resources.FDs, shortestTimeout(cfg), s.onAdmissionViolation)
+	return s
 }
 
 // StartTime returns the time at which the controller's monotonic clock is zero.
 func (s *Server) StartTime() time.Time { return s.startTime }
 
+// Observe sets the observer of the admission. It must be called before Run.
+func (s *Server) Observe(observer Observer) { s.observer = observer }
+
 // SetMetricsHandler sets the handler of GET /metrics at peer_listen. It must be called before Run.
 func (s *Server) SetMetricsHandler(handler http.Handler) { s.metrics = handler }
 
