Requests whose client has gone, or waited for too long, are not handed to the core

Callers saw: after a trouble that had made the requests queue up, no question was answered any more, for as long as users repeated theirs, though the controller worked all the time: the operators' symptom.

Cause: a request that its user had given up (2 s), or its relaying controller (1.3 s), stayed in the queue and was handled in full, its answer thrown away. Once the queue held more work than the users' patience, each answer came too late; the repeats kept it full.

Class: work for a client that has gone, which turns a trouble into a metastable failure.

Fix: a request leaves the queue when its client has gone, and at three quarters of the client's timeout, by which the handler answers 503 at once; the last quarter is for the answer. A request that the core has received is answered as before. The queue asserts at run time that none is handed over after its deadline. The line 'requests shed' and the metrics count expired and abandoned requests by class.

--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -126,8 +126,10 @@
 	r.setGauge("claybarrow_events_longest_wait_seconds"+label, sample.LongestWait.Seconds())
 	r.setGauge("claybarrow_events_busy_seconds"+label, sample.Busy.Seconds())
 	for outcome, count := range map[string]uint64{
-		"served":   sample.Served,
-		"rejected": sample.Rejected,
+		"served":    sample.Served,
+		"rejected":  sample.Rejected,
+		"expired":   sample.Expired,
+		"abandoned": sample.Abandoned,
 	} {
 		r.metricSet.GetOrCreateCounter(fmt.Sprintf(`claybarrow_events_total{class=%q,outcome=%q}`, class, outcome)).Set(count)
 	}
--- a/internal/transport/admission_queue.go
+++ b/internal/transport/admission_queue.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/list"
+	"context"
 	"sync"
 	"time"
 
@@ -14,16 +15,37 @@
 	event controller.Event // a Request without an ID, a Result or a Tick
 	// reply receives the reply to a request; nil for other events. It has a buffer of one, so the event loop never
 	// blocks on a handler.
-	reply     chan controller.Reply
-	arrivedAt time.Duration // reading of the monotonic clock
+	reply chan controller.Reply
+	// clientGone is closed when the client has disconnected or given up; nil for events without a client.
+	clientGone <-chan struct{}
+	arrivedAt  time.Duration // reading of the monotonic clock
+	// deadline is the time after which the request must not be handed to the core; 0: none.
+	deadline time.Duration
+
+	element *list.Element // position in the queue of its class; nil once it has left
+	handed  bool          // the core has received it
+}
+
+// isAbandoned reports whether the client no longer waits for the reply.
+func (e *queuedEvent) isAbandoned() bool {
+	select {
+	case <-e.clientGone: // never ready if it is nil
+		return true
+	default:
+		return false
+	}
 }
 
-// admissionQueue decides which requests wait for the event loop and which event is served next.
+// admissionQueue decides which requests wait for the event loop, for how long, and which event is served next.
 //
 // The state service's responses are served first; only a few are in flight at a time. All other classes share the event
 // loop's time by start-time fair queueing: each class has a virtual time, which advances by the time that its events
 // took, divided by its weight, and the class with the least virtual time is served next. A class that begins to wait
 // gets no credit for the time in which it had nothing to do.
+//
+// A request leaves the queue without being served when its client has gone or when its deadline has passed. Otherwise a
+// queue that once holds more work than the clients' patience would produce late answers only, for as long as the
+// clients repeat their requests.
 type admissionQueue struct {
 	mu       sync.Mutex
 	classes  [classCount]classQueue
@@ -51,10 +73,12 @@
 
 // classStats counts what happened to the events of a class.
 type classStats struct {
-	served   uint64
-	rejected uint64        // the queue was full
-	busy     time.Duration // time that the core took
-	// longestWait is the longest wait of a served event since the statistics were last taken.
+	served    uint64
+	rejected  uint64        // the queue was full
+	expired   uint64        // waited until the deadline
+	abandoned uint64        // the client had gone
+	busy      time.Duration // time that the core took
+	// longestWait is the longest wait of a served or dropped event since the statistics were last taken.
 	longestWait time.Duration
 }
 
@@ -90,7 +114,7 @@
 		queue.virtualTime = max(queue.virtualTime, q.virtualTime)
 		queue.usedByOthers = 0
 	}
-	queue.events.PushBack(event)
+	event.element = queue.events.PushBack(event)
 	select {
 	case q.arrivals <- struct{}{}:
 	default:
@@ -108,22 +132,71 @@
 	}
 }
 
+// withdraw takes a request out of the queue because its client has gone or its deadline has passed. It returns false if
+// the core has received the request.
+func (q *admissionQueue) withdraw(event *queuedEvent, now time.Duration) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if event.handed {
+		return false
+	}
+	if event.element != nil {
+		q.drop(event, now)
+	}
+	return true
+}
+
+// drop removes a waiting request and counts why.
+func (q *admissionQueue) drop(event *queuedEvent, now time.Duration) {
+	stats := &q.classes[event.class].stats
+	if event.isAbandoned() {
+		stats.abandoned++
+	} else {
+		stats.expired++
+	}
+	q.remove(event, now)
+}
+
+// remove takes an event out of the queue of its class.
+func (q *admissionQueue) remove(event *queuedEvent, now time.Duration) {
+	queue := &q.classes[event.class]
+	queue.events.Remove(event.element)
+	queue.stats.longestWait = max(queue.stats.longestWait, now-event.arrivedAt)
+	event.element = nil
+}
+
 // next takes the event that is served next out of the queue, or returns nil if none waits. Only the event loop calls
 // it.
 func (q *admissionQueue) next(now time.Duration) *queuedEvent {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	q.dropStale(now)
 	class, ok := q.nextClass()
 	if !ok {
 		return nil
 	}
-	queue := &q.classes[class]
-	event := queue.events.Remove(queue.events.Front()).(*queuedEvent)
-	queue.stats.longestWait = max(queue.stats.longestWait, now-event.arrivedAt)
-	q.checkServed(event)
+	event := q.classes[class].events.Front().Value.(*queuedEvent)
+	q.remove(event, now)
+	event.handed = true
+	q.checkServed(event, now)
 	return event
 }
 
+// dropStale drops the requests at the front of each class that are not worth serving.
+func (q *admissionQueue) dropStale(now time.Duration) {
+	for class := range eventClass(classCount) {
+		events := &q.classes[class].events
+		for front := events.Front(); front != nil; front = events.Front() {
+			event := front.Value.(*queuedEvent)
+			expired := event.deadline > 0 && now > event.deadline
+			if !expired && !event.isAbandoned() {
+				break
+			}
+			q.drop(event, now)
+		}
+	}
+}
+
 // nextClass returns the class that is served next, or false if no event waits.
 func (q *admissionQueue) nextClass() (eventClass, bool) {
 	if q.classes[classStateResult].events.Len() > 0 {
@@ -181,7 +254,8 @@
 // can't be interrupted, and each class may have one.
 const starvationEventDivisor = 4 * time.Duration(classCount)
 
-// newRequest returns a request that may wait for the event loop.
-func newRequest(request controller.Request, now time.Duration) *queuedEvent {
-	return &queuedEvent{class: classOf(request.Op), event: request, reply: make(chan controller.Reply, 1), arrivedAt: now}
+// newRequest returns a request that may wait for the event loop until its deadline.
+func newRequest(ctx context.Context, request controller.Request, now, wait time.Duration) *queuedEvent {
+	return &queuedEvent{class: classOf(request.Op), event: request, reply: make(chan controller.Reply, 1),
+		clientGone: ctx.Done(), arrivedAt: now, deadline: now + wait}
 }
--- a/internal/transport/admission_report.go
+++ b/internal/transport/admission_report.go
@@ -21,6 +21,8 @@
 	LongestWait time.Duration
 	Served      uint64
 	Rejected    uint64        // the queue was full
+	Expired     uint64        // waited until the deadline
+	Abandoned   uint64        // the client had gone
 	Busy        time.Duration // time that the core took
 }
 
@@ -48,10 +50,11 @@
 	for class := range eventClass(classCount) {
 		current, last := stats[class], s.report.last[class]
 		s.observer.ClassSampled(class.String(), ClassSample{Waiting: waiting[class], LongestWait: current.longestWait, Served: current.served,
-			Rejected: current.rejected, Busy: current.busy})
-		if current.rejected > last.rejected {
+			Rejected: current.rejected, Expired: current.expired, Abandoned: current.abandoned, Busy: current.busy})
+		if current.shed() > last.shed() {
 			affected = append(affected, slog.Group(class.String(), "waiting", waiting[class], "longest_wait_s", current.longestWait.Seconds(),
-				"rejected", current.rejected-last.rejected, "served", current.served-last.served, "busy_s", (current.busy-last.busy).Seconds()))
+				"rejected", current.rejected-last.rejected, "expired", current.expired-last.expired,
+				"abandoned", current.abandoned-last.abandoned, "served", current.served-last.served, "busy_s", (current.busy-last.busy).Seconds()))
 		}
 	}
 	s.report.last = stats
@@ -60,6 +63,9 @@
 	}
 }
 
+// shed returns how many events were not served.
+func (c *classStats) shed() uint64 { return c.rejected + c.expired + c.abandoned }
+
 // onAdmissionViolation logs a violated invariant and reports it to the observer.
 func (s *Server) onAdmissionViolation(violation AdmissionViolation) {
 	s.log.Error("invariant violated", "invariant", string(violation.Invariant), "subject", violation.Class,
--- a/internal/transport/event_class.go
+++ b/internal/transport/event_class.go
@@ -97,11 +97,20 @@
 	return minRequestQueueSize
 }
 
-// shortestTimeout returns the shortest timeout of any client.
-func shortestTimeout(cfg *config.Config) time.Duration {
-	shortest := controller.ClientTimeout(cfg, controller.OpReady)
+// queueWaitPercent is the share of a client's timeout that its request may wait for the event loop. The rest is for
+// the way there and back, and for the answer itself.
+const queueWaitPercent = 75
+
+// queueWait returns how long a request may wait for the event loop.
+func queueWait(cfg *config.Config, op controller.Op) time.Duration {
+	return controller.ClientTimeout(cfg, op) * queueWaitPercent / 100
+}
+
+// shortestQueueWait returns the shortest time that a request of any operation may wait.
+func shortestQueueWait(cfg *config.Config) time.Duration {
+	shortest := queueWait(cfg, controller.OpReady)
 	for _, op := range []controller.Op{controller.OpRelay, controller.OpForwardedHeartbeat, controller.OpPeerHeartbeat, controller.OpProbe} {
-		shortest = min(shortest, controller.ClientTimeout(cfg, op))
+		shortest = min(shortest, queueWait(cfg, op))
 	}
 	return shortest
 }
--- a/internal/transport/event_loop_test.go
+++ b/internal/transport/event_loop_test.go
@@ -124,6 +124,11 @@
 		invariant AdmissionInvariant
 		plant     func(*admissionQueue)
 	}{
+		{DeadlineIsKept, func(queue *admissionQueue) {
+			late := &queuedEvent{class: classQuestion, deadline: time.Second}
+			queue.add(late)
+			queue.checkServed(late, 2*time.Second)
+		}},
 		{NoClassStarves, func(queue *admissionQueue) {
 			addRequest(queue, controller.OpPoll)
 			for now := time.Duration(0); now < 5*time.Second; now += 10 * time.Millisecond {
--- a/internal/transport/handler.go
+++ b/internal/transport/handler.go
@@ -54,20 +54,39 @@
 		// Closing the connection after the response frees a socket for other clients of the same listener.
 		w.Header().Set("Connection", "close")
 	}
-	timeout := time.NewTimer(replyTimeout)
-	defer timeout.Stop()
-	pending := newRequest(request, s.now().Monotonic)
+	pending := newRequest(r.Context(), request, s.now().Monotonic, admission.queueWait)
 	if !s.queue.add(pending) {
 		s.shedding.countRejection()
 		writeUnavailable(w)
 		return
 	}
-	select {
-	case reply := <-pending.reply:
-		s.writeReply(w, reply)
-	case <-timeout.C:
-		writeUnavailable(w)
-	case <-r.Context().Done():
+	s.awaitReply(w, pending, admission.queueWait)
+}
+
+// awaitReply writes the reply to a queued request, or 503 if it has not been handed to the core after queueWait, or not
+// been answered after replyTimeout.
+func (s *Server) awaitReply(w http.ResponseWriter, pending *queuedEvent, queueWait time.Duration) {
+	timeout := time.NewTimer(queueWait)
+	defer timeout.Stop()
+	for waited := false; ; waited = true {
+		select {
+		case reply := <-pending.reply:
+			s.writeReply(w, reply)
+			return
+		case <-timeout.C:
+			withdrawn := s.queue.withdraw(pending, s.now().Monotonic)
+			if withdrawn {
+				s.shedding.countRejection()
+			}
+			if withdrawn || waited {
+				writeUnavailable(w)
+				return
+			}
+			timeout.Reset(max(0, replyTimeout-queueWait))
+		case <-pending.clientGone:
+			s.queue.withdraw(pending, s.now().Monotonic)
+			return
+		}
 	}
 }
 
--- a/internal/transport/routes.go
+++ b/internal/transport/routes.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"time"
 
 	"claybarrow/internal/controller"
 	"claybarrow/internal/membership"
@@ -34,6 +35,8 @@
 
 // admission holds the admission limits for the requests of one operation.
 type admission struct {
+	// queueWait is how long the request may wait for the event loop.
+	queueWait time.Duration
 	// maxBodyBytes bounds the request's body if the operation has one.
 	maxBodyBytes int64
 	// closeAbovePercent is a percentage of the connection limit of client_listen. While more connections are open, the
@@ -43,7 +46,7 @@
 
 // admissionFor returns the admission limits of an operation.
 func (s *Server) admissionFor(op controller.Op) admission {
-	limits := admission{maxBodyBytes: protocol.MaxBodyBytes, closeAbovePercent: closeUsersAbovePercent}
+	limits := admission{queueWait: queueWait(s.cfg, op), maxBodyBytes: protocol.MaxBodyBytes, closeAbovePercent: closeUsersAbovePercent}
 	switch op {
 	case controller.OpSubmit, controller.OpPoll, controller.OpCancel, controller.OpReady:
 		// These operations use the limits set above.
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -53,7 +53,7 @@
 		observer:  noObserver{},
 		startTime: time.Now(),
 	}
-	s.queue = newAdmissionQueue(cfg.Cluster.Resources.FDs, shortestTimeout(cfg), s.onAdmissionViolation)
+	s.queue = newAdmissionQueue(cfg.Cluster.Resources.FDs, shortestQueueWait(cfg), s.onAdmissionViolation)
 	return s
 }
 
