Messages to another controller wait for a connection for a quarter of their timeout, each kind in its own pool

Callers saw: for as long as the load went on after a change of leader, hardly any question that a follower relayed was answered, although the leader answered within 0.1 s what reached it. Followers turned unready because their own heartbeats to the leader waited in the same queue.

Cause: relays, forwarded heartbeats and the controllers' own messages shared the connections to the leader, first come, first served, and waited for one up to their whole timeout. Once the queue was as long as the timeout, each message got its connection with too little time left, timed out, closed the connection and left the next one a new one to open.

Class: the same as in the event loop: a queue in which requests grow as old as their client's patience and are then worked on in vain.

Fix: heartbeats and probes, relays, and forwarded heartbeats have connections of their own, an eighth, a third and the rest of those that there were; a message gives up waiting after a quarter of its timeout, so that one that got a connection has three quarters of it for its answer. Giving up is not taken for a refused connection. Metrics by kind, and one line a workers' lease while messages give up.

--- a/internal/controller/failure_detection.go
+++ b/internal/controller/failure_detection.go
@@ -119,9 +119,9 @@
 
 // sendProbe sends a probe, or a heartbeat if the target's version does not support probes.
 func (d *failureDetection) sendProbe(send membership.Send) {
-	path, body := probePath, send.Body
+	path, body := ProbePath, send.Body
 	if send.Heartbeat {
-		path, body = peerHeartbeatPath, protocol.EncodePeer(d.follower.peerHeartbeat())
+		path, body = PeerHeartbeatPath, protocol.EncodePeer(d.follower.peerHeartbeat())
 	}
 	sent := d.env.now
 	d.outbox.peerCall(send.To, path, body, send.Timeout, func(res Result) {
--- a/internal/controller/follower.go
+++ b/internal/controller/follower.go
@@ -157,7 +157,7 @@
 	contact.inFlight = true
 	sent := f.env.now
 	body, timeout := protocol.EncodePeer(f.peerHeartbeat()), peerHeartbeatTimeout(f.env.cfg)
-	f.outbox.peerCall(target, peerHeartbeatPath, body, timeout, func(res Result) {
+	f.outbox.peerCall(target, PeerHeartbeatPath, body, timeout, func(res Result) {
 		f.onPeerHeartbeatReply(target, sent, res)
 	})
 }
@@ -317,7 +317,7 @@
 	f.relay.sendToLeader(&leaderRequest{
 		from:      from,
 		leader:    leader,
-		path:      forwardedHeartbeatPath,
+		path:      ForwardedHeartbeatPath,
 		forwarded: protocol.ForwardedRequest{Operation: string(OpWorkerHeartbeat), Body: body, From: f.env.cfg.Label},
 		deadline:  f.env.now + timeout,
 		onResult: func(res Result) {
--- a/internal/controller/machine_redirection_test.go
+++ b/internal/controller/machine_redirection_test.go
@@ -74,7 +74,7 @@
 	// Only probes are lost, for less than the suspicion timeout.
 	began := w.Now()
 	w.callFault = func(node int, c Call) deliveryFault {
-		return deliveryFault{lost: c.Path == probePath && (node == victim || c.Addr == w.cfgs[victim].PeerListen)}
+		return deliveryFault{lost: c.Path == ProbePath && (node == victim || c.Addr == w.cfgs[victim].PeerListen)}
 	}
 	w.run(2800 * time.Millisecond)
 	for id, c := range w.controllersInFirstZone() {
--- a/internal/controller/messages.go
+++ b/internal/controller/messages.go
@@ -37,10 +37,10 @@
 
 // Paths of the API between controllers.
 const (
-	relayPath              = "/relay"
-	forwardedHeartbeatPath = "/forward"
-	peerHeartbeatPath      = "/heartbeat"
-	probePath              = "/probe"
+	RelayPath              = "/relay"
+	ForwardedHeartbeatPath = "/forward"
+	PeerHeartbeatPath      = "/heartbeat"
+	ProbePath              = "/probe"
 )
 
 // Event is an input of Controller.Handle: a Request, a Result, a Tick or a Shutdown.
--- a/internal/controller/relay.go
+++ b/internal/controller/relay.go
@@ -30,7 +30,7 @@
 type leaderRequest struct {
 	from      requester
 	leader    string // label of the leader
-	path      string // relayPath or forwardedHeartbeatPath
+	path      string // RelayPath or ForwardedHeartbeatPath
 	forwarded protocol.ForwardedRequest
 	deadline  time.Duration // when the request is abandoned
 	retried   bool
@@ -61,7 +61,7 @@
 		}
 	}
 	forwarded := protocol.ForwardedRequest{Operation: string(request.Op), UID: request.UID, Body: request.Body}
-	r.relayToLeader(from, r.follower.leaderLabel(), relayPath, forwarded)
+	r.relayToLeader(from, r.follower.leaderLabel(), RelayPath, forwarded)
 }
 
 // relayFromPeer relays a request to the leader for another controller that can't reach it. The request is rejected if
@@ -184,7 +184,7 @@
 // among them are rejected by the pendingTable, which tracks them too.
 func (r *leaderRelay) discardRetries() {
 	for _, scheduled := range r.scheduledRetries {
-		if scheduled.request.path == forwardedHeartbeatPath {
+		if scheduled.request.path == ForwardedHeartbeatPath {
 			r.outbox.replyUnavailable(scheduled.request.from)
 		}
 	}
--- a/internal/controller/requests.go
+++ b/internal/controller/requests.go
@@ -76,7 +76,7 @@
 	}
 	from.relayed = true
 	if c.leadership == nil {
-		c.relay.relayFromPeer(from, relayPath, forwarded)
+		c.relay.relayFromPeer(from, RelayPath, forwarded)
 		return
 	}
 	c.leadership.userRequests.handle(from, Op(forwarded.Operation), forwarded.UID, forwarded.Body)
@@ -92,7 +92,7 @@
 		return
 	}
 	if c.leadership == nil {
-		c.relay.relayFromPeer(from, forwardedHeartbeatPath, forwarded)
+		c.relay.relayFromPeer(from, ForwardedHeartbeatPath, forwarded)
 		return
 	}
 	from.forwardedBy = forwarded.From
--- a/internal/controller/world_test.go
+++ b/internal/controller/world_test.go
@@ -339,13 +339,13 @@
 // serveAsPeer passes a call of another controller to node k, which answers through reply.
 func (w *world) serveAsPeer(k int, c Call, reply func(status int, body []byte)) {
 	n := w.nodes[k]
-	if c.Path == probePath && n.withoutProbes {
+	if c.Path == ProbePath && n.withoutProbes {
 		if n.alive {
 			reply(http.StatusNotFound, nil)
 		}
 		return
 	}
-	op := map[string]Op{"/relay": OpRelay, "/heartbeat": OpPeerHeartbeat, "/forward": OpForwardedHeartbeat, probePath: OpProbe}[c.Path]
+	op := map[string]Op{"/relay": OpRelay, "/heartbeat": OpPeerHeartbeat, "/forward": OpForwardedHeartbeat, ProbePath: OpProbe}[c.Path]
 	w.sendRequest(k, Request{Op: op, Body: c.Body}, func(r Reply) {
 		if r.Status == 0 {
 			return
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -135,6 +135,15 @@
 	}
 }
 
+// PoolSampled records the state of the connections for a kind of message to other controllers.
+func (r *Recorder) PoolSampled(kind string, sample transport.PoolSample) {
+	label := fmt.Sprintf(`{kind=%q}`, kind)
+	r.setGauge("claybarrow_peer_messages_waiting"+label, float64(sample.Waiting))
+	r.setGauge("claybarrow_peer_messages_longest_wait_seconds"+label, sample.LongestWait.Seconds())
+	r.metricSet.GetOrCreateCounter(fmt.Sprintf(`claybarrow_peer_messages_total{kind=%q,outcome="sent"}`, kind)).Set(sample.Sent)
+	r.metricSet.GetOrCreateCounter(fmt.Sprintf(`claybarrow_peer_messages_total{kind=%q,outcome="no_connection"}`, kind)).Set(sample.GaveUp)
+}
+
 // ProcessResumed records the length of a process pause and whether the controller was the leader before it.
 func (r *Recorder) ProcessResumed(pause time.Duration, wasLeader bool) {
 	r.incrementCounter(fmt.Sprintf(`claybarrow_standstills_total{led="%t"}`, wasLeader))
--- a/internal/telemetry/recorder_test.go
+++ b/internal/telemetry/recorder_test.go
@@ -45,6 +45,7 @@
 	r.InvariantViolated(controller.Violation{Invariant: controller.StartNeedsAuthority})
 	r.AdmissionViolated(transport.AdmissionViolation{Invariant: transport.NoClassStarves})
 	r.ClassSampled("question", transport.ClassSample{Waiting: 3, LongestWait: time.Second, Served: 8, Rejected: 2, Busy: time.Minute})
+	r.PoolSampled("user_relay", transport.PoolSample{Waiting: 4, LongestWait: time.Second, Sent: 9, GaveUp: 5})
 	r.ProcessResumed(2*time.Second, true)
 	r.GateChanged(controller.GateChange{Token: 3, From: featuregate.Closed, To: featuregate.Opening})
 	r.GateChanged(controller.GateChange{Token: 3, From: featuregate.Opening, To: featuregate.Open})
@@ -62,6 +63,7 @@
 		`claybarrow_invariant_violations_total{invariant="class_of_events_starved"} 1`, `claybarrow_events_waiting{class="question"} 3`,
 		`claybarrow_events_longest_wait_seconds{class="question"} 1`, `claybarrow_events_busy_seconds{class="question"} 60`,
 		`claybarrow_events_total{class="question",outcome="served"} 8`, `claybarrow_events_total{class="question",outcome="rejected"} 2`,
+		`claybarrow_peer_messages_waiting{kind="user_relay"} 4`, `claybarrow_peer_messages_total{kind="user_relay",outcome="no_connection"} 5`,
 		"claybarrow_handovers_total 1", "claybarrow_feature_gate_state 2", `claybarrow_feature_gate_changes_total{to="open"} 1`,
 		"claybarrow_end_journal_values 4", "claybarrow_end_journal_ends 60", "claybarrow_end_journal_unreadable 1",
 	} {
--- a/internal/transport/admission_report.go
+++ b/internal/transport/admission_report.go
@@ -10,6 +10,8 @@
 type Observer interface {
 	// ClassSampled reports the state of a class of events.
 	ClassSampled(class string, sample ClassSample)
+	// PoolSampled reports the state of the connections for a kind of message to other controllers.
+	PoolSampled(kind string, sample PoolSample)
 	// AdmissionViolated reports a violated invariant of the admission.
 	AdmissionViolated(AdmissionViolation)
 }
@@ -26,16 +28,28 @@
 	Busy        time.Duration // time that the core took
 }
 
+// PoolSample is the state of the connections for a kind of message to other controllers: how many messages wait for
+// one, the longest wait since the sample before, and counters since the process started.
+type PoolSample struct {
+	Waiting     int
+	LongestWait time.Duration
+	Sent        uint64 // got a connection
+	GaveUp      uint64 // got none in time
+}
+
 // noObserver ignores all measurements.
 type noObserver struct{}
 
 func (noObserver) ClassSampled(string, ClassSample)     {}
+func (noObserver) PoolSampled(string, PoolSample)       {}
 func (noObserver) AdmissionViolated(AdmissionViolation) {}
 
 // admissionReport remembers what was reported last. It is accessed only by the event loop's goroutine.
 type admissionReport struct {
 	dueAt time.Duration // reading of the monotonic clock
 	last  [classCount]classStats
+	// lastGaveUp holds how many messages had given up waiting for a connection, by kind.
+	lastGaveUp [peerMessageKinds]uint64
 }
 
 // reportAdmission samples all classes once per workers' lease. It logs a line if requests were shed, with the classes
@@ -61,6 +75,23 @@
 	if len(affected) > 0 {
 		s.log.Info("requests shed", affected...)
 	}
+	s.reportPools()
+}
+
+// reportPools samples the connections to other controllers. It logs a line if messages got none in time.
+func (s *Server) reportPools() {
+	var affected []any
+	for kind := range peerMessage(peerMessageKinds) {
+		stats := s.peerPools[kind].takeStats()
+		s.observer.PoolSampled(kind.String(), PoolSample{Waiting: stats.waiting, LongestWait: stats.longestWait, Sent: stats.sent, GaveUp: stats.gaveUp})
+		if gaveUp := stats.gaveUp - s.report.lastGaveUp[kind]; gaveUp > 0 {
+			affected = append(affected, slog.Group(kind.String(), "waiting", stats.waiting, "longest_wait_s", stats.longestWait.Seconds(), "gave_up", gaveUp))
+		}
+		s.report.lastGaveUp[kind] = stats.gaveUp
+	}
+	if len(affected) > 0 {
+		s.log.Info("no free connection to other controllers", affected...)
+	}
 }
 
 // shed returns how many events were not served.
--- a/internal/transport/client.go
+++ b/internal/transport/client.go
@@ -24,17 +24,14 @@
 // because the decision that it carries may be out of date.
 var errExpired = errors.New("request not sent: its validity ended while the process was paused")
 
-// newClients returns an HTTP client for each kind of target. The limits of their connection pools divide the process's
-// sockets between the targets.
+// newClients returns an HTTP client for each kind of target but other controllers, which have peer pools. The limits of
+// the connection pools divide the process's sockets between the targets.
 func newClients(cfg *config.Config) map[controller.Target]*http.Client {
 	maxSockets := cfg.Cluster.Resources.FDs
-	peerConns := maxSockets * outboundPeerConnPercent / 100
-	connsPerPeer := max(minConnsPerPeer, peerConns/max(1, len(cfg.Siblings)))
 	return map[controller.Target]*http.Client{
 		controller.ToState:  newClient(cfg, stateServiceConns, stateServiceConns),
 		controller.ToCloud:  newClient(cfg, cloudConns, cloudConns),
 		controller.ToWorker: newClient(cfg, connsPerWorker, maxSockets*workerIdleConnPercent/100),
-		controller.ToPeer:   newClient(cfg, connsPerPeer, peerConns),
 	}
 }
 
@@ -67,7 +64,9 @@
 	if ctx.Err() != nil {
 		return // the event loop has ended
 	}
-	result := controller.Result{ID: call.ID, Status: status, Body: body, ConnectionFailed: !connected}
+	// A controller without a free connection to another one does not know whether that one would refuse it.
+	failed := !connected && !errors.Is(err, errNoConnection)
+	result := controller.Result{ID: call.ID, Status: status, Body: body, ConnectionFailed: failed}
 	s.queue.add(&queuedEvent{class: resultClass(call.Target), event: result, arrivedAt: s.now().Monotonic})
 }
 
@@ -78,11 +77,21 @@
 // send sends a request and returns the status and body of its response. It returns errExpired if the request is no
 // longer valid, and otherwise the error that prevented sending the request or reading the response.
 func (s *Server) send(ctx context.Context, call controller.Call) (status int, body []byte, err error) {
+	ctx, cancel := context.WithTimeout(ctx, call.Timeout)
+	defer cancel()
+	client := s.clients[call.Target]
+	if call.Target == controller.ToPeer {
+		pool := s.peerPools[kindOfPeerMessage(call.Path)]
+		release, err := pool.acquire(ctx, call.Addr, call.Timeout)
+		if err != nil {
+			return 0, nil, err
+		}
+		defer release()
+		client = pool.client
+	}
 	if call.ValidUntil > 0 && s.now().Monotonic > call.ValidUntil {
 		return 0, nil, errExpired
 	}
-	ctx, cancel := context.WithTimeout(ctx, call.Timeout)
-	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, call.Method, "http://"+call.Addr+call.Path, bytes.NewReader(call.Body))
 	if err != nil {
 		return 0, nil, fmt.Errorf("create request: %w", err)
@@ -90,7 +99,7 @@
 	if len(call.Body) > 0 {
 		request.Header.Set("Content-Type", contentType(call.Target))
 	}
-	response, err := s.clients[call.Target].Do(request)
+	response, err := client.Do(request)
 	if err != nil {
 		return 0, nil, err
 	}
--- a/internal/transport/peer_connections_test.go
+++ b/internal/transport/peer_connections_test.go
@@ -1,6 +1,8 @@
 package transport
 
 import (
+	"bytes"
+	"log/slog"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -41,6 +43,33 @@
 	}
 }
 
+// The lines that tell of a shortage are logged once a workers' lease, and only while there is one.
+func TestShortageIsLoggedOncePerWorkersLease(t *testing.T) {
+	var logOutput bytes.Buffer
+	server := newTestServer(t)
+	server.log = slog.New(slog.NewTextHandler(&logOutput, nil))
+	lease := server.cfg.WorkerLease()
+	server.reportAdmission(0)
+	if logOutput.Len() > 0 {
+		t.Errorf("logged without a shortage: %s", &logOutput)
+	}
+	for server.queue.add(&queuedEvent{class: classQuestion}) {
+		continue // until the class is full, and rejects
+	}
+	pool := server.peerPools[peerUserRelay]
+	for range pool.connsPerPeer + 1 {
+		_, _ = pool.acquire(t.Context(), "addr", time.Millisecond) // the last one gives up
+	}
+	for _, now := range []time.Duration{lease / 2, lease, lease + lease/2, 2 * lease, 3 * lease} {
+		server.reportAdmission(now)
+	}
+	logged := logOutput.String()
+	if strings.Count(logged, "\n") != 2 || !strings.Contains(logged, `msg="requests shed" question.waiting=16`) || !strings.Contains(logged, "question.rejected=1") ||
+		!strings.Contains(logged, `msg="no free connection to other controllers" user_relay.waiting=0`) || !strings.Contains(logged, "user_relay.gave_up=1") {
+		t.Errorf("want one line for each shortage, logged:\n%s", logged)
+	}
+}
+
 // Relays that wait for a connection to a busy leader give up early enough for those that get one to be answered in time.
 func TestRelaysToABusyLeaderAreNotAllTooLate(t *testing.T) {
 	const (
--- a/internal/transport/routes.go
+++ b/internal/transport/routes.go
@@ -23,10 +23,10 @@
 // peerRoutes returns the handler of peer_listen, which serves other controllers and the metrics scraper.
 func (s *Server) peerRoutes() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST /relay", s.handleWithBody(controller.OpRelay))
-	mux.HandleFunc("POST /heartbeat", s.handleWithBody(controller.OpPeerHeartbeat))
-	mux.HandleFunc("POST /forward", s.handleWithBody(controller.OpForwardedHeartbeat))
-	mux.HandleFunc("POST /probe", s.handleWithBody(controller.OpProbe))
+	mux.HandleFunc("POST "+controller.RelayPath, s.handleWithBody(controller.OpRelay))
+	mux.HandleFunc("POST "+controller.PeerHeartbeatPath, s.handleWithBody(controller.OpPeerHeartbeat))
+	mux.HandleFunc("POST "+controller.ForwardedHeartbeatPath, s.handleWithBody(controller.OpForwardedHeartbeat))
+	mux.HandleFunc("POST "+controller.ProbePath, s.handleWithBody(controller.OpProbe))
 	if s.metrics != nil {
 		mux.Handle("GET /metrics", s.metrics)
 	}
