Connections to a controller are shared by need: a kind of message that waits alone gets all of them

Now a free connection goes to whoever wants it, and while both kinds wait, to the one that has less than its share (a third, two thirds). The controllers' own messages keep theirs.

--- a/internal/transport/admission_report.go
+++ b/internal/transport/admission_report.go
@@ -81,8 +81,8 @@
 // reportPools samples the connections to other controllers. It logs a line if messages got none in time.
 func (s *Server) reportPools() {
 	var affected []any
-	for kind := range peerMessage(peerMessageKinds) {
-		stats := s.peerPools[kind].takeStats()
+	for kind, stats := range s.peers.takeStats() {
+		kind := peerMessage(kind)
 		s.observer.PoolSampled(kind.String(), PoolSample{Waiting: stats.waiting, LongestWait: stats.longestWait, Sent: stats.sent, GaveUp: stats.gaveUp})
 		if gaveUp := stats.gaveUp - s.report.lastGaveUp[kind]; gaveUp > 0 {
 			affected = append(affected, slog.Group(kind.String(), "waiting", stats.waiting, "longest_wait_s", stats.longestWait.Seconds(), "gave_up", gaveUp))
--- a/internal/transport/client.go
+++ b/internal/transport/client.go
@@ -24,7 +24,7 @@
 // because the decision that it carries may be out of date.
 var errExpired = errors.New("request not sent: its validity ended while the process was paused")
 
-// newClients returns an HTTP client for each kind of target but other controllers, which have peer pools. The limits of
+// newClients returns an HTTP client for each kind of target but other controllers, which peerConnections serves. The limits of
 // the connection pools divide the process's sockets between the targets.
 func newClients(cfg *config.Config) map[controller.Target]*http.Client {
 	maxSockets := cfg.Cluster.Resources.FDs
@@ -81,13 +81,13 @@
 	defer cancel()
 	client := s.clients[call.Target]
 	if call.Target == controller.ToPeer {
-		pool := s.peerPools[kindOfPeerMessage(call.Path)]
-		release, err := pool.acquire(ctx, call.Addr, call.Timeout)
+		kind := kindOfPeerMessage(call.Path)
+		release, err := s.peers.acquire(ctx, kind, call.Addr, call.Timeout)
 		if err != nil {
 			return 0, nil, err
 		}
 		defer release()
-		client = pool.client
+		client = s.peers.client(kind)
 	}
 	if call.ValidUntil > 0 && s.now().Monotonic > call.ValidUntil {
 		return 0, nil, errExpired
--- a/internal/transport/peer_connections_test.go
+++ b/internal/transport/peer_connections_test.go
@@ -9,6 +9,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"claybarrow/internal/controller"
@@ -43,6 +44,52 @@
 	}
 }
 
+// While relays and forwarded heartbeats both wait for connections to a controller, each kind gets its share of them. A
+// kind that waits alone gets all.
+func TestKindsShareTheConnectionsToAController(t *testing.T) {
+	synctest.Test(t, testSharedConnections)
+}
+
+func testSharedConnections(t *testing.T) {
+	server := newTestServer(t)
+	server.cfg.Cluster.Resources.FDs = 2000
+	peers := newPeerConnections(server.cfg)
+	var mu sync.Mutex
+	releases := map[peerMessage][]func(){}
+	acquire := func(kind peerMessage) {
+		if release, err := peers.acquire(t.Context(), kind, "addr", time.Minute); err == nil {
+			mu.Lock()
+			defer mu.Unlock()
+			releases[kind] = append(releases[kind], release)
+		}
+	}
+	for range peers.sharedConns {
+		acquire(peerUserRelay)
+	}
+	if got := len(releases[peerUserRelay]); got != peers.sharedConns {
+		t.Errorf("relays alone got %d of %d connections", got, peers.sharedConns)
+	}
+	for range 2 * peers.sharedConns {
+		go acquire(peerUserRelay)
+		go acquire(peerWorkerForward)
+	}
+	synctest.Wait()
+	for range peers.sharedConns {
+		release := releases[peerUserRelay][0]
+		releases[peerUserRelay] = releases[peerUserRelay][1:]
+		release()
+		synctest.Wait()
+	}
+	relays, forwards := len(releases[peerUserRelay]), len(releases[peerWorkerForward])
+	if want := peers.sharedConns * relayWeight / (relayWeight + forwardWeight); relays < want || relays > want+1 || relays+forwards != peers.sharedConns {
+		t.Errorf("relays got %d and forwarded heartbeats %d of %d connections, want %d relays", relays, forwards, peers.sharedConns, want)
+	}
+	time.Sleep(time.Minute) // the others give up
+	if stats := peers.takeStats(); stats[peerUserRelay].waiting != 0 || stats[peerWorkerForward].gaveUp == 0 {
+		t.Errorf("after all have given up: %+v", stats)
+	}
+}
+
 // The lines that tell of a shortage are logged once a workers' lease, and only while there is one.
 func TestShortageIsLoggedOncePerWorkersLease(t *testing.T) {
 	var logOutput bytes.Buffer
@@ -56,9 +103,8 @@
 	for server.queue.add(&queuedEvent{class: classQuestion}) {
 		continue // until the class is full, and rejects
 	}
-	pool := server.peerPools[peerUserRelay]
-	for range pool.connsPerPeer + 1 {
-		_, _ = pool.acquire(t.Context(), "addr", time.Millisecond) // the last one gives up
+	for range server.peers.sharedConns + 1 {
+		_, _ = server.peers.acquire(t.Context(), peerUserRelay, "addr", time.Millisecond) // the last one gives up
 	}
 	for _, now := range []time.Duration{lease / 2, lease, lease + lease/2, 2 * lease, 3 * lease} {
 		server.reportAdmission(now)
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -36,7 +36,7 @@
 	report         admissionReport
 	observer       Observer
 	clients        map[controller.Target]*http.Client
-	peerPools      [peerMessageKinds]*peerPool
+	peers          *peerConnections
 	startTime      time.Time
 	// metrics handles GET /metrics at peer_listen. If it is nil, the route does not exist.
 	metrics http.Handler
@@ -51,7 +51,7 @@
 		core:      core,
 		log:       log,
 		clients:   newClients(cfg),
-		peerPools: newPeerPools(cfg),
+		peers:     newPeerConnections(cfg),
 		observer:  noObserver{},
 		startTime: time.Now(),
 	}
