Scale run: controllers held to their share of a core, the protocol's load balancer, more faults in the soak test

- control.hold_cores suspends and resumes each controller's process in slices of 2 ms (SIGSTOP, SIGCONT; no rights needed).
What it used is measured from its processor time; a run that missed its share says so.
- control.load_balancer: checks of /ready (two in a row, three of six), pauses from 3 s doubled up to 60 s, the raise over 10 s, resets after 5 s, three controllers tried, one connection a job that stays where it is.

No behaviour of the program changes.

--- a/cmd/scalerun/main.go
+++ b/cmd/scalerun/main.go
@@ -113,19 +113,23 @@
 
 // soakCmd runs a soak test.
 type soakCmd struct {
-	Seed     uint64 `default:"1" help:"The first seed. Plan and schedule of faults of a run follow from its seed; the timing of the processes does not."`
-	Seeds    int    `default:"1" help:"Number of seeds."`
-	Parallel int    `default:"4" help:"Runs at a time. Each has three controllers and uses ten ports."`
-	Workers  int    `default:"40" help:"Emulated workers of each run."`
-	Program  string `default:"target/claybarrow" placeholder:"FILE" help:"Path of the controller program to test."`
-	Dir      string `default:"soak" placeholder:"DIR" help:"Directory for the result of each seed, and for the logs of all controllers of a failed one."`
-	BasePort int    `default:"22000" placeholder:"PORT" help:"First port."`
-	Operator string `placeholder:"FILE" help:"Operators' settings (TOML) of the controllers."`
+	Seed         uint64  `default:"1" help:"The first seed. Plan and schedule of faults of a run follow from its seed; the timing of the processes does not."`
+	Seeds        int     `default:"1" help:"Number of seeds."`
+	Parallel     int     `default:"4" help:"Runs at a time. Each has three controllers and uses ten ports."`
+	Workers      int     `default:"40" help:"Emulated workers of each run."`
+	Program      string  `default:"target/claybarrow" placeholder:"FILE" help:"Path of the controller program to test."`
+	Dir          string  `default:"soak" placeholder:"DIR" help:"Directory for the result of each seed, and for the logs of all controllers of a failed one."`
+	BasePort     int     `default:"22000" placeholder:"PORT" help:"First port."`
+	Operator     string  `placeholder:"FILE" help:"Operators' settings (TOML) of the controllers."`
+	Share        float64 `placeholder:"CORES" help:"Hold each controller to this share of a core."`
+	LoadBalancer bool    `help:"Distribute users' connections by health checks with pauses, as the protocol describes it."`
+	Features     bool    `help:"Turn failure detection and the completion journal on or off by the seed."`
 }
 
 // Run implements the soak command.
 func (c soakCmd) Run(ctx context.Context) error {
-	settings := &scalerun.SoakSettings{Program: c.Program, Seed: c.Seed, Seeds: c.Seeds, Parallel: c.Parallel, Workers: c.Workers, BasePort: c.BasePort, Dir: c.Dir}
+	settings := &scalerun.SoakSettings{Program: c.Program, Seed: c.Seed, Seeds: c.Seeds, Parallel: c.Parallel, Workers: c.Workers, BasePort: c.BasePort, Dir: c.Dir,
+		Share: c.Share, LoadBalancer: c.LoadBalancer, Features: c.Features}
 	if c.Operator != "" {
 		text, err := os.ReadFile(c.Operator)
 		if err != nil {
--- a/internal/scalerun/clients.go
+++ b/internal/scalerun/clients.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"maps"
@@ -202,28 +203,51 @@
 // send makes one request and calls onResult with its result on the event loop. Status 0 means that there was no
 // response.
 func (c *clients) send(j *job, op string, body []byte, onResult func(status int, retryAfter time.Duration)) {
+	if balancer := c.region.controlPlane.balancer; balancer != nil {
+		c.sendBalanced(balancer, nil, j, op, body, onResult)
+		return
+	}
 	controller := c.region.controlPlane.pick()
 	if controller == nil {
 		c.region.metrics.responseReceived(op, 0)
 		onResult(0, 0)
 		return
 	}
-	c.sendTo(controller, j, op, body, onResult)
+	c.sendTo(controller, j, op, body, func(status int, retryAfter time.Duration, _ bool) { onResult(status, retryAfter) })
+}
+
+// sendBalanced makes one request over the connection of the job's user. If a controller accepts no connection, it tries
+// others, maxConnectAttempts in all; tried holds those before.
+func (c *clients) sendBalanced(balancer *loadBalancer, tried []*controller, j *job, op string, body []byte, onResult func(status int, retryAfter time.Duration)) {
+	controller := balancer.route(j.uid, tried)
+	if controller == nil {
+		c.region.metrics.responseReceived(op, 0)
+		onResult(0, 0)
+		return
+	}
+	c.sendTo(controller, j, op, body, func(status int, retryAfter time.Duration, connected bool) {
+		balancer.answered(j.uid, controller, connected, status != 0)
+		if tried = append(tried, controller); !connected && len(tried) < maxConnectAttempts {
+			c.sendBalanced(balancer, tried, j, op, body, onResult)
+			return
+		}
+		onResult(status, retryAfter)
+	})
 }
 
-// sendTo is like send for a request to a given controller.
-func (c *clients) sendTo(controller *controller, j *job, op string, body []byte, onResult func(status int, retryAfter time.Duration)) {
+// sendTo is like send for a request to a given controller. connected tells whether it accepted a connection.
+func (c *clients) sendTo(controller *controller, j *job, op string, body []byte, onResult func(status int, retryAfter time.Duration, connected bool)) {
 	r := c.region
 	sentAt := r.loop.queue.Now()
 	go func() {
-		status, answer, retryAfter := c.roundTrip(controller.clientAddress, op, j.uid, body)
+		status, answer, retryAfter, connected := c.roundTrip(controller.clientAddress, op, j.uid, body)
 		r.loop.post(func() {
 			r.metrics.responseReceived(op, status)
 			c.checkResponse(j, op, status, answer, sentAt)
 			if r.soakUsers != nil && succeeded(status) {
 				r.soakUsers.answered(controller.label)
 			}
-			onResult(status, retryAfter)
+			onResult(status, retryAfter, connected)
 		})
 	}()
 }
@@ -244,8 +268,9 @@
 	r.invariants.statusReported(j, reported.State, sentAt)
 }
 
-// roundTrip makes one request and reads its response. Status 0 means that no complete response arrived in time.
-func (c *clients) roundTrip(addr, op, uid string, body []byte) (status int, answer []byte, retryAfter time.Duration) {
+// roundTrip makes one request and reads its response. Status 0 means that no complete response arrived in time, and
+// connected is false if no connection could be made.
+func (c *clients) roundTrip(addr, op, uid string, body []byte) (status int, answer []byte, retryAfter time.Duration, connected bool) {
 	method, path, timeout := http.MethodPost, "/api/jobs", decisionTimeout
 	switch op {
 	case opPoll:
@@ -257,17 +282,18 @@
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, method, "http://"+addr+path, bytes.NewReader(body))
 	if err != nil {
-		return 0, nil, 0
+		return 0, nil, 0, false
 	}
 	response, err := c.httpClient.Do(request)
 	if err != nil {
-		return 0, nil, 0
+		var failed *net.OpError
+		return 0, nil, 0, !errors.As(err, &failed) || failed.Op != "dial"
 	}
 	defer closeQuietly(response.Body)
 	answer, err = io.ReadAll(io.LimitReader(response.Body, maxResponseBytes))
 	if err != nil {
-		return 0, nil, 0
+		return 0, nil, 0, true
 	}
 	retryAfterS, _ := strconv.Atoi(strings.TrimSpace(response.Header.Get("Retry-After"))) // absent: 0
-	return response.StatusCode, answer, time.Duration(retryAfterS) * time.Second
+	return response.StatusCode, answer, time.Duration(retryAfterS) * time.Second, true
 }
--- a/internal/scalerun/controllers.go
+++ b/internal/scalerun/controllers.go
@@ -112,6 +112,8 @@
 	controllers   []*controller
 	operatorFiles operatorFiles
 	lastPicked    int // position of pick's round robin; used by the event loop only
+	// balancer is nil unless control.load_balancer is set; used by the event loop only.
+	balancer *loadBalancer
 }
 
 // prepare writes the operator settings files and the settings of all controllers.
@@ -275,7 +277,7 @@
 // probe emulates the load balancer's health checks of a controller, one each probeInterval. Two consecutive failures
 // make the controller unhealthy, two consecutive successes healthy. Until its first restart, one success is enough.
 func (p *controlPlane) probe(ctx context.Context, c *controller) {
-	client := &http.Client{Timeout: probeTimeout, Transport: &http.Transport{DisableKeepAlives: true, DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext}}
+	client := newProbeClient()
 	contradictions := 0
 	ticker := time.NewTicker(probeInterval)
 	defer ticker.Stop()
@@ -299,6 +301,11 @@
 	}
 }
 
+// newProbeClient returns the client of a load balancer's health checks.
+func newProbeClient() *http.Client {
+	return &http.Client{Timeout: probeTimeout, Transport: &http.Transport{DisableKeepAlives: true, DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext}}
+}
+
 // isReady reports whether a controller's readiness check returns 200.
 func isReady(client *http.Client, address string) bool {
 	response, err := client.Get("http://" + address + "/ready")
--- a/internal/scalerun/plan.go
+++ b/internal/scalerun/plan.go
@@ -65,6 +65,11 @@
 	MemoryMB    float64 `toml:"memory_mb"`
 	Sockets     int     `toml:"sockets"`
 	RestartS    float64 `toml:"restart_s"` // delay before a killed controller is restarted
+	// HoldCores holds each controller to its share of a core by suspending it in short slices.
+	HoldCores bool `toml:"hold_cores"`
+	// LoadBalancer distributes users' connections by health checks with pauses, as the protocol describes it. Without
+	// it, two checks decide and each request is sent to the next healthy controller.
+	LoadBalancer bool `toml:"load_balancer"`
 	// Operator is TOML text that is appended to the operator settings of controllers that run run.program.
 	Operator string `toml:"operator"`
 	// OlderOperator is TOML text that is appended to the operator settings of controllers that run run.older.
--- a/internal/scalerun/region.go
+++ b/internal/scalerun/region.go
@@ -87,6 +87,9 @@
 		return nil, err
 	}
 	defer r.controlPlane.stopAll()
+	if r.plan.Control.LoadBalancer {
+		r.controlPlane.balancer = newLoadBalancer(r.loop.queue.Now, r.controlPlane.controllers)
+	}
 	if err := r.warmUp(ctx); err != nil {
 		return nil, err
 	}
@@ -100,12 +103,40 @@
 		if err := r.controlPlane.start(c); err != nil {
 			return err
 		}
-		go r.controlPlane.probe(ctx, c)
+		if r.plan.Control.HoldCores {
+			go (&processorShare{controller: c, share: r.plan.Control.Cores}).hold(ctx)
+		}
+		if r.controlPlane.balancer != nil {
+			go r.checkHealth(ctx, c)
+		} else {
+			go r.controlPlane.probe(ctx, c)
+		}
 	}
 	r.loop.call(r.startLoad)
 	return r.wait(ctx, seconds(r.plan.Run.WarmupS))
 }
 
+// checkHealth makes the load balancer's health checks of a controller.
+func (r *region) checkHealth(ctx context.Context, c *controller) {
+	client := newProbeClient()
+	ticker := time.NewTicker(probeInterval)
+	defer ticker.Stop()
+	for {
+		passed := isReady(client, c.clientAddress)
+		r.loop.post(func() {
+			healthy := r.controlPlane.balancer.checked(c, passed)
+			c.mu.Lock()
+			c.healthy = healthy
+			c.mu.Unlock()
+		})
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
 // measure runs the measured phase and returns its result.
 func (r *region) measure(ctx context.Context) (*RegionResult, error) {
 	r.metrics.sample()
--- a/internal/scalerun/result.go
+++ b/internal/scalerun/result.go
@@ -85,6 +85,7 @@
 	fmt.Fprintf(&b, "%d workers planned in %d region(s), %.0f s measured after a warm-up of %.0f s\n", r.Plan.Fleet.Workers, r.Plan.Fleet.Regions, r.Plan.Run.DurationS, r.Plan.Run.WarmupS)
 	for _, region := range r.Regions {
 		region.writeSummary(&b)
+		region.writeShares(&b, &r.Plan.Control)
 	}
 	switch {
 	case r.Violation != nil:
@@ -128,6 +129,22 @@
 	fmt.Fprintf(b, "  emulated events ran at most %.3f s late\n", r.MaxEventDelayS)
 }
 
+// maxShareExcess is how far a process that is held to a share of a core may exceed it, as a factor.
+const maxShareExcess = 1.1
+
+// writeShares says whether the controllers kept to the share of a core that they were held to.
+func (r *RegionResult) writeShares(b *strings.Builder, control *ControlPlan) {
+	if !control.HoldCores {
+		return
+	}
+	fmt.Fprintf(b, "  held to           %.3f cores\n", control.Cores)
+	for _, label := range slices.Sorted(maps.Keys(r.Processes)) {
+		if use := r.Processes[label]; label != processLabel && use.CPUShare > maxShareExcess*control.Cores {
+			fmt.Fprintf(b, "  MISSED ITS SHARE  %s used %.3f cores\n", label, use.CPUShare)
+		}
+	}
+}
+
 // String returns the quantiles as one line.
 func (q Quantiles) String() string {
 	return fmt.Sprintf("p50 %.1f ms, p99 %.1f ms, max %.1f ms (%d)", q.P50, q.P99, q.Max, q.Count)
--- a/internal/scalerun/run_test.go
+++ b/internal/scalerun/run_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -14,6 +15,10 @@
 
 // TestMain makes the test binary act as a region's process, like cmd/scalerun, if SCALERUN_TEST_PLAN is set.
 func TestMain(m *testing.M) {
+	if os.Getenv(spinVariable) != "" {
+		spin()
+		return
+	}
 	if file := os.Getenv("SCALERUN_TEST_PLAN"); file != "" {
 		number, _ := strconv.Atoi(os.Args[len(os.Args)-1])
 		plan, err := LoadPlanFile(file)
@@ -151,6 +156,35 @@
 	assertNoProcesses(t, program)
 }
 
+// Controllers that are held to a share of a core, behind the load balancer, still start tasks and answer users, and an
+// interrupt leaves none of them suspended.
+func TestHeldRunBehindTheLoadBalancer(t *testing.T) {
+	program := buildProgram(t)
+	const share = 0.3
+	plan := writePlan(t, program, fmt.Sprintf(`[control]
+cores = %v
+hold_cores = true
+load_balancer = true
+[[faults]]
+kind = "kill_leader"
+at_s = 1.0`, share))
+	result, err := Run(context.Background(), plan, os.Args[0], nil)
+	if err != nil {
+		t.Fatalf("%v\n%s", err, result.Summary())
+	}
+	r := result.Regions[0]
+	if r.Starts < 10 || r.Answers["poll: 200"] == 0 || r.Processes["controller-0"].CPUShare > maxShareExcess*share {
+		t.Errorf("%s", result.Summary())
+	}
+	assertNoProcesses(t, program)
+	ctx, interrupt := context.WithCancel(context.Background())
+	time.AfterFunc(2*time.Second, interrupt)
+	if _, err := Run(ctx, plan, os.Args[0], nil); err == nil {
+		t.Error("an interrupted run ended without an error")
+	}
+	assertNoProcesses(t, program)
+}
+
 // A missing program is reported as an invalid plan. A program that exits at once is reported with its controller's
 // label and the last line of its log.
 func TestProgramThatDoesNotRun(t *testing.T) {
--- a/internal/scalerun/servers.go
+++ b/internal/scalerun/servers.go
@@ -132,7 +132,7 @@
 		return
 	}
 	r.metrics.directMessage(len(body))
-	if r.soak != nil && r.soak.delaysCommand(worker, request.URL.Path, body) {
+	if r.soak != nil && (r.soak.losesCommand(body) || r.soak.delaysCommand(worker, request.URL.Path, body)) {
 		return
 	}
 	worker.Serve(request.URL.Path, body, func(status int, answer []byte) {
--- a/internal/scalerun/soak.go
+++ b/internal/scalerun/soak.go
@@ -22,6 +22,12 @@
 	BasePort int
 	Dir      string // receives the results, and the logs of failed runs
 	Operator string // operators' settings (TOML text) of the controllers
+	// Share holds each controller to this share of a core; 0: not held.
+	Share float64
+	// LoadBalancer distributes users' connections as the protocol describes it.
+	LoadBalancer bool
+	// Features turns failure detection and the completion journal on or off by the seed.
+	Features bool
 }
 
 // Limits of the settings.
@@ -29,7 +35,8 @@
 	maxSoakSeeds    = 10_000
 	maxSoakParallel = 24
 	minSoakWorkers  = 12
-	maxSoakWorkers  = 1_000
+	maxSoakWorkers  = 4_000
+	maxSoakShare    = 1.0
 	minPort         = 1_024
 	maxPort         = 65_535
 )
@@ -45,6 +52,8 @@
 		return planError("workers", "%d is not between %d and %d", s.Workers, minSoakWorkers, maxSoakWorkers)
 	case s.BasePort < minPort || s.BasePort+s.Parallel*portsPerRegion > maxPort:
 		return planError("base-port", "%d leaves no room for %d runs between %d and %d", s.BasePort, s.Parallel, minPort, maxPort)
+	case !(s.Share >= 0 && s.Share <= maxSoakShare):
+		return planError("share", "%v is not between 0 and %v", s.Share, maxSoakShare)
 	case s.Dir == "":
 		return planError("dir", "is empty")
 	}
@@ -64,6 +73,9 @@
 	Violation     *RuleViolation `json:"broken,omitempty"`
 	Error         string         `json:"error,omitempty"`
 	Repeat        string         `json:"repeat"`
+	// Processes holds the measured use of each process, and MaxEventDelayS how late the emulation's events ran.
+	Processes      map[string]ProcessUse `json:"processes"`
+	MaxEventDelayS float64               `json:"stand_in_latest_s"`
 	// Note says what of a run a seed determines.
 	Note string `json:"note"`
 }
@@ -134,8 +146,8 @@
 // runSeed runs one seed and keeps its result. slot separates the ports of runs beside each other.
 func (s *SoakSettings) runSeed(ctx context.Context, seed uint64, slot int) *SoakRun {
 	plan := s.plan(seed, slot)
-	run := &SoakRun{Seed: seed, Faults: soakSchedule(seed, plan.Control.Controllers, plan.Workers.CancelS), Note: soakNote,
-		Repeat: fmt.Sprintf("scalerun soak --seed %d --seeds 1 --workers %d --program %s --dir %s", seed, s.Workers, s.Program, s.Dir)}
+	run := &SoakRun{Seed: seed, Faults: soakSchedule(seed, s.kinds(), plan.Control.Controllers, plan.Workers.CancelS), Note: soakNote,
+		Repeat: s.repeatCommand(seed)}
 	plan.Run.DurationS = soakEndS(run.Faults, plan.Control.RestartS) + soakQuietS
 	dir := filepath.Join(s.Dir, fmt.Sprintf("seed-%d", seed))
 	if err := s.play(ctx, plan, dir, run); err != nil {
@@ -151,6 +163,29 @@
 	return run
 }
 
+// kinds returns the kinds of faults that the schedules draw from.
+func (s *SoakSettings) kinds() []SoakKind {
+	if s.Features {
+		return soakKindsWithFeatures
+	}
+	return soakKinds
+}
+
+// repeatCommand returns the command that plays a seed again.
+func (s *SoakSettings) repeatCommand(seed uint64) string {
+	command := fmt.Sprintf("scalerun soak --seed %d --seeds 1 --workers %d --program %s --dir %s", seed, s.Workers, s.Program, s.Dir)
+	if s.Share > 0 {
+		command += fmt.Sprintf(" --share %v", s.Share)
+	}
+	if s.LoadBalancer {
+		command += " --load-balancer"
+	}
+	if s.Features {
+		command += " --features"
+	}
+	return command
+}
+
 // play runs the region of a seed.
 func (s *SoakSettings) play(ctx context.Context, plan *Plan, dir string, run *SoakRun) error {
 	if err := plan.CheckMachine(); err != nil {
@@ -167,6 +202,7 @@
 	result, err := r.run(ctx)
 	if result != nil {
 		run.Jobs, run.LeaderChanges, run.Starts = r.clients.jobsSubmitted, result.LeaderChanges, result.Starts
+		run.Processes, run.MaxEventDelayS = result.Processes, result.MaxEventDelayS
 	}
 	if err != nil {
 		return err
--- a/internal/scalerun/soak_test.go
+++ b/internal/scalerun/soak_test.go
@@ -25,6 +25,7 @@
 		"parallel":  func(s *SoakSettings) { s.Parallel = maxSoakParallel + 1 },
 		"workers":   func(s *SoakSettings) { s.Workers = 1 },
 		"base-port": func(s *SoakSettings) { s.BasePort = 65_530 },
+		"share":     func(s *SoakSettings) { s.Share = 1.5 },
 		"dir":       func(s *SoakSettings) { s.Dir = "" },
 		"program":   func(s *SoakSettings) { s.Program = "no such file" },
 	} {
@@ -41,8 +42,8 @@
 func TestSoakScheduleFollowsFromTheSeed(t *testing.T) {
 	kinds, overlaps := map[SoakKind]bool{}, 0
 	for seed := range uint64(200) {
-		faults := soakSchedule(seed, 3, 25)
-		if !slices.Equal(faults, soakSchedule(seed, 3, 25)) {
+		faults := soakSchedule(seed, soakKindsWithFeatures, 3, 25)
+		if !slices.Equal(faults, soakSchedule(seed, soakKindsWithFeatures, 3, 25)) {
 			t.Fatalf("seed %d has two schedules", seed)
 		}
 		for i, fault := range faults {
@@ -55,10 +56,10 @@
 			}
 		}
 	}
-	if len(kinds) != len(soakKinds) || overlaps == 0 {
-		t.Errorf("%d of %d kinds, %d overlaps", len(kinds), len(soakKinds), overlaps)
+	if len(kinds) != len(soakKindsWithFeatures) || overlaps == 0 {
+		t.Errorf("%d of %d kinds, %d overlaps", len(kinds), len(soakKindsWithFeatures), overlaps)
 	}
-	if slices.Equal(soakSchedule(1, 3, 25), soakSchedule(2, 3, 25)) {
+	if slices.Equal(soakSchedule(1, soakKinds, 3, 25), soakSchedule(2, soakKinds, 3, 25)) {
 		t.Error("two seeds have the same schedule")
 	}
 }
@@ -255,6 +256,52 @@
 	}
 }
 
+func TestCutCommandsAreThoseOfOneLeader(t *testing.T) {
+	r := newRegion(soakTestPlan(t), 0, t.TempDir())
+	injector := newSoakInjector(r, nil, 1)
+	body := func(token uint64) []byte { return protocol.Encode(protocol.CommandRequest{Token: token}) }
+	put := protocol.Encode(map[string]any{"apply": []map[string]any{{"put": leaderKey, "data": map[string]any{"l": "controller-1", "n": 7}}}})
+	r.state.Serve(0, "POST", "/multi", put, func(status int, _ []byte) {
+		if status != 200 {
+			t.Fatalf("writing the leader key: status %d", status)
+		}
+	})
+	injector.cutCommands(time.Second)
+	if !injector.losesCommand(body(7)) || injector.losesCommand(body(8)) || injector.losesCommand(nil) {
+		t.Error("the cut does not concern the leader's commands alone")
+	}
+	r.loop.queue.RunUntil(r.loop.queue.Now() + 2*time.Second)
+	if injector.losesCommand(body(7)) {
+		t.Error("the cut does not end")
+	}
+}
+
+// soakTestPlan returns the plan of a soak run.
+func soakTestPlan(t *testing.T) *Plan {
+	t.Helper()
+	settings := SoakSettings{Program: os.Args[0], Workers: minSoakWorkers, BasePort: 32000, Dir: t.TempDir()}
+	return settings.plan(1, 0)
+}
+
+func TestFeaturesOfASeed(t *testing.T) {
+	settings := SoakSettings{Workers: minSoakWorkers, Share: 0.3, LoadBalancer: true, Features: true}
+	for seed, want := range []string{"", "membership", "end_journal", "membership,end_journal"} {
+		plan := settings.plan(uint64(seed), 0)
+		var got []string
+		for _, feature := range []string{"membership", "end_journal"} {
+			if strings.Contains(plan.Control.Operator, "["+feature+"]") {
+				got = append(got, feature)
+			}
+		}
+		if strings.Join(got, ",") != want {
+			t.Errorf("seed %d: %v, want %q", seed, got, want)
+		}
+		if !plan.Control.HoldCores || plan.Control.Cores != 0.3 || !plan.Control.LoadBalancer {
+			t.Errorf("seed %d: control %+v", seed, plan.Control)
+		}
+	}
+}
+
 // Two seeds with real processes, beside each other.
 func TestSoak(t *testing.T) {
 	program, dir := buildProgram(t), t.TempDir()
--- a/internal/scalerun/soakfaults.go
+++ b/internal/scalerun/soakfaults.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"claybarrow/internal/emulator"
+	"claybarrow/internal/protocol"
 )
 
 // Delays of messages that faults make late.
@@ -29,12 +30,14 @@
 	// Shares of messages that are affected now.
 	lateWrites, lostAnswers, lateHeartbeats, lateCommands, cancelsAtEnd float64
 	stateLatency                                                        time.Duration
+	// cutTokens counts the cuts in force of the direct requests with a fencing token.
+	cutTokens map[uint64]int
 	// applied counts the faults that are in force on each link, so that overlapping ones end independently.
 	applied map[*link][]linkState
 }
 
 func newSoakInjector(r *region, faults []SoakFault, seed uint64) *soakInjector {
-	return &soakInjector{region: r, faults: faults, random: rand.New(rand.NewPCG(seed, soakStream+1)), applied: map[*link][]linkState{}}
+	return &soakInjector{region: r, faults: faults, random: rand.New(rand.NewPCG(seed, soakStream+1)), cutTokens: map[uint64]int{}, applied: map[*link][]linkState{}}
 }
 
 // schedule schedules all faults, and sets the time at which the last one has ended.
@@ -252,6 +255,8 @@
 		s.raise(&s.lateCommands, fault)
 	case SoakCancelAtTheEnd:
 		s.raise(&s.cancelsAtEnd, fault)
+	case SoakCutCommands:
+		s.cutCommands(seconds(fault.ForS))
 	case SoakCancelManyAtOnce:
 		s.region.clients.cancelShare(fault.Share)
 	default:
@@ -259,6 +264,19 @@
 	}
 }
 
+// cutCommands loses the present leader's direct requests to workers for a time.
+func (s *soakInjector) cutCommands(duration time.Duration) {
+	record, _ := s.region.leader.current()
+	s.cutTokens[record.Token]++
+	s.region.loop.queue.After(duration, func() { s.cutTokens[record.Token]-- })
+}
+
+// losesCommand reports whether a direct request is lost because its sender's are cut.
+func (s *soakInjector) losesCommand(body []byte) bool {
+	var request protocol.CommandRequest
+	return len(body) > 0 && protocol.Decode(body, &request) == nil && s.cutTokens[request.Token] > 0
+}
+
 // happens draws whether a message is affected by a share.
 func (s *soakInjector) happens(share float64) bool { return s.random.Float64() < share }
 
--- a/internal/scalerun/soakplan.go
+++ b/internal/scalerun/soakplan.go
@@ -15,7 +15,11 @@
 		{Name: "m16", Share: 0.75, Cores: 16, MemoryGB: 64, CacheGB: 400, FetchGBPerS: 2, Price: 1, BootS: 5},
 		{Name: "g64", Share: 0.25, Cores: 64, Accelerators: 8, MemoryGB: 384, CacheGB: 400, FetchGBPerS: 2, Price: 20, BootS: 5},
 	}}
-	p.Control = ControlPlan{Controllers: 3, Cores: 1, MemoryMB: 256, Sockets: 1024, RestartS: 3, Operator: s.Operator}
+	p.Control = ControlPlan{Controllers: 3, Cores: 1, MemoryMB: 256, Sockets: 1024, RestartS: 3, Operator: s.Operator + s.features(seed)}
+	if s.Share > 0 {
+		p.Control.Cores, p.Control.HoldCores = s.Share, true
+	}
+	p.Control.LoadBalancer = s.LoadBalancer
 	p.Workers = WorkerPlan{ReportS: 1, LeaseS: 10, CancelS: 25, GangWaitS: 10, GangPeerS: 3}
 	p.Cloud = CloudPlan{RPS: 12, ListLagS: 2}
 	scale := float64(s.Workers)
@@ -30,5 +34,19 @@
 	return &p
 }
 
+// features returns the operators' settings that a seed turns on: of four seeds in a row one has none, one failure
+// detection, one the completion journal and one both.
+func (s *SoakSettings) features(seed uint64) string {
+	const detection, journal = 1, 2 // bits of the seed
+	text := ""
+	if s.Features && seed&detection != 0 {
+		text += "\n[membership]\nenabled = true\n"
+	}
+	if s.Features && seed&journal != 0 {
+		text += "\n[end_journal]\nenabled = true\n"
+	}
+	return text
+}
+
 // soakWorkersPerStart is the number of workers for each task start a second of a class.
 const soakWorkersPerStart = 40
--- a/internal/scalerun/soakschedule.go
+++ b/internal/scalerun/soakschedule.go
@@ -42,14 +42,19 @@
 	SoakLateCommands     SoakKind = "late_commands"     // direct requests are executed late, without an answer
 	SoakCancelAtTheEnd   SoakKind = "cancel_at_the_end" // jobs are cancelled as their last task ends
 	SoakCancelManyAtOnce SoakKind = "cancel_many"       // a share of the running jobs
+	SoakCutCommands      SoakKind = "cut_commands"      // the leader's direct requests to workers; its heartbeats pass
 )
 
-// soakKinds are all kinds, in the order in which a schedule draws them.
+// soakKinds are the kinds that each schedule may draw, in the order in which it draws them.
 var soakKinds = []SoakKind{SoakKill, SoakKillQuickly, SoakKillAll, SoakFreeze, SoakCutState, SoakHoldState, SoakHoldAnswers, SoakRefuse,
 	SoakRefuseThenOut, SoakStateOutage, SoakStateSlow, SoakLateWrites, SoakLostAnswers, SoakCutPeer, SoakHoldPeer, SoakRefusePeers,
 	SoakIsolate, SoakCutCloud, SoakCutWorkers, SoakHoldWorkers, SoakCutUsers, SoakDelay, SoakWorkersDeaf, SoakWorkersMute, SoakWorkersHung,
 	SoakWorkersDead, SoakLateHeartbeats, SoakLateCommands, SoakCancelAtTheEnd, SoakCancelManyAtOnce}
 
+// soakKindsWithFeatures are the kinds of the schedules with SoakSettings.Features. The other schedules do not draw the
+// kinds that were added later, so that their seeds still stand for the same faults.
+var soakKindsWithFeatures = append(slices.Clone(soakKinds), SoakCutCommands)
+
 // SoakFault is a fault of a soak run.
 type SoakFault struct {
 	Kind SoakKind `json:"kind"`
@@ -80,13 +85,14 @@
 	soakLeaderShare    = 0.6 // share of the faults of one controller that concern the leader
 )
 
-// soakSchedule returns the faults of a seed, in the order of their beginning. cancelS is the workers' cancel_s.
-func soakSchedule(seed uint64, controllers int, cancelS float64) []SoakFault {
+// soakSchedule returns the faults of a seed, of the given kinds, in the order of their beginning. cancelS is the workers'
+// cancel_s.
+func soakSchedule(seed uint64, kinds []SoakKind, controllers int, cancelS float64) []SoakFault {
 	random := rand.New(rand.NewPCG(seed, soakStream))
 	var faults []SoakFault
 	for at := 1 + random.Float64()*soakMaxPause; at < soakFaultPhase; at += 1 + random.Float64()*soakMaxPause {
 		for range 1 + random.IntN(soakMaxOverlapping) {
-			fault := SoakFault{Kind: soakKinds[random.IntN(len(soakKinds))], AtS: at + random.Float64(),
+			fault := SoakFault{Kind: kinds[random.IntN(len(kinds))], AtS: at + random.Float64(),
 				ForS: soakMinFault + random.Float64()*(soakMaxFault-soakMinFault), Controller: random.IntN(controllers), Share: random.Float64() * soakMaxShare}
 			fault.Peer = (fault.Controller + 1 + random.IntN(controllers-1)) % controllers
 			if random.Float64() < soakLeaderShare {
--- a/internal/scalerun/soakusers.go
+++ b/internal/scalerun/soakusers.go
@@ -70,7 +70,7 @@
 	}
 	for _, c := range r.controlPlane.controllers {
 		if c.isHealthy() {
-			r.clients.sendTo(c, j, opPoll, nil, func(int, time.Duration) {})
+			r.clients.sendTo(c, j, opPoll, nil, func(int, time.Duration, bool) {})
 		}
 	}
 	if !j.finished() || r.loop.queue.Now() < j.reportedAt+2*askEverywhereInterval {
@@ -90,7 +90,7 @@
 	body := protocol.Encode(u.invalidSubmission(j))
 	op := []string{opPoll, opCancel, opSubmit}[u.strangers%3]
 	go func() {
-		status, _, _ := r.clients.roundTrip(controller.clientAddress, op, j.uid, body)
+		status, _, _, _ := r.clients.roundTrip(controller.clientAddress, op, j.uid, body)
 		r.loop.post(func() { r.invariants.strangerAnswered(j, op, status) })
 	}()
 }
