Tests of two earlier mends that had none, and a run that did not begin has a summary

Result.Summary of a run that did not begin panicked and hid the error: seen when two runs of the scale run's tests met on the same ports (TestUpgradeAndRollback; alone it passes).

--- a/internal/controller/authority_test.go
+++ b/internal/controller/authority_test.go
@@ -115,3 +115,19 @@
 		}
 	}
 }
+
+// A heartbeat that was forwarded before the election is answered without the leader's token while the lease is verified.
+func TestForwardedHeartbeatDuringTheCheckAfterAPauseGetsNoToken(t *testing.T) {
+	l, attempt, _ := leadershipWithTask(t)
+	m := l.state.Machines[attempt.Machine.ID]
+	workerToken := l.lease.token
+	l.lease.token++
+	l.lease.verifyingLeaseUntil = l.lease.env.now + time.Second
+	msg := &protocol.WorkerHeartbeat{Machine: m.ID, Type: m.Type, Zone: m.Zone, Epoch: m.Epoch, Sequence: m.Sequence, Token: workerToken}
+	l.heartbeats.answerForwardedHeartbeat(requester{id: 79}, msg, protocol.Encode(msg))
+	var answer protocol.WorkerHeartbeatReply
+	reply, ok := l.controller.outbox.effects[0].(Reply)
+	if !ok || protocol.Decode(reply.Body, &answer) != nil || answer.Token != workerToken || len(answer.Commands) > 0 {
+		t.Errorf("answered %+v, %+v, want the worker's token %d and no commands", reply, answer, workerToken)
+	}
+}
--- a/internal/scalerun/processorshare_test.go
+++ b/internal/scalerun/processorshare_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"os"
 	"os/exec"
+	"path/filepath"
 	"strings"
 	"testing"
 	"time"
@@ -100,3 +101,25 @@
 		t.Errorf("summary:\n%s", summary)
 	}
 }
+
+func TestControllerKilledTwiceIsRestartedOnce(t *testing.T) {
+	t.Setenv(spinVariable, "1")
+	plan := soakTestPlan(t)
+	plan.Run.Program = os.Args[0]
+	plane := &controlPlane{plan: plan, dir: t.TempDir(), metrics: newMetrics(), fail: func(err error) { t.Error(err) }}
+	c := &controller{label: "c", log: filepath.Join(plane.dir, "c.log"), runsNewer: true}
+	plane.controllers = []*controller{c}
+	if err := plane.start(c); err != nil {
+		t.Fatal(err)
+	}
+	defer plane.stopAll()
+	const delay = 100 * time.Millisecond
+	plane.killFor(t.Context(), c, delay)
+	plane.killFor(t.Context(), c, delay)
+	time.Sleep(5 * delay)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.starts != 2 {
+		t.Errorf("%d starts, want the first one and one after two kills", c.starts)
+	}
+}
--- a/internal/scalerun/result.go
+++ b/internal/scalerun/result.go
@@ -79,8 +79,11 @@
 	Error     string          `json:"error,omitempty"`
 }
 
-// Summary renders the result as text for the terminal.
+// Summary renders the result as text for the terminal. The result is nil if the run did not begin.
 func (r *Result) Summary() string {
+	if r == nil {
+		return "the run did not begin\n"
+	}
 	var b strings.Builder
 	fmt.Fprintf(&b, "%d workers planned in %d region(s), %.0f s measured after a warm-up of %.0f s\n", r.Plan.Fleet.Workers, r.Plan.Fleet.Regions, r.Plan.Run.DurationS, r.Plan.Run.WarmupS)
 	for _, region := range r.Regions {
