--- a/internal/transport/event_loop_test.go
+++ b/internal/transport/event_loop_test.go
@@ -99,6 +99,16 @@
 	}
 }
 
+// A class that had nothing to do for a while gets no credit for it, which would keep the other classes waiting.
+func TestIdleClassDoesNotStarveTheOthersAfterwards(t *testing.T) {
+	queue := newTestQueue(t)
+	serveBacklog(queue, time.Minute, map[eventClass]time.Duration{classHeartbeat: 10 * time.Millisecond})
+	got := serveBacklog(queue, time.Second, map[eventClass]time.Duration{classHeartbeat: 10 * time.Millisecond, classQuestion: 10 * time.Millisecond})
+	if got[classHeartbeat] < got[classQuestion] {
+		t.Errorf("in the first second heartbeats got %s, questions %s", got[classHeartbeat], got[classQuestion])
+	}
+}
+
 // A single long event does not keep its class waiting for many times its duration.
 func TestLongEventDoesNotStarveItsClass(t *testing.T) {
 	queue := newTestQueue(t)
--- a/internal/transport/overload_test.go
+++ b/internal/transport/overload_test.go
@@ -338,6 +338,22 @@
 	})
 }
 
+// A request that has waited for too long is refused while its client still listens.
+func TestExpiredRequestIsRefusedBeforeItsClientGivesUp(t *testing.T) {
+	core := &slowCore{requestCost: map[controller.Op]time.Duration{controller.OpWorkerHeartbeat: 10 * time.Second}}
+	runOverload(t, core, func(w *overloadWorld) {
+		go w.request(w.clients, http.MethodPost, "/hello", reportTimeout) // keeps the core busy
+		time.Sleep(time.Millisecond)
+		recorder := httptest.NewRecorder()
+		began := time.Now()
+		w.clients.ServeHTTP(recorder, httptest.NewRequestWithContext(w.ctx, http.MethodGet, "/api/jobs/j-1", nil))
+		if waited := time.Since(began); recorder.Code != http.StatusServiceUnavailable || waited >= questionTimeout {
+			t.Errorf("status %d after %s, want 503 within %s", recorder.Code, waited, questionTimeout)
+		}
+		time.Sleep(10 * time.Second)
+	})
+}
+
 // A request that the core has received is answered, also if that takes longer than the request might have waited for it.
 func TestRequestInTheCoreIsStillAnswered(t *testing.T) {
 	core := &slowCore{requestCost: map[controller.Op]time.Duration{controller.OpPoll: 1900 * time.Millisecond}}
