--- a/internal/transport/overload_test.go
+++ b/internal/transport/overload_test.go
@@ -289,6 +289,8 @@
 		stop := make(chan struct{})
 		workers := w.start(60, w.report(), stop) // 60% of the core's time
 		loadBalancer := w.start(1, w.readiness(), stop)
+		followers := w.start(4, client{handler: w.peers, method: http.MethodPost, path: "/heartbeat", timeout: overloadLease / 10,
+			period: 500 * time.Millisecond}, stop)
 		impatient := w.question()
 		impatient.period, impatient.retryAfter = 500*time.Millisecond, 100*time.Millisecond
 		w.start(300, impatient, stop)
@@ -303,6 +305,9 @@
 		if got := share(loadBalancer); got < 1 {
 			t.Errorf("%.0f%% of the readiness checks were answered within 1 s, want all", 100*got)
 		}
+		if got := share(followers); got < 1 {
+			t.Errorf("%.0f%% of the other controllers' heartbeats were answered in time, want all", 100*got)
+		}
 		if limit := w.server.cfg.LeaderLease() / 5; longestRenewal > limit {
 			t.Errorf("the state service's answer waited for %s, want %s at the most", longestRenewal, limit)
 		}
--- a/internal/transport/peer_connections_test.go
+++ b/internal/transport/peer_connections_test.go
@@ -116,6 +116,21 @@
 	}
 }
 
+// A message that got no free connection is not taken for one that the other controller refused.
+func TestMessageWithoutAFreeConnectionIsNotReportedAsRefused(t *testing.T) {
+	server := newTestServer(t)
+	for range server.peers.sharedConns {
+		if _, err := server.peers.acquire(t.Context(), peerUserRelay, "127.0.0.1:1", time.Minute); err != nil {
+			t.Fatal(err)
+		}
+	}
+	server.executeCall(t.Context(), controller.Call{Target: controller.ToPeer, Addr: "127.0.0.1:1", Method: http.MethodPost, Path: "/relay", Timeout: 40 * time.Millisecond})
+	result, ok := server.queue.next(0).event.(controller.Result)
+	if !ok || result.Status != 0 || result.ConnectionFailed {
+		t.Errorf("result %+v, want status 0 and no failed connection", result)
+	}
+}
+
 // Relays that wait for a connection to a busy leader give up early enough for those that get one to be answered in time.
 func TestRelaysToABusyLeaderAreNotAllTooLate(t *testing.T) {
 	const (
