--- a/internal/transport/peer_connections_test.go
+++ b/internal/transport/peer_connections_test.go
@@ -131,6 +131,33 @@
 	}
 }
 
+// Relays that are the only messages to the leader use its connections, except those of the controllers' own messages.
+func TestRelaysAloneUseTheConnectionsToTheLeader(t *testing.T) {
+	release := make(chan struct{})
+	var held atomic.Int64
+	leader := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		held.Add(1)
+		select {
+		case <-release:
+		case <-r.Context().Done():
+		}
+		w.WriteHeader(http.StatusOK)
+	}))
+	defer leader.Close()
+	defer close(release)
+	server := newTestServer(t)
+	addr := strings.TrimPrefix(leader.URL, "http://")
+	for range 40 {
+		relay := controller.Call{Target: controller.ToPeer, Addr: addr, Method: http.MethodPost, Path: "/relay", Timeout: 30 * time.Second}
+		go func() { _, _, _ = server.send(t.Context(), relay) }() // it ends with the test
+	}
+	time.Sleep(200 * time.Millisecond)
+	conns := int64(server.cfg.Cluster.Resources.FDs * outboundPeerConnPercent / 100)
+	if got, want := held.Load(), conns-1; got < want {
+		t.Errorf("relays use %d of %d connections to the leader, want all but one", got, conns)
+	}
+}
+
 // Relays that wait for a connection to a busy leader give up early enough for those that get one to be answered in time.
 func TestRelaysToABusyLeaderAreNotAllTooLate(t *testing.T) {
 	const (
