--- /dev/null
+++ b/review/standin/sites.go
@@ -0,0 +1,24 @@
+package main
+
+import "time"
+
+// landlordSite returns the settings of the site bhk-claybarrow, "Shared Landlord Credit Check Platform, Budapest".
+func landlordSite() *site {
+	s := &site{
+		zones:   []string{"budapest-east", "gyor-west", "pecs-south"},
+		reportS: 3, leaseS: 16, cancelS: 46,
+		state:    stateLimits{rps: 200, writeRPS: 60, valueKB: 8, txnOps: 24},
+		cloudRPS: 8, listLagS: 5, cores: 0.18, memMB: 125, fdLimit: 1200, clockMS: 5, restartTime: 3 * time.Second,
+		flavours: []flavour{
+			{Name: "tisza-small", Cores: 4, RAMGB: 8, LocalGB: 35, PullGBPerS: 0.2, Rate: 0.19, LowPrice: 0.08, StartupS: 35,
+				Yards: []string{"budapest-east", "gyor-west", "pecs-south"}},
+			{Name: "tisza-mid", Cores: 16, RAMGB: 64, LocalGB: 30, PullGBPerS: 0.6, Rate: 0.86, LowPrice: 0.35, StartupS: 35,
+				Yards: []string{"gyor-west", "pecs-south"}},
+		},
+	}
+	for _, name := range []string{"pest-credit", "buda-reference", "debrecen-risk", "shared-platform", "compliance-desk", "intake-services"} {
+		s.teams = append(s.teams, map[string]any{"name": name, "cpus": 56.0, "cpus_max": 152.0, "gpus": 8.0, "gpus_max": 24.0})
+	}
+	s.objectives = []map[string]any{{"kind": "wait", "class": "intake-gateway", "within_s": 1.0, "share": 0.94}}
+	return s
+}
