--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -29,7 +29,8 @@
 
 func run() int {
 	cases := map[string]scenario{
-		"guest": {landlordSite(), guestLeaves},
+		"guest":  {landlordSite(), guestLeaves},
+		"limits": {landlordNextSite(), limitsFollow},
 	}
 	if len(os.Args) != 3 || cases[os.Args[1]].play == nil {
 		fmt.Fprintln(os.Stderr, "usage: standin CASE FOLDER")
--- a/review/standin/sites.go
+++ b/review/standin/sites.go
@@ -22,3 +22,10 @@
 	s.objectives = []map[string]any{{"kind": "wait", "class": "intake-gateway", "within_s": 1.0, "share": 0.94}}
 	return s
 }
+
+// landlordNextSite returns the settings of the site bhk-claybarrow-next, whose state service lowers its limits.
+func landlordNextSite() *site {
+	s := landlordSite()
+	s.nextState = &stateLimits{rps: 200, writeRPS: 42, valueKB: 2, txnOps: 8}
+	return s
+}
--- a/review/standin/state.go
+++ b/review/standin/state.go
@@ -368,3 +368,11 @@
 	}
 	return keys
 }
+
+// setLimits changes the limits, without notice.
+func (s *stateService) setLimits(limits stateLimits) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.limits = limits
+	s.record.printf("state: the limits are now %+v", limits)
+}
--- a/review/standin/watcher.go
+++ b/review/standin/watcher.go
@@ -7,10 +7,11 @@
 	record *recorder
 	mu     sync.Mutex
 	on     map[string]string // machine by task
+	done   map[string]bool   // tasks that have completed
 }
 
 func newWatcher(record *recorder) *watcher {
-	return &watcher{record: record, on: map[string]string{}}
+	return &watcher{record: record, on: map[string]string{}, done: map[string]bool{}}
 }
 
 func (w *watcher) started(machine string, key taskKey) {
@@ -35,3 +36,16 @@
 	defer w.mu.Unlock()
 	return len(w.on)
 }
+
+func (w *watcher) completed(shard string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.done[shard] = true
+}
+
+// completedTasks returns how many tasks have completed.
+func (w *watcher) completedTasks() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return len(w.done)
+}
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -22,6 +22,17 @@
 	cores   float64
 	fetch   time.Duration
 	run     time.Duration
+	// slowShard is a task that runs for slowRun, if slowRun is not 0.
+	slowShard int
+	slowRun   time.Duration
+}
+
+// runTime returns how long a task runs.
+func (j *job) runTime(key taskKey) time.Duration {
+	if j.slowRun > 0 && key.shard == fmt.Sprintf("%s/%d", j.uid, j.slowShard) {
+		return j.slowRun
+	}
+	return j.run
 }
 
 // jobs are the uploaded descriptions.
@@ -307,7 +318,7 @@
 		w.watch.started(w.machine.uid, key)
 		w.changed()
 		if !described.service {
-			w.after(described.run, t, "running", func() { w.exit(t, "done") })
+			w.after(described.runTime(key), t, "running", func() { w.exit(t, "done") })
 		}
 	})
 }
@@ -328,6 +339,9 @@
 	if t.standing == "running" {
 		w.watch.left(w.machine.uid, t.key, cause)
 	}
+	if cause == "done" {
+		w.watch.completed(t.key.shard)
+	}
 	t.standing, t.cause = "exited", cause
 	w.changed()
 }
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -17,6 +17,7 @@
 	leaseS      float64
 	cancelS     float64
 	state       stateLimits
+	nextState   *stateLimits // the limits that the state service will have; nil: the same
 	cloudRPS    float64
 	listLagS    float64
 	cores       float64
@@ -91,6 +92,10 @@
 
 func (w *world) settings(c *controller, stateAddr, cloudAddr string) map[string]any {
 	s := w.site
+	state := wireLimits(s.state)
+	if s.nextState != nil {
+		state["next"] = wireLimits(*s.nextState)
+	}
 	siblings := []map[string]any{}
 	for _, other := range w.controllers {
 		if other != c {
@@ -103,13 +108,17 @@
 		"cluster": map[string]any{
 			"size": len(s.zones), "zones": s.zones, "teams": s.teams, "objectives": s.objectives,
 			"workers":   map[string]any{"report_s": s.reportS, "lease_s": s.leaseS, "gang_wait_s": 30.0, "gang_peer_s": 5.0, "cancel_s": s.cancelS},
-			"state":     map[string]any{"rps": s.state.rps, "write_rps": s.state.writeRPS, "value_kb": s.state.valueKB, "txn_ops": s.state.txnOps},
+			"state":     state,
 			"cloud":     map[string]any{"rps": s.cloudRPS, "list_lag_s": s.listLagS},
 			"resources": map[string]any{"cores": s.cores, "mem_mb": s.memMB, "fd_limit": s.fdLimit}, "clock_error_ms": s.clockMS,
 		},
 	}
 }
 
+func wireLimits(l stateLimits) map[string]any {
+	return map[string]any{"rps": l.rps, "write_rps": l.writeRPS, "value_kb": l.valueKB, "txn_ops": l.txnOps}
+}
+
 // boot starts the worker of a machine that is up. The cloud holds its lock.
 func (w *world) boot(m *machine, f flavour) {
 	ctx, stop := context.WithCancel(w.ctx)
