--- a/review/standin/balancer.go
+++ b/review/standin/balancer.go
@@ -31,11 +31,12 @@
 	skippedUntil time.Time
 }
 
-func startBalancer(ctx context.Context, nodes []controllerAddress, record *recorder) (*balancer, string, error) {
+// startBalancer starts the load balancer and returns the address for users.
+func startBalancer(ctx context.Context, nodes []controllerAddress, record *recorder) (address string, err error) {
 	b := &balancer{record: record}
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
-		return nil, "", err
+		return "", err
 	}
 	context.AfterFunc(ctx, func() { _ = listener.Close() })
 	for _, node := range nodes {
@@ -52,7 +53,7 @@
 			go b.assign(conn)
 		}
 	}()
-	return b, listener.Addr().String(), nil
+	return listener.Addr().String(), nil
 }
 
 // probe checks a node about once a second.
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 )
@@ -194,3 +196,38 @@
 	status, _ := exchange(client, request)
 	return status == http.StatusOK
 }
+
+// startAll writes the settings, starts all controllers and the load balancer, and returns the balancer's address.
+func (w *world) startAll() (address string, err error) {
+	if err := w.writeSettings(); err != nil {
+		return "", err
+	}
+	if err := w.start(w.controllers...); err != nil {
+		return "", err
+	}
+	allReady := func() bool {
+		return !slices.ContainsFunc(w.controllers, func(c *controller) bool { return !ready(c) })
+	}
+	if !await(20*time.Second, allReady) {
+		return "", errors.New("not all controllers are ready")
+	}
+	if address, err = startBalancer(w.ctx, w.clientAddresses(), w.record); err != nil {
+		return "", err
+	}
+	time.Sleep(1500 * time.Millisecond)
+	return address, nil
+}
+
+// restartAll restarts the controllers one after the other, with a pause before the next one.
+func (w *world) restartAll(pause time.Duration) error {
+	for _, c := range w.controllers {
+		c.kill()
+		time.Sleep(w.site.restartTime)
+		if err := w.start(c); err != nil {
+			return err
+		}
+		time.Sleep(pause)
+	}
+	w.record.printf("test: all controllers are restarted")
+	return nil
+}
