--- a/review/standin/balancer.go
+++ b/review/standin/balancer.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"slices"
@@ -123,11 +122,7 @@
 		n.conns[conn] = other
 		b.mu.Unlock()
 		b.record.printf("balancer: user's connection %s to %s", conn.RemoteAddr(), n.label)
-		go func() {
-			_, _ = io.Copy(other, conn)
-			_ = other.Close()
-		}()
-		_, _ = io.Copy(conn, other)
+		pipe(conn, other, func() {})
 		_ = other.Close()
 		b.mu.Lock()
 		delete(n.conns, conn)
--- a/review/standin/controllers.go
+++ b/review/standin/controllers.go
@@ -16,11 +16,13 @@
 // controller is a controller under test. Like the platform it starts a process that ended by itself again.
 type controller struct {
 	label, zone, client, peer string
-	settings                  string // path of the settings file
-	log                       string
-	run                       []string
-	pause                     time.Duration // from an end to the next start
-	record                    *recorder
+	// public is where the load balancer reaches the controller; empty: at client.
+	public   string
+	settings string // path of the settings file
+	log      string
+	run      []string
+	pause    time.Duration // from an end to the next start
+	record   *recorder
 
 	mu      sync.Mutex
 	command *exec.Cmd
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -29,8 +29,9 @@
 
 func run() int {
 	cases := map[string]scenario{
-		"guest":  {landlordSite(), guestLeaves},
-		"limits": {landlordNextSite(), limitsFollow},
+		"guest":       {landlordSite(), guestLeaves},
+		"limits":      {landlordNextSite(), limitsFollow},
+		"interrupted": {parkingSite(), interrupted},
 	}
 	if len(os.Args) != 3 || cases[os.Args[1]].play == nil {
 		fmt.Fprintln(os.Stderr, "usage: standin CASE FOLDER")
--- a/review/standin/sites.go
+++ b/review/standin/sites.go
@@ -29,3 +29,23 @@
 	s.nextState = &stateLimits{rps: 200, writeRPS: 42, valueKB: 2, txnOps: 8}
 	return s
 }
+
+// parkingSite returns the settings of the site ippa-claybarrow-grown in its small form, with three controllers.
+func parkingSite() *site {
+	s := &site{
+		zones:   []string{"dublin-north", "cork-harbour", "shannon-west"},
+		reportS: 1, leaseS: 10, cancelS: 35,
+		state:    stateLimits{rps: 150, writeRPS: 50, valueKB: 16, txnOps: 32},
+		cloudRPS: 8, listLagS: 5, cores: 0.144, memMB: 98, fdLimit: 600, clockMS: 25, restartTime: 6 * time.Second,
+	}
+	s.flavours = []flavour{{Name: "kerry-gpu96", Cores: 96, Accelerators: 8, RAMGB: 768, LocalGB: 400, PullGBPerS: 4.6, Rate: 21.51, LowPrice: 9.06,
+		StartupS: 50, Yards: s.zones}}
+	for _, team := range []struct {
+		name      string
+		gpus, max float64
+	}{{"appeals-desk", 48, 392}, {"permits-unit", 24, 48}, {"fines-casework", 16, 80}, {"meter-data", 40, 96}, {"platform-ops", 24, 232}, {"council-liaison", 48, 232}} {
+		s.teams = append(s.teams, map[string]any{"name": team.name, "cpus": 0.0, "cpus_max": 0.0, "gpus": team.gpus, "gpus_max": team.max})
+	}
+	s.objectives = []map[string]any{{"kind": "wait", "class": "penalty-batch", "within_s": 150.0, "share": 0.92}}
+	return s
+}
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -151,9 +152,10 @@
 	}
 }
 
-func (w *world) clientAddresses() (nodes []controllerAddress) {
+// publicAddresses returns where the load balancer reaches the controllers.
+func (w *world) publicAddresses() (nodes []controllerAddress) {
 	for _, c := range w.controllers {
-		nodes = append(nodes, controllerAddress{c.label, c.client})
+		nodes = append(nodes, controllerAddress{c.label, cmp.Or(c.public, c.client)})
 	}
 	return nodes
 }
@@ -211,7 +213,7 @@
 	if !await(20*time.Second, allReady) {
 		return "", errors.New("not all controllers are ready")
 	}
-	if address, err = startBalancer(w.ctx, w.clientAddresses(), w.record); err != nil {
+	if address, err = startBalancer(w.ctx, w.publicAddresses(), w.record); err != nil {
 		return "", err
 	}
 	time.Sleep(1500 * time.Millisecond)
