--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -6,9 +6,12 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 )
 
 // Exit statuses.
@@ -78,5 +81,18 @@
 		return nil, err
 	}
 	defer w.stopAll()
-	return s.play(w, os.Getenv("TROUBLE") != "0")
+	interrupt, ignore := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
+	defer ignore()
+	ended := make(chan struct{})
+	var broken []string
+	go func() {
+		defer close(ended)
+		broken, err = s.play(w, os.Getenv("TROUBLE") != "0")
+	}()
+	select {
+	case <-ended:
+		return broken, err
+	case <-interrupt.Done():
+		return nil, errors.New("interrupted")
+	}
 }
--- a/review/standin/wire.go
+++ b/review/standin/wire.go
@@ -56,9 +56,9 @@
 	return listener.Addr().String(), nil
 }
 
-// freeAddress returns a loopback address whose port is free.
-func freeAddress() (string, error) {
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+// freeAddress returns an address of the loopback host with a free port.
+func freeAddress(host string) (string, error) {
+	listener, err := net.Listen("tcp4", host+":0")
 	if err != nil {
 		return "", err
 	}
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -65,10 +65,12 @@
 	}
 	for i, zone := range s.zones {
 		c := &controller{label: fmt.Sprintf("barrowhand-%d", i), zone: zone, run: run, pause: s.restartTime, record: record}
-		if c.client, err = freeAddress(); err != nil {
+		// Outgoing connections come from 127.0.0.1 and so can't take a controller's port while it is down.
+		host := fmt.Sprintf("127.77.0.%d", i+1)
+		if c.client, err = freeAddress(host); err != nil {
 			return nil, err
 		}
-		if c.peer, err = freeAddress(); err != nil {
+		if c.peer, err = freeAddress(host); err != nil {
 			return nil, err
 		}
 		w.controllers = append(w.controllers, c)
