--- a/review/standin/guest.go
+++ b/review/standin/guest.go
@@ -49,10 +49,18 @@
 	uid string
 }
 
-// guestJobs submits a job of the guest team and one of each other team.
+// askers is how many jobs there are, each with its own user.
+const askers = 12
+
+// guestJobs submits a job of the guest team and some of other teams.
 func guestJobs(w *world, address string) ([]asker, error) {
 	var users []asker
-	for i, owner := range []string{guestTeam, "pest-credit", "buda-reference", "debrecen-risk", "shared-platform", "compliance-desk"} {
+	owners := []string{"pest-credit", "buda-reference", "debrecen-risk", "shared-platform", "compliance-desk"}
+	for i := range askers {
+		owner := owners[i%len(owners)]
+		if i == 0 {
+			owner = guestTeam
+		}
 		u := asker{newUser(owner, address, w.record), fmt.Sprintf("j-%06d", i+1)}
 		j := &job{uid: u.uid, cores: 2, fetch: 500 * time.Millisecond, service: true}
 		shape, tier, rank, shards := "service", "intake-gateway", "production", 1
@@ -69,16 +77,20 @@
 	return users, nil
 }
 
+// pollPause is the time between two questions of a user.
+const pollPause = 5 * time.Second
+
 // questions lets the users poll for longer than 75 s. It returns the jobs about which no question was answered for 75 s.
 func questions(w *world, users []asker) (broken []string) {
 	const limit = 75 * time.Second
 	var group sync.WaitGroup
 	var mu sync.Mutex
-	end := time.Now().Add(limit + 3*time.Second)
-	for _, u := range users {
+	end := time.Now().Add(limit + pollPause)
+	for i, u := range users {
 		group.Add(1)
 		go func() {
 			defer group.Done()
+			time.Sleep(pollPause * time.Duration(i) / askers)
 			since, longest, asked := time.Now(), time.Duration(0), 0
 			for time.Now().Before(end) {
 				at := time.Now()
@@ -88,7 +100,7 @@
 					since = time.Now()
 				}
 				longest = max(longest, time.Since(since))
-				time.Sleep(time.Until(at.Add(5 * time.Second)))
+				time.Sleep(time.Until(at.Add(pollPause)))
 			}
 			longest = max(longest, time.Since(since))
 			if longest >= limit {
