--- a/review/standin/interrupted.go
+++ b/review/standin/interrupted.go
@@ -19,6 +19,9 @@
 	ageStep    = 700 * time.Millisecond
 )
 
+// raise is how long the load balancer may take to raise a healthy node to its share of new connections.
+const raise = 10 * time.Second
+
 // patience is how long a user waits for the answer to a submission.
 const patience = 5 * time.Second
 
@@ -37,6 +40,7 @@
 	if err != nil {
 		return nil, err
 	}
+	time.Sleep(raise)
 	begin := time.Now().Add(oldest + 500*time.Millisecond)
 	var group sync.WaitGroup
 	var mu sync.Mutex
