--- a/review/standin2/controllers.go
+++ b/review/standin2/controllers.go
@@ -7,6 +7,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -41,6 +42,7 @@
 	settings                  string
 	process                   *exec.Cmd
 	ended                     chan struct{} // closed when the process has ended
+	down                      atomic.Bool   // it is being restarted
 }
 
 // prepareControllers chooses the addresses of the controllers and writes their settings.
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -24,7 +24,7 @@
 
 // cases are the cases by name.
 var cases = map[string]func(ctx context.Context, w *world, s *site, trouble bool) int{
-	"gang": playGang, "mistake": playMistake, "starved": playStarved, "yard": playYard, "fetch": playFetch,
+	"gang": playGang, "mistake": playMistake, "starved": playStarved, "yard": playYard, "fetch": playFetch, "month": playMonth,
 }
 
 // smallSite returns a small deployment: three controllers and the state service of the parking deployment, and machines
--- a/review/standin2/world.go
+++ b/review/standin2/world.go
@@ -174,3 +174,10 @@
 		}
 	})
 }
+
+// call runs a function on the loop and waits for it.
+func (l *loop) call(fn func()) {
+	done := make(chan struct{})
+	l.inbox <- func() { fn(); close(done) }
+	<-done
+}
