--- a/review/standin2/workers.go
+++ b/review/standin2/workers.go
@@ -105,7 +105,7 @@
 	listener, addr, err := listen()
 	if err != nil {
 		f.world.record.printf("stand-in: no address for %s: %v", id, err)
-		return "127.0.0.1:1"
+		return loopbackHost() + ":1"
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/review/standin2/world.go
+++ b/review/standin2/world.go
@@ -84,9 +84,15 @@
 	cloudAddr   string
 }
 
-// listen opens a listener on a free loopback port.
+// loopbackHost returns the loopback address of this play, so that plays at the same time can't meet on a port.
+func loopbackHost() string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 1+pid>>16&0x7f, pid>>8&0xff, max(1, pid&0xff))
+}
+
+// listen opens a listener on a free port of this play's loopback address.
 func listen() (net.Listener, string, error) {
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	listener, err := net.Listen("tcp4", loopbackHost()+":0")
 	if err != nil {
 		return nil, "", err
 	}
