Say why a machine gets no tasks

Change: machine_exclusion.go alone decides it and names the reason. The fleet summary counts the machines by reason, and so does the metric claybarrow_machines_excluded. A timed quarantine keeps its reason. No decision changes, except that a rejected record no longer shortens a longer quarantine.

--- a/internal/clusterstate/agent_state.go
+++ b/internal/clusterstate/agent_state.go
@@ -30,7 +30,34 @@
 	// undeliveredAnswersPerExpiry for a lease that expired although the leader had answered.
 	UndeliveredAnswers int
 	// QuarantinedUntil is the end of the quarantine. Until then no new work is placed on the machine.
+	// QuarantineReason is the reason for it.
 	QuarantinedUntil time.Duration
+	QuarantineReason QuarantineReason
+}
+
+// QuarantineReason is the logged reason for the quarantine of a machine.
+type QuarantineReason string
+
+// Reasons for a quarantine.
+const (
+	// QuarantineAnswersLost: the agent's lease expired although the leader had answered its heartbeats.
+	QuarantineAnswersLost QuarantineReason = "answers_lost"
+	// QuarantineStartRefused: the agent refused to start a task for lack of resources.
+	QuarantineStartRefused QuarantineReason = "start_refused"
+	// QuarantineRecordRejected: the state service rejected the machine's record.
+	QuarantineRecordRejected QuarantineReason = "record_rejected"
+	// QuarantineFailureConfirmed: a task that failed on the machine has completed on another machine.
+	QuarantineFailureConfirmed QuarantineReason = "failure_confirmed"
+)
+
+// QuarantineReasons lists all reasons for a quarantine.
+var QuarantineReasons = []QuarantineReason{QuarantineAnswersLost, QuarantineStartRefused, QuarantineRecordRejected, QuarantineFailureConfirmed}
+
+// Quarantine excludes the machine from new work until the given time, unless it is quarantined for longer already.
+func (a *AgentState) Quarantine(reason QuarantineReason, until time.Duration) {
+	if until > a.QuarantinedUntil {
+		a.QuarantinedUntil, a.QuarantineReason = until, reason
+	}
 }
 
 // HeartbeatHeader is the part of an agent's message that identifies the sender and the message.
@@ -77,7 +104,7 @@
 	case observation.LeaseExpired && a.LastAnswered > 0 && now-a.LastAnswered < lease/2:
 		observation.AnswersUndelivered = true
 		a.UndeliveredAnswers += undeliveredAnswersPerExpiry
-		a.QuarantinedUntil = now + quarantineLeases*lease
+		a.Quarantine(QuarantineAnswersLost, now+quarantineLeases*lease)
 	case msg.Heartbeat && a.LastAnswered > 0 && msg.Token < token:
 		a.UndeliveredAnswers++
 	case observation.HasLeaderToken && !observation.LeaseExpired && now > a.QuarantinedUntil:
--- a/internal/controller/failures.go
+++ b/internal/controller/failures.go
@@ -68,7 +68,7 @@
 		case otherMachine.Faults.ConfirmSuspect(j.Spec.UID):
 			f.logFaultyMachine(otherMachine)
 		case otherMachine.Faults.ConfirmedJobs > 0:
-			otherMachine.QuarantinedUntil = max(otherMachine.QuarantinedUntil, f.env.now+f.env.cfg.WorkerLease())
+			otherMachine.Quarantine(clusterstate.QuarantineFailureConfirmed, f.env.now+f.env.cfg.WorkerLease())
 		}
 	}
 	j.Failures = clusterstate.JobFailures{}
--- a/internal/controller/fleet_summary.go
+++ b/internal/controller/fleet_summary.go
@@ -12,10 +12,11 @@
 // fleetSummary logs the state of the fleet periodically, for operators who investigate an incident. It owns no state,
 // but resets the store's latency histogram with each summary.
 type fleetSummary struct {
-	env   *environment
-	pool  *machinepool.Pool
-	state *clusterstate.State
-	store *statestore.Writer
+	env    *environment
+	health *machineHealth
+	pool   *machinepool.Pool
+	state  *clusterstate.State
+	store  *statestore.Writer
 }
 
 // loggedQuantile is the logged quantile of the transaction latency, in percent.
@@ -30,10 +31,23 @@
 	args = append(args, f.classAttributes()...)
 	args = append(args, f.loadAttributes()...)
 	args = append(args, f.quotaAttributes()...)
+	args = append(args, f.exclusionAttributes()...)
 	f.env.log.Info("fleet summary", args...)
 	latency.Reset()
 }
 
+// exclusionAttributes returns the log attributes of the machines that get no tasks, by reason, and reports the numbers
+// to the observer.
+func (f *fleetSummary) exclusionAttributes() []any {
+	counts := f.health.countExclusions()
+	f.env.observer.MachinesExcluded(counts)
+	var args []any
+	for _, reason := range sortedKeys(counts) {
+		args = append(args, "excluded_"+string(reason), counts[reason])
+	}
+	return args
+}
+
 // machineCounts counts the machines that are not being released, by activity.
 type machineCounts struct{ busy, idle, booting int }
 
--- a/internal/controller/machine_health.go
+++ b/internal/controller/machine_health.go
@@ -8,8 +8,8 @@
 	"claybarrow/internal/machinepool"
 )
 
-// machineHealth decides, from the machines' heartbeats, which machines may get tasks, which machines are evacuated, and
-// which workers' leases have expired.
+// machineHealth decides, from the machines' heartbeats, which machines may get tasks (machine_exclusion.go), which
+// machines are evacuated, and which workers' leases have expired.
 //
 // It has no state of its own. The state of the heartbeats is stored in the Machine and, for the other controllers, in
 // the peers. After a failover the next leader collects both again. Until then it does not treat a lease as
@@ -70,24 +70,6 @@
 	return config.WithClockDrift(h.env.cfg.WorkerLease()) + h.env.cfg.WorkerLease()/50
 }
 
-// isSchedulable reports whether tasks may be started on the machine: it is open to tasks, has acknowledged this
-// leader's token and sent a message recently, its heartbeats are answered, and the leader's answers and direct calls
-// reach it.
-func (h *machineHealth) isSchedulable(m *clusterstate.Machine) bool {
-	return h.acceptsTasks(m) && m.TokenAcknowledged &&
-		m.UndeliveredAnswers <= maxUndeliveredAnswers && m.FailedCalls <= maxFailedCalls &&
-		h.env.now < m.LastSeen+h.maxMessageAge() && !h.heartbeatUnanswered(m, h.maxUnanswered())
-}
-
-// acceptsTasks reports whether the machine may get tasks, regardless of its heartbeats: it is not being released,
-// reclaimed, quarantined or drained, its size is known, and it runs no unknown tasks.
-func (h *machineHealth) acceptsTasks(m *clusterstate.Machine) bool {
-	if m.Releasing || m.ReclaimNotice || m.Faults.Faulty || h.env.now < m.QuarantinedUntil || h.env.now < m.DrainUntil {
-		return false
-	}
-	return m.Size.Cores > 0 && len(m.UnknownTasks) == 0
-}
-
 // heartbeatUnanswered reports whether this leader has answered no heartbeat of the machine for a duration. Replies of
 // the machine to direct calls do not count: direct calls do not renew its lease, so it will soon kill all its tasks.
 // When they counted, such a machine got new tasks after each expired lease.
--- a/internal/controller/machines.go
+++ b/internal/controller/machines.go
@@ -136,7 +136,7 @@
 // abandonMachine removes the attempts that are not durable from a machine whose record the state service rejects, and
 // quarantines the machine for a worker lease.
 func (r *machineRegistry) abandonMachine(m *clusterstate.Machine) {
-	m.QuarantinedUntil = r.env.now + r.env.cfg.WorkerLease()
+	m.Quarantine(clusterstate.QuarantineRecordRejected, r.env.now+r.env.cfg.WorkerLease())
 	for _, a := range m.SortedAttempts() {
 		if !a.Durable {
 			r.attempts.removeAttempt(a, notRecorded)
--- a/internal/controller/observer.go
+++ b/internal/controller/observer.go
@@ -27,6 +27,8 @@
 	JournalSized(JournalSize)
 	// MachineRedirected reports that the worker of a machine was redirected to the controller with the label to.
 	MachineRedirected(machine, to string)
+	// MachinesExcluded reports how many machines get no tasks, by reason. The leader calls it once per workers' lease.
+	MachinesExcluded(countByReason map[ExclusionReason]int)
 	// RequestRerouted reports a request that was sent to the leader through another controller.
 	RequestRerouted()
 	// RequestRetried reports a request to the leader whose retry was scheduled.
@@ -104,6 +106,7 @@
 func (noObserver) GateChanged(GateChange)                       {}
 func (noObserver) JournalSized(JournalSize)                     {}
 func (noObserver) MachineRedirected(string, string)             {}
+func (noObserver) MachinesExcluded(map[ExclusionReason]int)     {}
 func (noObserver) RequestRerouted()                             {}
 func (noObserver) RequestRetried()                              {}
 func (noObserver) RequestRefused(string)                        {}
--- a/internal/controller/task_exits.go
+++ b/internal/controller/task_exits.go
@@ -49,7 +49,7 @@
 	case protocol.CauseInsufficientResources, protocol.CauseBusy:
 		// The worker's view of the machine's free resources is more accurate than the cluster state. The machine
 		// gets no tasks for a heartbeat interval.
-		m.QuarantinedUntil = max(m.QuarantinedUntil, h.env.now+h.env.cfg.WorkerHeartbeatInterval())
+		m.Quarantine(clusterstate.QuarantineStartRefused, h.env.now+h.env.cfg.WorkerHeartbeatInterval())
 	case protocol.CauseStopped, protocol.CausePeersLost:
 		// The exit is not the job's fault.
 	case protocol.CauseIncomplete:
--- a/internal/controller/wiring.go
+++ b/internal/controller/wiring.go
@@ -266,6 +266,7 @@
 
 	summary := l.summary
 	summary.env = l.controller.env
+	summary.health = l.health
 	summary.pool = l.pool
 	summary.state = l.state
 	summary.store = l.store
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -88,6 +88,13 @@
 	r.incrementCounter(fmt.Sprintf(`claybarrow_machines_sent_total{to=%q}`, to))
 }
 
+// MachinesExcluded records how many machines get no tasks, by reason. The gauge of a reason without machines is 0.
+func (r *Recorder) MachinesExcluded(countByReason map[controller.ExclusionReason]int) {
+	for _, reason := range controller.ExclusionReasons() {
+		r.setGauge(fmt.Sprintf(`claybarrow_machines_excluded{reason=%q}`, reason), float64(countByReason[reason]))
+	}
+}
+
 // RequestRerouted counts a request that was sent to the leader through another controller.
 func (r *Recorder) RequestRerouted() { r.incrementCounter("claybarrow_requests_detoured_total") }
 
--- a/internal/telemetry/recorder_test.go
+++ b/internal/telemetry/recorder_test.go
@@ -38,6 +38,7 @@
 	r.MemberChanged(membership.StateChange{Label: "unheard-of", To: membership.Dead})
 	r.PeerMessageDropped(membership.DroppedMessage{Label: "n1", Reason: membership.DropSequence})
 	r.MachineRedirected("i-1", "n2")
+	r.MachinesExcluded(map[controller.ExclusionReason]int{controller.ExcludedFaulty: 2})
 	r.RequestRerouted()
 	r.RequestRetried()
 	r.RequestRefused("records not loaded")
@@ -57,6 +58,7 @@
 		"claybarrow_observer_health 2", "claybarrow_membership_probes_total 7", "claybarrow_membership_false_suspicions_total 1",
 		`claybarrow_member_state{controller="n1"} 1`, `claybarrow_member_state{controller="n2"} 0`,
 		`claybarrow_messages_dropped_total{reason="sequence_went_backwards"} 1`, `claybarrow_machines_sent_total{to="n2"} 1`,
+		`claybarrow_machines_excluded{reason="faulty"} 2`, `claybarrow_machines_excluded{reason="draining"} 0`,
 		"claybarrow_requests_detoured_total 1", "claybarrow_requests_retried_total 1", `claybarrow_standstills_total{led="true"} 1`,
 		`claybarrow_requests_refused_total{reason="records_not_loaded"} 1`, "claybarrow_ready 0",
 		`claybarrow_invariant_violations_total{invariant="start_without_authority"} 1`,
