Machines are quarantined on evidence that stands, and not for good

Three jobs with a mistake failed on both machines of a small fleet and were cancelled. A production service that was accepted afterwards waited for 90 s and on beside two machines with room for 22 of its tasks.

Cause: a machine counted as faulty once three jobs had failed there, and nothing took that back: neither the cancellation of these jobs, nor their being found at fault themselves, nor tasks that succeeded there. A job counted as at fault itself only after failures on three machines, which a fleet of two, or a zone or type with two machines, can't offer. Machines that are never idle are never replaced, so they stayed closed until the leader ended.

Hypotheses and evidence: (1) the quarantine outlives its evidence; (2) a timed quarantine or a drain is extended for ever; (3) room is there, but kept by a reservation, for expected work or by a quota.

Change: each machine has a circuit breaker. It opens when the evidence suffices, closes as soon as it does not (a job cancelled, ended or found at fault, a task succeeded that was placed after the failures), and is half-open a worker lease later: then a single task that finds no room elsewhere probes the machine, or a gang that has none. A replica that has run for a boot time counts as a success. On suspicion alone, that is without a job that completed elsewhere, a tenth of the fleet, of a zone and of a type may be quarantined, one machine at least. A job is also at fault if it fails again on a machine that works for others, or again on each of at least two machines that it can use. A suspected machine is not given back while the cloud has none in its place. machine_quarantine.go decides, logs each change with its reason and reports it to claybarrow_machine_quarantine_changes_total.

Why it works: after the cancellations no evidence is left, so both breakers close at once. Where nobody cancels, the machines in reach suffice to find the jobs at fault, and until then any other job may probe.

The test failed before the fix: TestCancelledJobsLeaveNoMachineQuarantined, "condition not met within 1m30s: the replicas of j-2 run". TestEvidenceOfFailures asked that no completion clears a faulty machine; it asks now that no completion of a task from before the failures does, and that one of a later task does. The other assertions on a faulty machine ask for the breaker and the evidence.

--- a/internal/clusterstate/attempt.go
+++ b/internal/clusterstate/attempt.go
@@ -46,6 +46,8 @@
 	State protocol.TaskState
 	// AddedAt is the time at which the attempt was added, on the leader's clock.
 	AddedAt time.Duration
+	// RunningSince is the time at which the agent first reported the task as running to this leader; 0 before.
+	RunningSince time.Duration
 
 	// StopRequested is set once the leader has decided to stop the attempt.
 	StopRequested bool
--- /dev/null
+++ b/internal/clusterstate/machine_faults.go
@@ -0,0 +1,107 @@
+package clusterstate
+
+import "time"
+
+// BreakerState is the state of a machine's circuit breaker.
+type BreakerState string
+
+// States of a circuit breaker.
+const (
+	// BreakerClosed: the machine gets tasks. It is the state of a new machine.
+	BreakerClosed BreakerState = ""
+	// BreakerOpen: the machine gets no tasks.
+	BreakerOpen BreakerState = "open"
+	// BreakerHalfOpen: the machine gets one task at a time, as a probe, if that task finds no room elsewhere.
+	BreakerHalfOpen BreakerState = "half_open"
+)
+
+// MachineFaults is the evidence, since a task last succeeded on a machine, that the machine is faulty, and the circuit
+// breaker that the evidence opens. It is kept in memory only: a new leader begins without evidence.
+type MachineFaults struct {
+	// SuspectJobs are the jobs of which a task failed on the machine. Each such failure may be the job's own
+	// fault.
+	SuspectJobs map[string]bool
+	// ConfirmedJobs counts the jobs that failed on the machine and completed tasks on other machines.
+	ConfirmedJobs int
+
+	// Breaker is the state of the circuit breaker. It was last opened at OpenedAt and stays open until OpenUntil.
+	Breaker             BreakerState
+	OpenedAt, OpenUntil time.Duration
+	// Withheld is set while the evidence suffices and the breaker stays closed because too many machines are
+	// quarantined already.
+	Withheld bool
+
+	lastFailureAt time.Duration
+	// lastSuccessPlacedAt is the latest time at which a task was placed that has succeeded on the machine.
+	lastSuccessPlacedAt time.Duration
+}
+
+// Weights of the evidence against a machine, and the sum from which on the machine counts as faulty.
+const (
+	suspectWeight   = 1
+	confirmedWeight = 2
+	faultyThreshold = 3
+)
+
+// AddSuspect records that a task of the job failed on the machine. It returns true if the job was no suspect before.
+func (f *MachineFaults) AddSuspect(job string, now time.Duration) bool {
+	f.lastFailureAt = now
+	if f.SuspectJobs[job] {
+		return false
+	}
+	if f.SuspectJobs == nil {
+		f.SuspectJobs = map[string]bool{}
+	}
+	f.SuspectJobs[job] = true
+	return true
+}
+
+// ConfirmSuspect records that a suspected job has completed a task on another machine.
+func (f *MachineFaults) ConfirmSuspect(job string) {
+	if f.SuspectJobs[job] {
+		delete(f.SuspectJobs, job)
+		f.ConfirmedJobs++
+	}
+}
+
+// RemoveSuspect removes the job's failures from the evidence: they are attributed to the job, or the job has ended or
+// succeeded on the machine.
+func (f *MachineFaults) RemoveSuspect(job string) { delete(f.SuspectJobs, job) }
+
+// RecordSuccess records that a task has succeeded that was placed on the machine at the given time. The success
+// refutes the evidence unless the task was placed before the last failure: a faulty machine may still complete the
+// tasks that it already runs.
+func (f *MachineFaults) RecordSuccess(placedAt time.Duration) {
+	f.lastSuccessPlacedAt = max(f.lastSuccessPlacedAt, placedAt)
+	if placedAt > f.lastFailureAt {
+		f.SuspectJobs, f.ConfirmedJobs = nil, 0
+	}
+}
+
+// WorkedSince reports whether a task that was placed after the given time has succeeded on the machine.
+func (f *MachineFaults) WorkedSince(since time.Duration) bool { return f.lastSuccessPlacedAt > since }
+
+// LastFailureAt is the time of the last failure on the machine that may be its fault.
+func (f *MachineFaults) LastFailureAt() time.Duration { return f.lastFailureAt }
+
+// HasEvidence reports whether there is any evidence against the machine.
+func (f *MachineFaults) HasEvidence() bool { return len(f.SuspectJobs) > 0 || f.ConfirmedJobs > 0 }
+
+// IsFaulty reports whether the evidence that stands now suffices to consider the machine faulty.
+func (f *MachineFaults) IsFaulty() bool {
+	return suspectWeight*len(f.SuspectJobs)+confirmedWeight*f.ConfirmedJobs >= faultyThreshold
+}
+
+// Open opens the circuit breaker until the given time.
+func (f *MachineFaults) Open(now, until time.Duration) {
+	f.Breaker, f.OpenedAt, f.OpenUntil, f.Withheld = BreakerOpen, now, until, false
+}
+
+// HalfOpen lets the machine get probes.
+func (f *MachineFaults) HalfOpen() { f.Breaker = BreakerHalfOpen }
+
+// Close closes the circuit breaker.
+func (f *MachineFaults) Close() { f.Breaker, f.Withheld = BreakerClosed, false }
+
+// IsQuarantined reports whether the circuit breaker is open or half-open.
+func (f *MachineFaults) IsQuarantined() bool { return f.Breaker != BreakerClosed }
--- a/internal/controller/failures.go
+++ b/internal/controller/failures.go
@@ -4,23 +4,28 @@
 	"time"
 
 	"claybarrow/internal/clusterstate"
+	"claybarrow/internal/protocol"
 )
 
 // Tasks fail because their machine is faulty, or because their job has a fault and fails on every machine. The two
-// cases are distinguished as follows: a job that fails on several machines is itself at fault; a machine is faulty if
-// several jobs fail on it, or if a job fails on it that completes tasks on other machines. When failures were counted
-// per task, a single faulty job caused the release of good machines, and other machines got no tasks for 100 leases
-// (inc-5ccc).
+// cases are distinguished as follows: a job that fails on several machines is itself at fault, or one that fails again
+// on each machine that it can use, or again on a machine that works for others; a machine is faulty if several jobs fail
+// on it, or if a job fails on it that completes tasks on other machines. When failures were counted per task, a single
+// faulty job caused the release of good machines, and other machines got no tasks for 100 leases (inc-5ccc).
+//
+// Evidence against a machine stands until a task that was placed there later succeeds, or until the failed job is held
+// to be at fault itself, is cancelled or ends. machineQuarantine acts on the evidence.
 
 // failureTracker distinguishes faulty machines from jobs that fail on every machine, and delays failing jobs.
 //
 // It has no state of its own: a job's failures are stored in the Job, and the evidence against a machine in the
 // Machine.
 type failureTracker struct {
-	catalog *machineCatalog
-	env     *environment
-	state   *clusterstate.State
-	views   *schedulerViews
+	catalog    *machineCatalog
+	env        *environment
+	quarantine *machineQuarantine
+	state      *clusterstate.State
+	views      *schedulerViews
 }
 
 // maxRetryDoublings bounds how often the retry delay of a failing job is doubled.
@@ -28,31 +33,88 @@
 
 // onTaskError handles a task that exited with an error. a is nil if the cluster state lacks the attempt.
 func (f *failureTracker) onTaskError(m *clusterstate.Machine, j *clusterstate.Job, a *clusterstate.Attempt, key clusterstate.AttemptKey) {
-	if a != nil && j.Spec.Service && f.env.now > a.AddedAt+seconds(f.catalog.longestBootS()) {
-		f.recordTaskSuccess(j, nil) // a service task that ran for longer than the longest boot counts as a success
+	if a != nil && j.Spec.Service && f.hasRunLong(a) {
+		f.recordJobSuccess(j, nil)
 	}
 	f.env.log.Debug("task failed", "task", key.Task, "attempt", key.Attempt, "machine", m.ID)
 	if j.Failures.Backoffs == 0 || a != nil && a.AddedAt > j.Failures.LastBackoffAt {
 		f.backOffJob(j)
 	}
+	if j.Cancelling || j.Finalizing {
+		return // nobody will know whether the job would have completed elsewhere
+	}
 	switch {
-	case j.Failures.RecordFailure(m.ID, f.env.now):
+	case j.Failures.RecordFailure(f.describeFailure(m, j, a)):
 		f.env.log.Info("job failing on every machine tried", "job", j.Spec.UID, "class", j.Spec.Class, "team", j.Spec.Team, "machines", len(j.Failures.Machines))
 		f.withdrawFailures(j)
 	case j.Failures.IsJobFault:
 		// The failure is the job's own fault and no evidence against the machine.
-	case m.Faults.AddSuspect(j.Spec.UID):
-		f.logFaultyMachine(m)
+	case m.Faults.AddSuspect(j.Spec.UID, f.env.now):
+		f.quarantine.onFailure(m, a)
 	}
 }
 
-// recordTaskSuccess records that a task of the job has succeeded on the machine; m is nil if the success is not
+// describeFailure describes a failure of a task of the job on the machine. a is nil if the cluster state lacks the
+// task's attempt.
+func (f *failureTracker) describeFailure(m *clusterstate.Machine, j *clusterstate.Job, a *clusterstate.Attempt) clusterstate.JobFailure {
+	failure := clusterstate.JobFailure{Machine: m.ID, At: f.env.now}
+	failure.HasUntriedMachine = func(tried map[string]time.Duration) bool { return f.hasUntriedMachine(j, tried) }
+	if previousAt, failedBefore := j.Failures.Machines[m.ID]; failedBefore && a != nil {
+		failure.Retried = a.AddedAt > previousAt
+		failure.MachineWorked = m.Faults.WorkedSince(previousAt)
+	}
+	return failure
+}
+
+// hasUntriedMachine reports whether a machine is up that could hold a task of the job and is not among those tried.
+func (f *failureTracker) hasUntriedMachine(j *clusterstate.Job, tried map[string]time.Duration) bool {
+	view := newJobView(j)
+	for id, m := range f.state.Machines {
+		if _, isTried := tried[id]; isTried || !m.EverReported || m.Releasing {
+			continue
+		}
+		if view.AllowedOn(m.Type, m.Zone, m.Spot) && j.Request.Fits(m.Size) {
+			return true
+		}
+	}
+	return false
+}
+
+// hasRunLong reports whether a task has been running for longer than the longest boot, which counts as a success.
+// Replicas of services have no other success.
+func (f *failureTracker) hasRunLong(a *clusterstate.Attempt) bool {
+	return a.RunningSince > 0 && f.env.now > a.RunningSince+seconds(f.catalog.longestBootS())
+}
+
+// watchRunningTasks records the success of tasks that were placed on a suspected machine after the last failure there
+// and have been running for long.
+func (f *failureTracker) watchRunningTasks(m *clusterstate.Machine) {
+	if !m.Faults.HasEvidence() {
+		return
+	}
+	for _, a := range m.SortedAttempts() {
+		if a.AddedAt > m.Faults.LastFailureAt() && a.State == protocol.TaskRunning && f.hasRunLong(a) {
+			f.recordTaskSuccess(a.Job, m, a)
+			return
+		}
+	}
+}
+
+// recordTaskSuccess records that a task of the job has succeeded on the machine. a is nil if the cluster state lacks
+// the task's attempt.
+func (f *failureTracker) recordTaskSuccess(j *clusterstate.Job, m *clusterstate.Machine, a *clusterstate.Attempt) {
+	m.Faults.RemoveSuspect(j.Spec.UID)
+	if a != nil {
+		m.Faults.RecordSuccess(a.AddedAt)
+	}
+	f.quarantine.onEvidenceChanged(m, quarantineSucceeded)
+	f.recordJobSuccess(j, m)
+}
+
+// recordJobSuccess records that a task of the job has succeeded on the machine; m is nil if the success is not
 // attributed to a machine. The success confirms the suspicion against the other machines on which tasks of the job
 // failed.
-func (f *failureTracker) recordTaskSuccess(j *clusterstate.Job, m *clusterstate.Machine) {
-	if m != nil {
-		m.Faults.Clear()
-	}
+func (f *failureTracker) recordJobSuccess(j *clusterstate.Job, m *clusterstate.Machine) {
 	if j.Failures.Backoffs == 0 {
 		return
 	}
@@ -64,10 +126,9 @@
 		if otherMachine == nil || otherMachine == m {
 			continue
 		}
-		switch {
-		case otherMachine.Faults.ConfirmSuspect(j.Spec.UID):
-			f.logFaultyMachine(otherMachine)
-		case otherMachine.Faults.ConfirmedJobs > 0:
+		otherMachine.Faults.ConfirmSuspect(j.Spec.UID)
+		f.quarantine.onEvidenceChanged(otherMachine, quarantineWithdrawn)
+		if otherMachine.Faults.ConfirmedJobs > 0 && !otherMachine.Faults.IsQuarantined() {
 			otherMachine.Quarantine(clusterstate.QuarantineFailureConfirmed, f.env.now+f.env.cfg.WorkerLease())
 		}
 	}
@@ -79,15 +140,11 @@
 	for id := range j.Failures.Machines {
 		if m := f.state.Machines[id]; m != nil {
 			m.Faults.RemoveSuspect(j.Spec.UID)
+			f.quarantine.onEvidenceChanged(m, quarantineWithdrawn)
 		}
 	}
 }
 
-// logFaultyMachine logs that a machine is quarantined: it gets no more tasks, and is released once it is idle.
-func (f *failureTracker) logFaultyMachine(m *clusterstate.Machine) {
-	f.env.log.Info("machine quarantined", "machine", m.ID, "type", m.Type, "zone", m.Zone, "failed_jobs", len(m.Faults.SuspectJobs)+m.Faults.ConfirmedJobs)
-}
-
 // backOffJob delays a failing job, and counts the delay as attained service. Otherwise a job whose tasks fail
 // immediately would keep the highest rank indefinitely.
 func (f *failureTracker) backOffJob(j *clusterstate.Job) {
--- a/internal/controller/failures_test.go
+++ b/internal/controller/failures_test.go
@@ -30,7 +30,7 @@
 		return w.leadership().state.Jobs["j-9"] != nil && w.leadership().state.Jobs["j-9"].Failures.IsJobFault
 	})
 	for _, m := range w.leadership().machines.sortedMachines() {
-		if m.Faults.Faulty || len(m.Faults.SuspectJobs) > 0 || m.QuarantinedUntil > 0 {
+		if m.Faults.IsQuarantined() || m.Faults.IsFaulty() || len(m.Faults.SuspectJobs) > 0 || m.QuarantinedUntil > 0 {
 			t.Errorf("failures of the job are attributed to machine %s: %+v", m.ID, m.Faults)
 		}
 	}
@@ -62,37 +62,50 @@
 	for i := range 2 {
 		w.awaitStatus(200*second, fmt.Sprintf("j-%d", i+1), protocol.JobDone)
 	}
-	if m := w.leadership().state.Machines[faultyMachine]; m != nil && !m.Faults.Faulty {
+	if m := w.leadership().state.Machines[faultyMachine]; m != nil && (!m.Faults.IsQuarantined() || !m.Faults.IsFaulty()) {
 		t.Errorf("machine not considered faulty after %d failures: %+v", w.failures, m.Faults)
 	}
 	for _, m := range w.leadership().machines.sortedMachines() {
-		if m.ID != faultyMachine && (m.Faults.Faulty || m.Faults.ConfirmedJobs > 0) {
+		if m.ID != faultyMachine && (m.Faults.IsQuarantined() || m.Faults.IsFaulty() || m.Faults.ConfirmedJobs > 0) {
 			t.Errorf("failures are attributed to machine %s: %+v", m.ID, m.Faults)
 		}
 	}
 	w.settle()
 }
 
+// failureOn is the failure of a task of a job that was not placed there again after an earlier failure, and could use
+// other machines.
+func failureOn(machine string, at time.Duration) clusterstate.JobFailure {
+	return clusterstate.JobFailure{Machine: machine, At: at, HasUntriedMachine: func(map[string]time.Duration) bool { return true }}
+}
+
 // Failures of two jobs on the same machine, neither confirmed by a completion elsewhere, are not
 // sufficient evidence that the machine is faulty.
 func TestEvidenceOfFailures(t *testing.T) {
 	var m clusterstate.MachineFaults
-	if m.AddSuspect("j-1") || m.AddSuspect("j-2") || len(m.SuspectJobs) != 2 {
+	if !m.AddSuspect("j-1", second) || m.AddSuspect("j-1", second) || !m.AddSuspect("j-2", second) || m.IsFaulty() || len(m.SuspectJobs) != 2 {
 		t.Error("unconfirmed failures of two jobs make a machine faulty")
 	}
 	m.RemoveSuspect("j-2")
-	if m.AddSuspect("j-3") || !m.ConfirmSuspect("j-1") || !m.Faulty {
+	if m.AddSuspect("j-3", 2*second); m.IsFaulty() {
+		t.Error("a withdrawn failure counts")
+	}
+	if m.ConfirmSuspect("j-1"); !m.IsFaulty() {
 		t.Errorf("a confirmed and an unconfirmed failure do not make the machine faulty: %+v", m)
 	}
-	if m.Clear(); !m.Faulty {
+	if m.RecordSuccess(2 * second); !m.IsFaulty() {
 		t.Error("the completion of a task that was still running clears the faulty state")
 	}
+	if m.RecordSuccess(3 * second); m.IsFaulty() || m.HasEvidence() {
+		t.Error("a task that was placed after the failures has completed, and the machine is still faulty")
+	}
 	var f clusterstate.JobFailures
-	if f.RecordFailure("a", 0) || f.IsProbing() || f.RecordFailure("a", 0) || f.RecordFailure("b", second) || !f.IsProbing() || f.IsJobFault || !f.RecordFailure("c", 0) || f.RecordFailure("d", 0) {
+	if f.RecordFailure(failureOn("a", 0)) || f.IsProbing() || f.RecordFailure(failureOn("a", 0)) || f.RecordFailure(failureOn("b", second)) || !f.IsProbing() || f.IsJobFault ||
+		!f.RecordFailure(failureOn("c", 0)) || f.RecordFailure(failureOn("d", 0)) {
 		t.Errorf("evidence against the job: %+v", f)
 	}
 	f = clusterstate.JobFailures{}
-	f.RecordFailure("a", 0)
+	f.RecordFailure(failureOn("a", 0))
 	if !f.AvoidedMachines(second, 2*second)["a"] || len(f.AvoidedMachines(3*second, 2*second)) > 0 {
 		t.Error("with an avoidance time of 2 s, the machine is not avoided after 1 s or is still avoided after 3 s")
 	}
--- a/internal/controller/job_completion.go
+++ b/internal/controller/job_completion.go
@@ -25,7 +25,6 @@
 		return
 	}
 	j.Finalizing = true
-	c.failures.withdrawFailures(j)
 	c.storeTerminalState(j, clusterstate.TerminalState{Cancelled: true})
 }
 
@@ -36,6 +35,7 @@
 		return
 	}
 	j.Finalizing, j.Cancelling = true, false
+	c.failures.withdrawFailures(j)
 	c.storeTerminalState(j, clusterstate.TerminalState{Tasks: j.Spec.Tasks})
 }
 
--- a/internal/controller/leadership.go
+++ b/internal/controller/leadership.go
@@ -36,6 +36,7 @@
 	machines       *machineRegistry
 	partitions     *partitionDetector
 	failures       *failureTracker
+	quarantine     *machineQuarantine
 	jobs           *jobCompletion
 	placement      *taskScheduler
 	views          *schedulerViews
@@ -77,6 +78,7 @@
 		machines:       &machineRegistry{},
 		partitions:     &partitionDetector{reconnectedAt: map[string]time.Duration{}},
 		failures:       &failureTracker{},
+		quarantine:     &machineQuarantine{},
 		jobs:           &jobCompletion{},
 		placement:      newTaskScheduler(c.env),
 		views:          &schedulerViews{},
--- a/internal/controller/machine_exclusion.go
+++ b/internal/controller/machine_exclusion.go
@@ -29,14 +29,16 @@
 	ExcludedSilent ExclusionReason = "silent"
 	// ExcludedUnanswered: the leader has answered none of its heartbeats for too long.
 	ExcludedUnanswered ExclusionReason = "heartbeats_unanswered"
-	// ExcludedFaulty: tasks of several jobs have failed on it.
+	// ExcludedFaulty: its circuit breaker is open, as tasks of several jobs have failed on it.
 	ExcludedFaulty ExclusionReason = "faulty"
+	// ExcludedOnProbation: its circuit breaker is half-open. It gets single tasks that find no room elsewhere.
+	ExcludedOnProbation ExclusionReason = "on_probation"
 )
 
 // ExclusionReasons returns all reasons, including those of timed quarantines.
 func ExclusionReasons() []ExclusionReason {
 	reasons := []ExclusionReason{ExcludedReleasing, ExcludedReclaimed, ExcludedUnknownType, ExcludedUnknownTasks, ExcludedDraining,
-		ExcludedNewToLeader, ExcludedAnswersMissed, ExcludedCallsFail, ExcludedSilent, ExcludedUnanswered, ExcludedFaulty}
+		ExcludedNewToLeader, ExcludedAnswersMissed, ExcludedCallsFail, ExcludedSilent, ExcludedUnanswered, ExcludedFaulty, ExcludedOnProbation}
 	for _, reason := range clusterstate.QuarantineReasons {
 		reasons = append(reasons, ExclusionReason(reason))
 	}
@@ -63,8 +65,12 @@
 	if reason := h.contactLoss(m); reason != notExcluded {
 		return reason
 	}
-	if m.Faults.Faulty {
+	switch m.Faults.Breaker {
+	case clusterstate.BreakerOpen:
 		return ExcludedFaulty
+	case clusterstate.BreakerHalfOpen:
+		return ExcludedOnProbation
+	case clusterstate.BreakerClosed:
 	}
 	return notExcluded
 }
@@ -92,6 +98,12 @@
 	return h.exclusion(m) == notExcluded
 }
 
+// mayProbe reports whether a task may be started on the machine as a probe: only the half-open circuit breaker excludes
+// the machine, and no other probe is under way.
+func (h *machineHealth) mayProbe(m *clusterstate.Machine) bool {
+	return m.Faults.Breaker == clusterstate.BreakerHalfOpen && h.exclusion(m) == ExcludedOnProbation && awaitsProbe(m)
+}
+
 // countExclusions counts the machines that have reported and get no tasks, by reason.
 func (h *machineHealth) countExclusions() map[ExclusionReason]int {
 	counts := map[ExclusionReason]int{}
--- a/internal/controller/machine_health.go
+++ b/internal/controller/machine_health.go
@@ -18,12 +18,14 @@
 	attempts   *attemptTracker
 	dispatcher *commandDispatcher
 	env        *environment
+	failures   *failureTracker
 	heartbeats *heartbeatReceiver
 	lease      *leaderLease
 	machines   *machineRegistry
 	partitions *partitionDetector
 	peers      map[string]*peer
 	pool       *machinepool.Pool
+	quarantine *machineQuarantine
 	state      *clusterstate.State
 }
 
@@ -144,7 +146,8 @@
 	return m.FailedCalls > maxFailedCalls && h.isSilent(m) && !h.partitions.isPartitioned(m.Zone)
 }
 
-// watchMachines starts the actions that become due as time passes: evacuations, direct calls and lease expiries.
+// watchMachines starts the actions that become due as time passes: evacuations, direct calls, the ends of quarantines
+// and lease expiries.
 func (h *machineHealth) watchMachines() {
 	for _, m := range h.machines.sortedMachines() {
 		if m.ReclaimNotice {
@@ -157,6 +160,8 @@
 		if h.lease.ended {
 			return
 		}
+		h.failures.watchRunningTasks(m)
+		h.quarantine.watch(m)
 		if len(m.Attempts) == 0 && m.Epoch <= m.ExpiredEpoch {
 			continue
 		}
--- /dev/null
+++ b/internal/controller/machine_quarantine.go
@@ -0,0 +1,162 @@
+package controller
+
+import (
+	"claybarrow/internal/clusterstate"
+)
+
+// machineQuarantine keeps work away from machines that are probably faulty. Each machine has a circuit breaker: it opens
+// once the evidence against the machine suffices, is half-open a worker lease later, and closes when a task succeeds
+// there or when the evidence is withdrawn. A half-open machine gets one task at a time that finds no room elsewhere; if
+// that task fails too, the breaker opens again. A machine that is idle while its breaker is not closed is released.
+//
+// It has no state of its own: evidence and breaker are stored in the Machine, in memory only. A new leader begins with
+// all breakers closed.
+type machineQuarantine struct {
+	env       *environment
+	placement *taskScheduler
+	state     *clusterstate.State
+}
+
+// quarantineReason is the logged reason for a change of a machine's circuit breaker.
+type quarantineReason string
+
+// Reasons for a change of a circuit breaker.
+const (
+	quarantineSuspected   quarantineReason = "failures of several jobs"
+	quarantineConfirmed   quarantineReason = "failures of jobs that completed elsewhere"
+	quarantineProbeFailed quarantineReason = "probe failed"
+	quarantineElapsed     quarantineReason = "quarantine elapsed"
+	quarantineSucceeded   quarantineReason = "task succeeded"
+	quarantineWithdrawn   quarantineReason = "evidence withdrawn"
+)
+
+// QuarantineChange is a change of a machine's circuit breaker.
+type QuarantineChange struct {
+	Machine string
+	To      clusterstate.BreakerState
+	Reason  string
+}
+
+// quarantinedShareDivisor bounds the machines that are quarantined on suspicion only: a tenth of the machines that are
+// up, and of those in the same zone and of the same type, but at least one. If tasks fail on more machines, their jobs
+// are the likely cause.
+const quarantinedShareDivisor = 10
+
+// onFailure updates the circuit breaker after a task of a job that was not suspect there before has failed. a is nil if
+// the cluster state lacks the task's attempt.
+func (q *machineQuarantine) onFailure(m *clusterstate.Machine, a *clusterstate.Attempt) {
+	if m.Faults.Breaker == clusterstate.BreakerHalfOpen && a != nil && a.AddedAt > m.Faults.OpenedAt {
+		q.open(m, quarantineProbeFailed)
+		return
+	}
+	q.onEvidenceChanged(m, quarantineWithdrawn)
+}
+
+// onEvidenceChanged opens the circuit breaker of a machine if the evidence against it suffices, and closes it if the
+// evidence does not suffice any more, for the given reason.
+func (q *machineQuarantine) onEvidenceChanged(m *clusterstate.Machine, closeReason quarantineReason) {
+	faulty := m.Faults.IsFaulty()
+	switch {
+	case m.Faults.IsQuarantined() && !faulty:
+		q.close(m, closeReason)
+	case !m.Faults.IsQuarantined() && faulty:
+		q.openIfAllowed(m)
+	case !faulty:
+		m.Faults.Withheld = false
+	}
+}
+
+// openIfAllowed opens the circuit breaker of a machine, unless the machine is only suspected and too many machines are
+// quarantined on suspicion already.
+func (q *machineQuarantine) openIfAllowed(m *clusterstate.Machine) {
+	if m.Faults.ConfirmedJobs > 0 {
+		q.open(m, quarantineConfirmed)
+		return
+	}
+	if q.admitsSuspect(m) {
+		q.open(m, quarantineSuspected)
+		return
+	}
+	if !m.Faults.Withheld {
+		m.Faults.Withheld = true
+		q.env.log.Info("machine not quarantined: too many machines are", "machine", m.ID, "type", m.Type, "zone", m.Zone, "failed_jobs", len(m.Faults.SuspectJobs))
+	}
+}
+
+// machineShare counts machines that are up, and those of them that are quarantined on suspicion.
+type machineShare struct{ up, suspected int }
+
+func (s *machineShare) add(suspected bool) {
+	s.up++
+	if suspected {
+		s.suspected++
+	}
+}
+
+func (s *machineShare) admitsOneMore() bool {
+	return s.suspected < max(1, s.up/quarantinedShareDivisor)
+}
+
+// admitsSuspect reports whether one more machine may be quarantined on suspicion.
+func (q *machineQuarantine) admitsSuspect(m *clusterstate.Machine) bool {
+	var fleet, zone, typ machineShare
+	for _, other := range q.state.Machines {
+		if !other.EverReported || other.Releasing {
+			continue
+		}
+		suspected := other.Faults.IsQuarantined() && other.Faults.ConfirmedJobs == 0
+		fleet.add(suspected)
+		if other.Zone == m.Zone {
+			zone.add(suspected)
+		}
+		if other.Type == m.Type {
+			typ.add(suspected)
+		}
+	}
+	return fleet.admitsOneMore() && zone.admitsOneMore() && typ.admitsOneMore()
+}
+
+// watch makes the circuit breaker half-open once it has been open for long enough.
+func (q *machineQuarantine) watch(m *clusterstate.Machine) {
+	if m.Faults.Breaker != clusterstate.BreakerOpen || q.env.now < m.Faults.OpenUntil {
+		return
+	}
+	m.Faults.HalfOpen()
+	q.placement.fillPending = true
+	q.env.log.Info("machine on probation", "machine", m.ID, "type", m.Type, "zone", m.Zone)
+	q.report(m, quarantineElapsed)
+}
+
+// open opens the circuit breaker for a worker lease. A longer time would leave a job without a task for longer than
+// users accept if a probe of the machine is its only chance.
+func (q *machineQuarantine) open(m *clusterstate.Machine, reason quarantineReason) {
+	m.Faults.Open(q.env.now, q.env.now+q.env.cfg.WorkerLease())
+	q.env.log.Info("machine quarantined", "machine", m.ID, "type", m.Type, "zone", m.Zone, "reason", reason,
+		"failed_jobs", len(m.Faults.SuspectJobs)+m.Faults.ConfirmedJobs, "completed_elsewhere", m.Faults.ConfirmedJobs)
+	q.report(m, reason)
+}
+
+func (q *machineQuarantine) close(m *clusterstate.Machine, reason quarantineReason) {
+	quarantinedFor := q.env.now - m.Faults.OpenedAt
+	m.Faults.Close()
+	q.placement.fillPending = true
+	q.env.log.Info("machine readmitted", "machine", m.ID, "type", m.Type, "zone", m.Zone, "reason", reason, "last_quarantine_s", int(quarantinedFor.Seconds()))
+	q.report(m, reason)
+}
+
+func (q *machineQuarantine) report(m *clusterstate.Machine, reason quarantineReason) {
+	q.env.observer.QuarantineChanged(QuarantineChange{Machine: m.ID, To: m.Faults.Breaker, Reason: string(reason)})
+}
+
+// awaitsProbe reports whether the circuit breaker of a machine is half-open and no probe is under way there.
+func awaitsProbe(m *clusterstate.Machine) bool {
+	if m.Faults.Breaker != clusterstate.BreakerHalfOpen {
+		return false
+	}
+	for _, a := range m.Attempts {
+		if a.AddedAt > m.Faults.OpenedAt {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/controller/machine_quarantine_test.go
@@ -0,0 +1,261 @@
+package controller
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"claybarrow/internal/clusterstate"
+	"claybarrow/internal/emulator"
+	"claybarrow/internal/protocol"
+)
+
+// newWorldWithMachines creates a world whose cloud rents the given number of machines, all in zone a, and no more.
+func newWorldWithMachines(t *testing.T, seed uint64, machines int) *world {
+	t.Helper()
+	w := newWorld(t, seed)
+	w.cloud.Capacity = map[emulator.Pool]int{{Type: "m8", Zone: "a"}: machines}
+	return w
+}
+
+// occupyMachines submits the service j-1 with a replica on each machine, so that no machine becomes idle, and waits until all
+// replicas run.
+func (w *world) occupyMachines(machines int) {
+	w.t.Helper()
+	w.submit("j-1", map[string]any{"shape": "service", "shards": machines, "cores": 5.0, "rank": "production"})
+	w.until(90*second, "the replicas of j-1 run", func() bool { return w.running("j-1") == machines })
+}
+
+// submitMistakenJobs submits jobs of one task each that fail on every machine, with the given changes, and returns their
+// ids.
+func (w *world) submitMistakenJobs(jobs int, change map[string]any) []string {
+	mistaken := map[string]bool{}
+	var ids []string
+	for i := range jobs {
+		uid := fmt.Sprintf("j-9%03d", i)
+		mistaken[uid] = true
+		ids = append(ids, uid)
+	}
+	w.failTasks(mistaken, nil)
+	for _, uid := range ids {
+		spec := map[string]any{"owner": "blue", "rank": "idle", "cores": 0.5, "ramGb": 0.5}
+		for name, value := range change {
+			spec[name] = value
+		}
+		w.submit(uid, spec)
+	}
+	return ids
+}
+
+// quarantined lists the machines whose circuit breaker is not closed.
+func (w *world) quarantined() []*clusterstate.Machine {
+	var list []*clusterstate.Machine
+	for _, m := range w.leadership().machines.sortedMachines() {
+		if m.Faults.IsQuarantined() {
+			list = append(list, m)
+		}
+	}
+	return list
+}
+
+// Guards against machines that stay quarantined for good: three mistaken jobs fail on both machines of a fleet that
+// can't grow, and are cancelled. A service that is submitted afterwards starts, because no evidence is left against the
+// machines.
+func TestCancelledJobsLeaveNoMachineQuarantined(t *testing.T) {
+	w := newWorldWithMachines(t, 93, 2)
+	w.occupyMachines(2)
+	mistaken := w.submitMistakenJobs(3, nil)
+	w.until(30*second, "each job has failed on both machines", func() bool { return w.failures >= 6 })
+	w.run(8 * second)
+	for _, uid := range mistaken {
+		w.cancel(uid)
+		w.awaitStatus(20*second, uid, protocol.JobCancelled)
+	}
+	w.submit("j-2", map[string]any{"shape": "service", "shards": 2, "cores": 2.0, "rank": "production"})
+	w.until(maxWaitTime, "the replicas of j-2 run", func() bool { return w.running("j-2") == 2 })
+	w.settle()
+}
+
+// Guards against work that waits behind mistaken jobs that nobody cancels, where all machines in reach are too few to
+// tell by their number that the jobs are at fault: one machine, or two. Each shape of job starts within the time that a
+// job may wait.
+func TestMistakenJobsThatStayLeaveRoomForOthers(t *testing.T) {
+	for _, machines := range []int{1, 2} {
+		for name, change := range map[string]map[string]any{
+			"service": {"shape": "service", "shards": machines, "cores": 2.0, "rank": "production"},
+			"array":   {"shards": 2 * machines, "cores": 1.0},
+			"gang":    {"shape": "group", "shards": 2 * machines, "cores": 1.0},
+		} {
+			t.Run(fmt.Sprintf("%s on %d machines", name, machines), func(t *testing.T) {
+				w := newWorldWithMachines(t, 94, machines)
+				w.occupyMachines(machines)
+				mistaken := w.submitMistakenJobs(4, nil)
+				w.until(30*second, "a machine is quarantined", func() bool { return len(w.quarantined()) > 0 })
+				if n := len(w.quarantined()); n > 1 {
+					t.Errorf("%d machines are quarantined on suspicion", n)
+				}
+				w.submit("j-2", change)
+				w.until(maxWaitTime, "j-2 has begun", func() bool { return w.running("j-2") > 0 || w.lastReplies["j-2"] == protocol.JobDone })
+				w.run(maxWaitTime)
+				if n := len(w.quarantined()); n > 0 {
+					t.Errorf("%d machines are quarantined although others' tasks succeed there", n)
+				}
+				for _, uid := range mistaken {
+					w.cancel(uid)
+				}
+				w.settle()
+			})
+		}
+	}
+}
+
+// Mistaken jobs bound to a zone with a single machine don't close that machine for the zone's other jobs, while the rest
+// of the fleet is idle enough to take all other work.
+func TestMistakenJobsInZoneWithOneMachine(t *testing.T) {
+	w := newWorld(t, 95)
+	w.cloud.Capacity = map[emulator.Pool]int{{Type: "m8", Zone: "a"}: 3, {Type: "m8", Zone: "b"}: 1}
+	w.submit("j-1", map[string]any{"shape": "service", "cores": 2.0, "yard": "b"})
+	w.until(90*second, "j-1 runs", func() bool { return w.running("j-1") == 1 })
+	w.submitMistakenJobs(3, map[string]any{"yard": "b"})
+	w.until(30*second, "the machine is quarantined", func() bool { return len(w.quarantined()) == 1 })
+	w.submit("j-2", map[string]any{"shape": "service", "cores": 2.0, "yard": "b"})
+	w.until(maxWaitTime, "j-2 runs", func() bool { return w.running("j-2") == 1 })
+	w.run(maxWaitTime)
+	if n := len(w.quarantined()); n > 0 {
+		t.Errorf("%d machines are quarantined although the replica of j-2 runs there", n)
+	}
+}
+
+// Many mistaken jobs at once in a larger fleet quarantine a tenth of its machines at most, and none once the failures
+// are attributed to the jobs.
+func TestManyMistakenJobsAtOnce(t *testing.T) {
+	w := newWorldWithTopology(t, 96, testOperator, topology{controllers: []string{"a", "a", "b"}, zones: []string{"a", "b"},
+		teams: `{"name":"red","cpus":200,"cpus_max":400},{"name":"blue","cpus":8,"cpus_max":64}`})
+	const machines = 30
+	w.submit("j-1", map[string]any{"shape": "service", "shards": machines, "cores": 5.0})
+	w.until(120*second, "the replicas of j-1 run", func() bool { return w.running("j-1") == machines })
+	w.submitMistakenJobs(60, nil)
+	most := 0
+	w.until(120*second, "the failures of all jobs are attributed to them", func() bool {
+		most = max(most, len(w.quarantined()))
+		for _, j := range w.leadership().state.Jobs {
+			if j.Spec.Team == "blue" && !j.Failures.IsJobFault {
+				return false
+			}
+		}
+		return true
+	})
+	if most > machines/quarantinedShareDivisor {
+		t.Errorf("%d of %d machines quarantined at once", most, machines)
+	}
+	if n := len(w.quarantined()); n > 0 {
+		t.Errorf("%d machines are quarantined and no evidence is left", n)
+	}
+}
+
+// A faulty machine that is one of two, never becomes idle and is never replaced stays quarantined but for single tasks:
+// what finds room on the other machine never meets it, and of the work that has no other room one task fails in each
+// quarantine. Once the machine works again it gets work again.
+func TestFaultyMachineOfTwo(t *testing.T) {
+	w := newWorldWithMachines(t, 97, 2)
+	w.runTime = func(string) time.Duration { return 5 * second }
+	w.occupyMachines(2)
+	faulty := w.workers()[0].ID
+	w.failTasks(nil, map[string]bool{faulty: true})
+	for i := range 4 {
+		w.submit(fmt.Sprintf("j-2%d", i), map[string]any{"shards": 3, "cores": 1.0})
+	}
+	for i := range 4 {
+		w.awaitStatus(200*second, fmt.Sprintf("j-2%d", i), protocol.JobDone)
+	}
+	if list := w.quarantined(); len(list) != 1 || list[0].ID != faulty {
+		t.Fatalf("quarantined after %d failures: %v", w.failures, list)
+	}
+	before := w.failures
+	for i := range 4 {
+		w.submit(fmt.Sprintf("j-3%d", i), map[string]any{"shards": 2, "cores": 1.0})
+		w.awaitStatus(60*second, fmt.Sprintf("j-3%d", i), protocol.JobDone)
+	}
+	if w.failures != before {
+		t.Errorf("%d tasks failed that had room on the other machine", w.failures-before)
+	}
+	w.submit("j-4", map[string]any{"shape": "service", "shards": 2, "cores": 3.0})
+	w.until(30*second, "one replica of j-4 runs", func() bool { return w.running("j-4") == 1 })
+	before = w.failures
+	w.run(120 * second)
+	if n := w.failures - before; n > 120/10 {
+		t.Errorf("%d probes failed in 12 worker leases", n)
+	}
+	w.failTasks(nil, map[string]bool{})
+	w.until(maxWaitTime, "the second replica runs", func() bool { return w.running("j-4") == 2 })
+	w.until(maxWaitTime, "the machine is readmitted", func() bool { return len(w.quarantined()) == 0 })
+	w.settle()
+}
+
+// Evidence does not outlive a failover: the next leader starts with all machines admitted, and judges them anew.
+func TestQuarantineAfterFailover(t *testing.T) {
+	w := newWorldWithMachines(t, 98, 1)
+	w.occupyMachines(1)
+	w.submitMistakenJobs(3, nil)
+	w.until(30*second, "the machine is quarantined", func() bool { return len(w.quarantined()) == 1 })
+	former := w.leader()
+	w.crash(former)
+	w.until(30*second, "another controller leads", func() bool { return w.leader() >= 0 })
+	w.boot(former)
+	w.submit("j-2", map[string]any{"cores": 2.0})
+	w.awaitStatus(maxWaitTime, "j-2", protocol.JobDone)
+}
+
+// A machine that is only suspected stays while the cloud has no other one in its place; one that is known to be faulty,
+// or can be replaced, is released once it is idle.
+func TestReleaseOfQuarantinedMachines(t *testing.T) {
+	for _, test := range []struct {
+		name                 string
+		confirmed            int
+		outOfCapacity, keeps bool
+	}{{"suspected, no replacement", 0, true, true}, {"suspected", 0, false, false}, {"confirmed, no replacement", 2, true, false}} {
+		t.Run(test.name, func(t *testing.T) {
+			w := newWorldWithMachines(t, 99, 2)
+			w.submit("j-1", map[string]any{"cores": 2.0})
+			w.awaitStatus(90*second, "j-1", protocol.JobDone)
+			l := w.leadership()
+			m := l.machines.sortedMachines()[0]
+			for i := range 3 {
+				m.Faults.AddSuspect(fmt.Sprintf("j-8%d", i), l.controller.env.now)
+			}
+			m.Faults.ConfirmedJobs = test.confirmed
+			l.scaler.onPoolShortage(poolOf(m), test.outOfCapacity)
+			l.quarantine.onEvidenceChanged(m, quarantineWithdrawn)
+			l.scaler.scaleIn(nil)
+			if m.Releasing == test.keeps {
+				t.Errorf("machine is being released: %v", m.Releasing)
+			}
+		})
+	}
+}
+
+// Each change of a quarantine is logged with its reason and reported to the observer, and the summary counts the
+// machines that get no tasks.
+func TestQuarantineIsLogged(t *testing.T) {
+	var lines strings.Builder
+	w := newWorldWithMachines(t, 93, 2)
+	w.logged = func(_ int, line []byte) { lines.Write(line) }
+	for i := range 3 {
+		w.crash(i)
+		w.boot(i)
+	}
+	w.occupyMachines(2)
+	w.submitMistakenJobs(4, nil)
+	w.run(20 * second)
+	w.submit("j-2", map[string]any{"shape": "service", "shards": 2, "cores": 2.0, "rank": "production"})
+	w.run(maxWaitTime)
+	for _, want := range []string{
+		`msg="machine quarantined"`, `reason="failures of several jobs"`, "excluded_faulty=1", `msg="machine on probation"`,
+		`msg="machine not quarantined: too many machines are"`, `msg="machine readmitted"`,
+	} {
+		if !strings.Contains(lines.String(), want) {
+			t.Errorf("no line of the log contains %s", want)
+		}
+	}
+}
--- a/internal/controller/observer.go
+++ b/internal/controller/observer.go
@@ -29,6 +29,8 @@
 	MachineRedirected(machine, to string)
 	// MachinesExcluded reports how many machines get no tasks, by reason. The leader calls it once per workers' lease.
 	MachinesExcluded(countByReason map[ExclusionReason]int)
+	// QuarantineChanged reports that a machine's circuit breaker was opened, made half-open or closed.
+	QuarantineChanged(QuarantineChange)
 	// RequestRerouted reports a request that was sent to the leader through another controller.
 	RequestRerouted()
 	// RequestRetried reports a request to the leader whose retry was scheduled.
@@ -107,6 +109,7 @@
 func (noObserver) JournalSized(JournalSize)                     {}
 func (noObserver) MachineRedirected(string, string)             {}
 func (noObserver) MachinesExcluded(map[ExclusionReason]int)     {}
+func (noObserver) QuarantineChanged(QuarantineChange)           {}
 func (noObserver) RequestRerouted()                             {}
 func (noObserver) RequestRetried()                              {}
 func (noObserver) RequestRefused(string)                        {}
--- a/internal/controller/scale_in.go
+++ b/internal/controller/scale_in.go
@@ -216,7 +216,12 @@
 	switch {
 	case len(m.Attempts) > 0 || p.needed[m.ID]:
 		m.IdleSince = now
-	case m.Faults.Faulty:
+	case m.Faults.IsQuarantined():
+		if m.Faults.ConfirmedJobs == 0 && p.scaler.isShort(poolOf(m)) {
+			// The machine is only suspected, and the cloud has no other one in its place. Waiting jobs probe it.
+			m.IdleSince = now
+			return keepMachine
+		}
 		return releaseQuarantined
 	case now < m.DrainUntil:
 		return releaseDrained
--- a/internal/controller/scaling.go
+++ b/internal/controller/scaling.go
@@ -79,6 +79,17 @@
 	condition.update(short, a.env.now, a.env.log, poolShortageMessages, "type", pool.Type, "zone", pool.Zone, "spot", pool.Spot)
 }
 
+// poolOf returns the pool that a machine was rented from.
+func poolOf(m *clusterstate.Machine) scheduler.Pool {
+	return scheduler.Pool{Type: m.Type, Zone: m.Zone, Spot: m.Spot}
+}
+
+// isShort reports whether the cloud did not fill the last launch request for a pool.
+func (a *autoscaler) isShort(pool scheduler.Pool) bool {
+	condition := a.poolShortages[pool]
+	return condition != nil && condition.active
+}
+
 // A plan launches a limited number of machines, so that machines that finish booting before the next plan are used
 // first. The limit is 64 or a thirty-second of the fleet, whichever is larger, so 32 plans can launch a fleet of any
 // size.
@@ -108,6 +119,9 @@
 	for _, m := range plan.Machines {
 		needed[m.ID] = m.InUse
 	}
+	for _, m := range plan.Probation {
+		needed[m.ID] = m.InUse
+	}
 	a.cache.endPlan(plan)
 	a.scaleIn(needed)
 }
--- a/internal/controller/scheduler_cache.go
+++ b/internal/controller/scheduler_cache.go
@@ -76,7 +76,7 @@
 		return nil
 	}
 	c.syncFleet(snapshot)
-	if len(snapshot.Machines) == 0 {
+	if len(snapshot.Machines) == 0 && len(snapshot.Probation) == 0 {
 		return nil
 	}
 	return snapshot
--- a/internal/controller/scheduler_cache_machines.go
+++ b/internal/controller/scheduler_cache_machines.go
@@ -114,6 +114,7 @@
 		}
 		if !c.health.isSchedulable(m) {
 			c.removeFromFleet(cached)
+			c.addProbation(snapshot, m)
 			continue
 		}
 		if c.isStale(cached) {
@@ -129,6 +130,18 @@
 	c.machineBuffer, snapshot.Machines = schedulable, schedulable
 }
 
+// addProbation adds the machine to those that a snapshot may use for probes, if a probe may be started there.
+func (c *schedulerCache) addProbation(snapshot *scheduler.Snapshot, m *clusterstate.Machine) {
+	t := c.catalog.machineType(m.Type)
+	if t == nil || !c.health.mayProbe(m) {
+		return
+	}
+	view := c.views.machineView(m, t)
+	view.OnProbation = true
+	setImages(&view, m)
+	snapshot.Probation = append(snapshot.Probation, &view)
+}
+
 // isStale reports whether the machine has changed since its view was made, or the scheduler has changed the view.
 func (c *schedulerCache) isStale(cached *cachedMachine) bool {
 	m := cached.machine
--- a/internal/controller/scheduler_cache_test.go
+++ b/internal/controller/scheduler_cache_test.go
@@ -146,6 +146,11 @@
 			}
 		case booting && l.views.bootingType(m) != nil:
 			sm.Booting = true
+		case l.health.mayProbe(m):
+			setImages(sm, m)
+			sm.OnProbation = true
+			s.Probation = append(s.Probation, sm)
+			continue
 		default:
 			continue
 		}
--- a/internal/controller/task_exits.go
+++ b/internal/controller/task_exits.go
@@ -42,7 +42,7 @@
 	m, j := exit.machine, exit.job
 	switch exit.cause {
 	case protocol.CauseDone:
-		h.failures.recordTaskSuccess(j, m)
+		h.failures.recordTaskSuccess(j, m, exit.record.Attempt)
 		h.onTaskDone(exit)
 	case protocol.CauseError:
 		h.failures.onTaskError(m, j, exit.record.Attempt, exit.key)
--- a/internal/controller/user_requests.go
+++ b/internal/controller/user_requests.go
@@ -18,6 +18,7 @@
 	authority *authority
 	catalog   *machineCatalog
 	env       *environment
+	failures  *failureTracker
 	forecast  *demandForecast
 	jobs      *jobCompletion
 	machines  *machineRegistry
@@ -230,6 +231,7 @@
 	}
 	u.env.log.Info("job cancellation accepted", "job", uid)
 	j.Cancelling = true
+	u.failures.withdrawFailures(j)
 	u.store.QueueWrite(clusterstate.JobPrefix+uid, statestore.PriorityUser, func() any { return j.Record() }, nil)
 	u.stopAttempts(j)
 	u.jobs.completeCancellation(j)
--- a/internal/controller/wiring.go
+++ b/internal/controller/wiring.go
@@ -125,12 +125,14 @@
 	health.attempts = l.attempts
 	health.dispatcher = l.dispatcher
 	health.env = l.controller.env
+	health.failures = l.failures
 	health.heartbeats = l.heartbeats
 	health.lease = l.lease
 	health.machines = l.machines
 	health.partitions = l.partitions
 	health.peers = l.peers
 	health.pool = l.pool
+	health.quarantine = l.quarantine
 	health.state = l.state
 
 	machines := l.machines
@@ -163,9 +165,15 @@
 	failures := l.failures
 	failures.catalog = l.controller.catalog
 	failures.env = l.controller.env
+	failures.quarantine = l.quarantine
 	failures.state = l.state
 	failures.views = l.views
 
+	quarantine := l.quarantine
+	quarantine.env = l.controller.env
+	quarantine.placement = l.placement
+	quarantine.state = l.state
+
 	jobs := l.jobs
 	jobs.completions = l.completions
 	jobs.env = l.controller.env
@@ -179,6 +187,7 @@
 	userRequests.authority = l.authority
 	userRequests.catalog = l.controller.catalog
 	userRequests.env = l.controller.env
+	userRequests.failures = l.failures
 	userRequests.forecast = l.forecast
 	userRequests.jobs = l.jobs
 	userRequests.machines = l.machines
--- a/internal/controller/worker_heartbeats.go
+++ b/internal/controller/worker_heartbeats.go
@@ -220,6 +220,7 @@
 // onRunning handles an attempt that has begun to run, which shows that the machine has fetched its image.
 func (h *heartbeatReceiver) onRunning(m *clusterstate.Machine, a *clusterstate.Attempt) {
 	h.machines.recordImageUse(m, a.Job)
+	a.RunningSince = h.env.now
 	h.env.log.Debug("task running", "task", a.Key().Task, "attempt", a.Number, "machine", m.ID)
 }
 
--- a/internal/scheduler/fill.go
+++ b/internal/scheduler/fill.go
@@ -34,11 +34,19 @@
 // Fill assigns waiting tasks to free resources, in rank order within each step. Services come first, those within
 // their team's guarantee before the others. Next come one task of each starved batch and whole starved gangs. Then
 // Fill reserves headroom for expected replicas. Batches come last, in the order of fillPasses; gangs take part in the
-// first two passes.
+// first two passes. Finally single tasks that found no room probe the machines on probation.
 func (s *Snapshot) Fill() []Placement {
 	s.useIndex()
 	SortByRank(s.Jobs)
 	f := filler{snapshot: s}
+	f.fillMachines()
+	f.placeProbes()
+	return f.placements
+}
+
+// fillMachines assigns waiting tasks to the machines that are not on probation.
+func (f *filler) fillMachines() {
+	s := f.snapshot
 	f.placeServices()
 	f.placeStarvedBatches()
 	f.placeStarvedGangs()
@@ -49,7 +57,7 @@
 		s.chargeReserved(j)
 	}
 	if s.Draining {
-		return f.placements
+		return
 	}
 	for _, pass := range fillPasses {
 		s.reserveAcceleratorCores = pass == spareResources
@@ -59,7 +67,6 @@
 		f.placeBatches(pass)
 	}
 	s.reserveAcceleratorCores = false
-	return f.placements
 }
 
 // placeServices starts replicas, first those within the guarantees of their teams.
@@ -111,6 +118,9 @@
 			continue // the gang waits until other tasks of its team end
 		}
 		placed := s.placeGang(j, withinMaximum)
+		if len(placed) == 0 {
+			placed = s.placeGangWithProbation(j, withinMaximum)
+		}
 		f.placements = append(f.placements, placed...)
 		if len(placed) == 0 && s.fleetCanHold(j) {
 			s.reserve(j)
--- a/internal/scheduler/snapshot.go
+++ b/internal/scheduler/snapshot.go
@@ -29,6 +29,7 @@
 	Images      map[string]bool
 	Fetching    map[string]bool
 	Booting     bool
+	OnProbation bool // see Snapshot.Probation
 	InUse       bool // holds tasks, or was assigned one in this snapshot
 	// Dirty is set by each decision that changes the machine. A caller that reuses the machine in later snapshots must
 	// clear it.
@@ -51,7 +52,10 @@
 // Snapshot is the state on which a pass bases its decisions. Each decision updates the snapshot, so that later
 // decisions take it into account.
 type Snapshot struct {
-	Machines      []*Machine
+	Machines []*Machine
+	// Probation lists machines that may be faulty. They are not among Machines, and get single tasks that find no room
+	// on these, or a gang.
+	Probation     []*Machine
 	Jobs          []*Job
 	Quotas        map[string]*Quota // by team
 	UpperQueueCap float64           // share of the ready fleet that the upper queue may use
@@ -151,7 +155,7 @@
 // machineChanged updates the index. It must be called after each change of a machine.
 func (s *Snapshot) machineChanged(m *Machine) {
 	m.Dirty = true
-	if s.index != nil {
+	if s.index != nil && !m.OnProbation {
 		s.index.update(m)
 	}
 }
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"claybarrow/internal/clusterstate"
 	"claybarrow/internal/controller"
 	"claybarrow/internal/membership"
 	"claybarrow/internal/transport"
@@ -95,6 +96,15 @@
 	}
 }
 
+// QuarantineChanged counts a change of a machine's circuit breaker by its new state and the reason.
+func (r *Recorder) QuarantineChanged(change controller.QuarantineChange) {
+	state := change.To
+	if state == clusterstate.BreakerClosed {
+		state = "closed"
+	}
+	r.incrementCounter(fmt.Sprintf(`claybarrow_machine_quarantine_changes_total{to=%q,reason=%q}`, state, strings.ReplaceAll(change.Reason, " ", "_")))
+}
+
 // RequestRerouted counts a request that was sent to the leader through another controller.
 func (r *Recorder) RequestRerouted() { r.incrementCounter("claybarrow_requests_detoured_total") }
 
--- a/internal/telemetry/recorder_test.go
+++ b/internal/telemetry/recorder_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"claybarrow/internal/clusterstate"
 	"claybarrow/internal/config"
 	"claybarrow/internal/controller"
 	"claybarrow/internal/featuregate"
@@ -39,6 +40,8 @@
 	r.PeerMessageDropped(membership.DroppedMessage{Label: "n1", Reason: membership.DropSequence})
 	r.MachineRedirected("i-1", "n2")
 	r.MachinesExcluded(map[controller.ExclusionReason]int{controller.ExcludedFaulty: 2})
+	r.QuarantineChanged(controller.QuarantineChange{Machine: "i-1", To: clusterstate.BreakerOpen, Reason: "probe failed"})
+	r.QuarantineChanged(controller.QuarantineChange{Machine: "i-1", To: clusterstate.BreakerClosed, Reason: "task succeeded"})
 	r.RequestRerouted()
 	r.RequestRetried()
 	r.RequestRefused("records not loaded")
@@ -59,6 +62,8 @@
 		`claybarrow_member_state{controller="n1"} 1`, `claybarrow_member_state{controller="n2"} 0`,
 		`claybarrow_messages_dropped_total{reason="sequence_went_backwards"} 1`, `claybarrow_machines_sent_total{to="n2"} 1`,
 		`claybarrow_machines_excluded{reason="faulty"} 2`, `claybarrow_machines_excluded{reason="draining"} 0`,
+		`claybarrow_machine_quarantine_changes_total{to="open",reason="probe_failed"} 1`,
+		`claybarrow_machine_quarantine_changes_total{to="closed",reason="task_succeeded"} 1`,
 		"claybarrow_requests_detoured_total 1", "claybarrow_requests_retried_total 1", `claybarrow_standstills_total{led="true"} 1`,
 		`claybarrow_requests_refused_total{reason="records_not_loaded"} 1`, "claybarrow_ready 0",
 		`claybarrow_invariant_violations_total{invariant="start_without_authority"} 1`,
