Quarantine: replicas prove machines and jobs, probes follow one another, idle suspects end

A good service's replica that failed on a faulty machine and then ran elsewhere never confirmed the fault, as services complete no tasks, and its job kept starting replicas one at a time. A long task as a probe kept a half-open machine closed to others for a boot time. A suspected machine whose pool stays short was kept idle without end. Change: a task that begins to run, of a job with failures or on a machine with evidence, is looked at again a boot time later; if it still runs it counts for its machine and, a replica, for its job. The next probe may begin once the earlier ones have run for a quarter of a worker lease. An idle suspect is kept for a lease of probation at most.

--- a/internal/clusterstate/machine_faults.go
+++ b/internal/clusterstate/machine_faults.go
@@ -11,7 +11,7 @@
 	BreakerClosed BreakerState = ""
 	// BreakerOpen: the machine gets no tasks.
 	BreakerOpen BreakerState = "open"
-	// BreakerHalfOpen: the machine gets one task at a time, as a probe, if that task finds no room elsewhere.
+	// BreakerHalfOpen: the machine gets single tasks that find no room elsewhere, as probes.
 	BreakerHalfOpen BreakerState = "half_open"
 )
 
@@ -81,9 +81,6 @@
 // WorkedSince reports whether a task that was placed after the given time has succeeded on the machine.
 func (f *MachineFaults) WorkedSince(since time.Duration) bool { return f.lastSuccessPlacedAt > since }
 
-// LastFailureAt is the time of the last failure on the machine that may be its fault.
-func (f *MachineFaults) LastFailureAt() time.Duration { return f.lastFailureAt }
-
 // HasEvidence reports whether there is any evidence against the machine.
 func (f *MachineFaults) HasEvidence() bool { return len(f.SuspectJobs) > 0 || f.ConfirmedJobs > 0 }
 
--- a/internal/controller/failures.go
+++ b/internal/controller/failures.go
@@ -25,6 +25,7 @@
 	env        *environment
 	quarantine *machineQuarantine
 	state      *clusterstate.State
+	timers     *timerQueue
 	views      *schedulerViews
 }
 
@@ -86,17 +87,23 @@
 	return a.RunningSince > 0 && f.env.now > a.RunningSince+seconds(f.catalog.longestBootS())
 }
 
-// watchRunningTasks records the success of tasks that were placed on a suspected machine after the last failure there
-// and have been running for long.
-func (f *failureTracker) watchRunningTasks(m *clusterstate.Machine) {
-	if !m.Faults.HasEvidence() {
+// onTaskRunning handles a task that has begun to run. If its job or its machine has failed lately, the task is checked
+// again once it has been running for long.
+func (f *failureTracker) onTaskRunning(a *clusterstate.Attempt) {
+	if a.Job.Failures.Backoffs > 0 || a.Machine.Faults.HasEvidence() {
+		f.timers.runAt(f.env.now+seconds(f.catalog.longestBootS()), func() { f.recordLongRun(a) })
+	}
+}
+
+// recordLongRun records the success of a task that has been running for long, if it still runs. It shows that its
+// machine works, and also that its job does if that is a service: a batch task may still fail at its end.
+func (f *failureTracker) recordLongRun(a *clusterstate.Attempt) {
+	if a.Machine.Attempts[a.Key()] != a || a.State != protocol.TaskRunning || a.StopRequested {
 		return
 	}
-	for _, a := range m.SortedAttempts() {
-		if a.AddedAt > m.Faults.LastFailureAt() && a.State == protocol.TaskRunning && f.hasRunLong(a) {
-			f.recordTaskSuccess(a.Job, m, a)
-			return
-		}
+	f.recordMachineSuccess(a.Machine, a)
+	if a.Job.Spec.Service {
+		f.recordJobSuccess(a.Job, a.Machine)
 	}
 }
 
@@ -104,11 +111,17 @@
 // the task's attempt.
 func (f *failureTracker) recordTaskSuccess(j *clusterstate.Job, m *clusterstate.Machine, a *clusterstate.Attempt) {
 	m.Faults.RemoveSuspect(j.Spec.UID)
+	f.recordMachineSuccess(m, a)
+	f.recordJobSuccess(j, m)
+}
+
+// recordMachineSuccess records that a task has succeeded on the machine. a is nil if the cluster state lacks the task's
+// attempt.
+func (f *failureTracker) recordMachineSuccess(m *clusterstate.Machine, a *clusterstate.Attempt) {
 	if a != nil {
 		m.Faults.RecordSuccess(a.AddedAt)
 	}
 	f.quarantine.onEvidenceChanged(m, quarantineSucceeded)
-	f.recordJobSuccess(j, m)
 }
 
 // recordJobSuccess records that a task of the job has succeeded on the machine; m is nil if the success is not
--- a/internal/controller/failures_test.go
+++ b/internal/controller/failures_test.go
@@ -110,3 +110,30 @@
 		t.Error("with an avoidance time of 2 s, the machine is not avoided after 1 s or is still avoided after 3 s")
 	}
 }
+
+// A job that can't reach three machines is at fault if it fails again on each of those that it can use, at least two, or
+// again on a machine that has worked for another job meanwhile. Failures of tasks placed together count once.
+func TestJobFaultInSmallFleet(t *testing.T) {
+	for _, test := range []struct {
+		name       string
+		machines   []string
+		last       clusterstate.JobFailure
+		untried    bool
+		isJobFault bool
+	}{
+		{"again on both machines", []string{"a", "b"}, clusterstate.JobFailure{Machine: "a", Retried: true}, false, true},
+		{"again, a third machine untried", []string{"a", "b"}, clusterstate.JobFailure{Machine: "a", Retried: true}, true, false},
+		{"placed before the first failure", []string{"a", "b"}, clusterstate.JobFailure{Machine: "a", MachineWorked: true}, false, false},
+		{"again on the only machine", []string{"a"}, clusterstate.JobFailure{Machine: "a", Retried: true}, false, false},
+		{"again where another job succeeded", []string{"a"}, clusterstate.JobFailure{Machine: "a", Retried: true, MachineWorked: true}, true, true},
+	} {
+		var f clusterstate.JobFailures
+		for _, machine := range test.machines {
+			f.RecordFailure(failureOn(machine, second))
+		}
+		test.last.HasUntriedMachine = func(map[string]time.Duration) bool { return test.untried }
+		if f.RecordFailure(test.last); f.IsJobFault != test.isJobFault {
+			t.Errorf("%s: attributed to the job: %v", test.name, f.IsJobFault)
+		}
+	}
+}
--- a/internal/controller/machine_exclusion.go
+++ b/internal/controller/machine_exclusion.go
@@ -99,9 +99,9 @@
 }
 
 // mayProbe reports whether a task may be started on the machine as a probe: only the half-open circuit breaker excludes
-// the machine, and no other probe is under way.
+// the machine, and earlier probes have been running for some time.
 func (h *machineHealth) mayProbe(m *clusterstate.Machine) bool {
-	return m.Faults.Breaker == clusterstate.BreakerHalfOpen && h.exclusion(m) == ExcludedOnProbation && awaitsProbe(m)
+	return m.Faults.Breaker == clusterstate.BreakerHalfOpen && h.exclusion(m) == ExcludedOnProbation && h.quarantine.awaitsProbe(m)
 }
 
 // countExclusions counts the machines that have reported and get no tasks, by reason.
--- a/internal/controller/machine_health.go
+++ b/internal/controller/machine_health.go
@@ -18,7 +18,6 @@
 	attempts   *attemptTracker
 	dispatcher *commandDispatcher
 	env        *environment
-	failures   *failureTracker
 	heartbeats *heartbeatReceiver
 	lease      *leaderLease
 	machines   *machineRegistry
@@ -160,7 +159,6 @@
 		if h.lease.ended {
 			return
 		}
-		h.failures.watchRunningTasks(m)
 		h.quarantine.watch(m)
 		if len(m.Attempts) == 0 && m.Epoch <= m.ExpiredEpoch {
 			continue
--- a/internal/controller/machine_quarantine.go
+++ b/internal/controller/machine_quarantine.go
@@ -6,8 +6,8 @@
 
 // machineQuarantine keeps work away from machines that are probably faulty. Each machine has a circuit breaker: it opens
 // once the evidence against the machine suffices, is half-open a worker lease later, and closes when a task succeeds
-// there or when the evidence is withdrawn. A half-open machine gets one task at a time that finds no room elsewhere; if
-// that task fails too, the breaker opens again. A machine that is idle while its breaker is not closed is released.
+// there or when the evidence is withdrawn. A half-open machine gets single tasks, one after the other, that find no room
+// elsewhere; if one fails too, the breaker opens again. A machine that is idle while its breaker is not closed is released.
 //
 // It has no state of its own: evidence and breaker are stored in the Machine, in memory only. A new leader begins with
 // all breakers closed.
@@ -148,15 +148,28 @@
 	q.env.observer.QuarantineChanged(QuarantineChange{Machine: m.ID, To: m.Faults.Breaker, Reason: string(reason)})
 }
 
-// awaitsProbe reports whether the circuit breaker of a machine is half-open and no probe is under way there.
-func awaitsProbe(m *clusterstate.Machine) bool {
+// probeSettleDivisor gives the time, as a fraction of a worker lease, that a probe must have been running before the
+// next task may be started beside it. Most failures show sooner.
+const probeSettleDivisor = 4
+
+// awaitsProbe reports whether a task may be started on a machine as a probe: its circuit breaker is half-open, and
+// earlier probes have been running for some time.
+func (q *machineQuarantine) awaitsProbe(m *clusterstate.Machine) bool {
 	if m.Faults.Breaker != clusterstate.BreakerHalfOpen {
 		return false
 	}
+	settleTime := q.env.cfg.WorkerLease() / probeSettleDivisor
 	for _, a := range m.Attempts {
-		if a.AddedAt > m.Faults.OpenedAt {
+		if a.AddedAt > m.Faults.OpenedAt && (a.RunningSince == 0 || q.env.now < a.RunningSince+settleTime) {
 			return false
 		}
 	}
 	return true
 }
+
+// mayAwaitProbe reports whether a quarantined machine is kept though it is idle, because it may still be needed: it is
+// only suspected, the cloud has no other machine in its place, and its circuit breaker has not been half-open for longer
+// than a worker lease without a task.
+func (q *machineQuarantine) mayAwaitProbe(m *clusterstate.Machine, poolIsShort bool) bool {
+	return m.Faults.ConfirmedJobs == 0 && poolIsShort && q.env.now < m.Faults.OpenUntil+q.env.cfg.WorkerLease()
+}
--- a/internal/controller/machine_quarantine_test.go
+++ b/internal/controller/machine_quarantine_test.go
@@ -259,3 +259,98 @@
 		}
 	}
 }
+
+// Each exclusion of a machine ends while the machine is kept, and its reason is known as long as it lasts.
+func TestExclusionsEnd(t *testing.T) {
+	for reason, exclude := range map[ExclusionReason]func(m *clusterstate.Machine, now time.Duration){
+		ExcludedDraining: func(m *clusterstate.Machine, now time.Duration) { m.DrainUntil = now + 10*second },
+		"answers_lost": func(m *clusterstate.Machine, now time.Duration) {
+			m.Quarantine(clusterstate.QuarantineAnswersLost, now+20*second)
+		},
+		"start_refused": func(m *clusterstate.Machine, now time.Duration) {
+			m.Quarantine(clusterstate.QuarantineStartRefused, now+second)
+		},
+		"record_rejected": func(m *clusterstate.Machine, now time.Duration) {
+			m.Quarantine(clusterstate.QuarantineRecordRejected, now+10*second)
+		},
+		"failure_confirmed": func(m *clusterstate.Machine, now time.Duration) {
+			m.Quarantine(clusterstate.QuarantineFailureConfirmed, now+10*second)
+		},
+		ExcludedFaulty: func(m *clusterstate.Machine, now time.Duration) {
+			m.Faults.ConfirmedJobs = 2
+			m.Faults.Open(now, now+10*second)
+		},
+	} {
+		t.Run(string(reason), func(t *testing.T) {
+			w := newWorldWithMachines(t, 93, 1)
+			w.occupyMachines(1)
+			w.run(20 * second)
+			l := w.leadership()
+			m := l.machines.sortedMachines()[0]
+			if got := l.health.exclusion(m); got != notExcluded {
+				t.Fatalf("excluded for %s before", got)
+			}
+			exclude(m, l.controller.env.now)
+			if got := l.health.exclusion(m); got != reason {
+				t.Errorf("excluded for %s, want %s", got, reason)
+			}
+			w.submit("j-2", map[string]any{"cores": 2.0})
+			w.awaitStatus(maxWaitTime, "j-2", protocol.JobDone)
+			if got := l.health.exclusion(m); got != notExcluded {
+				t.Errorf("still excluded for %s", got)
+			}
+		})
+	}
+}
+
+// A job that has failed on all machines in its reach for a passing reason avoids them no longer than it may wait, and
+// leaves no machine quarantined.
+func TestJobsRunAfterTransientFailuresEverywhere(t *testing.T) {
+	for _, shape := range []string{"batch", "service"} {
+		t.Run(shape, func(t *testing.T) {
+			w := newWorldWithMachines(t, 100, 2)
+			w.occupyMachines(2)
+			w.failTasks(nil, nil)
+			for i := range 4 {
+				w.submit(fmt.Sprintf("j-2%d", i), map[string]any{"shape": shape, "cores": 0.5})
+			}
+			w.run(20 * second)
+			w.failTasks(nil, map[string]bool{})
+			for i := range 4 {
+				uid := fmt.Sprintf("j-2%d", i)
+				w.until(maxWaitTime, uid+" has begun", func() bool { return w.running(uid) > 0 || w.completedTasks[uid+"/0"] })
+			}
+			w.run(maxWaitTime)
+			if n := len(w.quarantined()); n > 0 {
+				t.Errorf("%d machines are quarantined", n)
+			}
+			w.settle()
+		})
+	}
+}
+
+// A replica that fails on a faulty machine and then runs elsewhere confirms the suspicion once it has run for a boot
+// time, and its job starts further replicas without delay again: services have no other success.
+func TestReplicaThatRunsElsewhereConfirmsFault(t *testing.T) {
+	w := newWorldWithMachines(t, 101, 2)
+	w.occupyMachines(2)
+	faulty := w.workers()[0].ID
+	w.failTasks(nil, map[string]bool{faulty: true})
+	for i := range 2 {
+		w.submit(fmt.Sprintf("j-2%d", i), map[string]any{"shape": "service", "cores": 1.0})
+	}
+	w.until(60*second, "both replicas run", func() bool { return w.running("j-20") == 1 && w.running("j-21") == 1 })
+	if w.failures == 0 {
+		t.Fatal("no replica was placed on the faulty machine: the test checks nothing")
+	}
+	w.run(40 * second)
+	l := w.leadership()
+	if m := l.state.Machines[faulty]; m.Faults.ConfirmedJobs == 0 || len(m.Faults.SuspectJobs) > 0 {
+		t.Errorf("evidence after %d failures: %+v", w.failures, m.Faults)
+	}
+	for _, uid := range []string{"j-20", "j-21"} {
+		if failures := l.state.Jobs[uid].Failures; failures.Backoffs > 0 {
+			t.Errorf("%s still counts as failing: %+v", uid, failures)
+		}
+	}
+}
--- a/internal/controller/scale_in.go
+++ b/internal/controller/scale_in.go
@@ -217,8 +217,7 @@
 	case len(m.Attempts) > 0 || p.needed[m.ID]:
 		m.IdleSince = now
 	case m.Faults.IsQuarantined():
-		if m.Faults.ConfirmedJobs == 0 && p.scaler.isShort(poolOf(m)) {
-			// The machine is only suspected, and the cloud has no other one in its place. Waiting jobs probe it.
+		if p.scaler.quarantine.mayAwaitProbe(m, p.scaler.isShort(poolOf(m))) {
 			m.IdleSince = now
 			return keepMachine
 		}
--- a/internal/controller/scaling.go
+++ b/internal/controller/scaling.go
@@ -21,6 +21,7 @@
 	outbox       *outbox
 	partitions   *partitionDetector
 	pool         *machinepool.Pool
+	quarantine   *machineQuarantine
 	reachability *reachability
 	state        *clusterstate.State
 
--- a/internal/controller/wiring.go
+++ b/internal/controller/wiring.go
@@ -125,7 +125,6 @@
 	health.attempts = l.attempts
 	health.dispatcher = l.dispatcher
 	health.env = l.controller.env
-	health.failures = l.failures
 	health.heartbeats = l.heartbeats
 	health.lease = l.lease
 	health.machines = l.machines
@@ -167,6 +166,7 @@
 	failures.env = l.controller.env
 	failures.quarantine = l.quarantine
 	failures.state = l.state
+	failures.timers = l.timers
 	failures.views = l.views
 
 	quarantine := l.quarantine
@@ -259,6 +259,7 @@
 	scaler.outbox = l.controller.outbox
 	scaler.partitions = l.partitions
 	scaler.pool = l.pool
+	scaler.quarantine = l.quarantine
 	scaler.reachability = l.reachability
 	scaler.state = l.state
 
--- a/internal/controller/worker_heartbeats.go
+++ b/internal/controller/worker_heartbeats.go
@@ -221,6 +221,7 @@
 func (h *heartbeatReceiver) onRunning(m *clusterstate.Machine, a *clusterstate.Attempt) {
 	h.machines.recordImageUse(m, a.Job)
 	a.RunningSince = h.env.now
+	h.failures.onTaskRunning(a)
 	h.env.log.Debug("task running", "task", a.Key().Task, "attempt", a.Number, "machine", m.ID)
 }
 
