Quarantine: a success refutes earlier failures only, a slow probe holds no other up

A success counted only if its task was placed after the last failure of any job, so a mistaken job that fails every few seconds kept a machine on probation beside tasks that succeed. A probe that fetches a large image kept the machine to itself for as long as that takes. Change: a success refutes the failures from before its task was placed, one by one; a probe that was placed a worker lease ago no longer holds the next one up.

--- a/internal/clusterstate/machine_faults.go
+++ b/internal/clusterstate/machine_faults.go
@@ -1,6 +1,9 @@
 package clusterstate
 
-import "time"
+import (
+	"maps"
+	"time"
+)
 
 // BreakerState is the state of a machine's circuit breaker.
 type BreakerState string
@@ -18,9 +21,9 @@
 // MachineFaults is the evidence, since a task last succeeded on a machine, that the machine is faulty, and the circuit
 // breaker that the evidence opens. It is kept in memory only: a new leader begins without evidence.
 type MachineFaults struct {
-	// SuspectJobs are the jobs of which a task failed on the machine. Each such failure may be the job's own
-	// fault.
-	SuspectJobs map[string]bool
+	// SuspectJobs maps each job of which a task failed on the machine to the time of its last failure there. Each such
+	// failure may be the job's own fault.
+	SuspectJobs map[string]time.Duration
 	// ConfirmedJobs counts the jobs that failed on the machine and completed tasks on other machines.
 	ConfirmedJobs int
 
@@ -31,7 +34,8 @@
 	// quarantined already.
 	Withheld bool
 
-	lastFailureAt time.Duration
+	// lastConfirmedAt is the time of the last failure on the machine of a job among ConfirmedJobs.
+	lastConfirmedAt time.Duration
 	// lastSuccessPlacedAt is the latest time at which a task was placed that has succeeded on the machine.
 	lastSuccessPlacedAt time.Duration
 }
@@ -45,22 +49,20 @@
 
 // AddSuspect records that a task of the job failed on the machine. It returns true if the job was no suspect before.
 func (f *MachineFaults) AddSuspect(job string, now time.Duration) bool {
-	f.lastFailureAt = now
-	if f.SuspectJobs[job] {
-		return false
-	}
 	if f.SuspectJobs == nil {
-		f.SuspectJobs = map[string]bool{}
+		f.SuspectJobs = map[string]time.Duration{}
 	}
-	f.SuspectJobs[job] = true
-	return true
+	_, known := f.SuspectJobs[job]
+	f.SuspectJobs[job] = now
+	return !known
 }
 
 // ConfirmSuspect records that a suspected job has completed a task on another machine.
 func (f *MachineFaults) ConfirmSuspect(job string) {
-	if f.SuspectJobs[job] {
+	if failedAt, suspected := f.SuspectJobs[job]; suspected {
 		delete(f.SuspectJobs, job)
 		f.ConfirmedJobs++
+		f.lastConfirmedAt = max(f.lastConfirmedAt, failedAt)
 	}
 }
 
@@ -69,12 +71,13 @@
 func (f *MachineFaults) RemoveSuspect(job string) { delete(f.SuspectJobs, job) }
 
 // RecordSuccess records that a task has succeeded that was placed on the machine at the given time. The success
-// refutes the evidence unless the task was placed before the last failure: a faulty machine may still complete the
+// refutes the evidence of earlier failures. It says nothing about later ones: a faulty machine may still complete the
 // tasks that it already runs.
 func (f *MachineFaults) RecordSuccess(placedAt time.Duration) {
 	f.lastSuccessPlacedAt = max(f.lastSuccessPlacedAt, placedAt)
-	if placedAt > f.lastFailureAt {
-		f.SuspectJobs, f.ConfirmedJobs = nil, 0
+	maps.DeleteFunc(f.SuspectJobs, func(_ string, failedAt time.Duration) bool { return failedAt < placedAt })
+	if f.lastConfirmedAt < placedAt {
+		f.ConfirmedJobs = 0
 	}
 }
 
--- a/internal/controller/machine_quarantine.go
+++ b/internal/controller/machine_quarantine.go
@@ -153,20 +153,26 @@
 const probeSettleDivisor = 4
 
 // awaitsProbe reports whether a task may be started on a machine as a probe: its circuit breaker is half-open, and
-// earlier probes have been running for some time.
+// earlier probes have been running for some time or were placed a worker lease ago.
 func (q *machineQuarantine) awaitsProbe(m *clusterstate.Machine) bool {
 	if m.Faults.Breaker != clusterstate.BreakerHalfOpen {
 		return false
 	}
-	settleTime := q.env.cfg.WorkerLease() / probeSettleDivisor
 	for _, a := range m.Attempts {
-		if a.AddedAt > m.Faults.OpenedAt && (a.RunningSince == 0 || q.env.now < a.RunningSince+settleTime) {
+		if a.AddedAt > m.Faults.OpenedAt && q.isUndecided(a) {
 			return false
 		}
 	}
 	return true
 }
 
+// isUndecided reports whether the outcome of a probe is still likely to show soon.
+func (q *machineQuarantine) isUndecided(probe *clusterstate.Attempt) bool {
+	lease := q.env.cfg.WorkerLease()
+	hasSettled := probe.RunningSince > 0 && q.env.now >= probe.RunningSince+lease/probeSettleDivisor
+	return !hasSettled && q.env.now < probe.AddedAt+lease
+}
+
 // mayAwaitProbe reports whether a quarantined machine is kept though it is idle, because it may still be needed: it is
 // only suspected, the cloud has no other machine in its place, and its circuit breaker has not been half-open for longer
 // than a worker lease without a task.
