Probes: a job whose team has no quota starts none

Cause: reading on; placeProbesOf read the quota without a check. Change: it returns. Result: as the checks of the two other last passes in fill.go.

--- a/internal/scheduler/probation.go
+++ b/internal/scheduler/probation.go
@@ -22,7 +22,7 @@
 	s := f.snapshot
 	quota := s.Quotas[j.Team]
 	for _, m := range s.Probation {
-		if len(j.Waiting) == 0 || !quota.Admits(j) {
+		if len(j.Waiting) == 0 || quota == nil || !quota.Admits(j) {
 			return
 		}
 		if s.accepts(j, m) {
