--- a/internal/scheduler/probation.go
+++ b/internal/scheduler/probation.go
@@ -1,6 +1,9 @@
 package scheduler
 
-import "slices"
+import (
+	"math"
+	"slices"
+)
 
 // placeProbes assigns tasks that found no room to machines on probation: in rank order, one task to each machine.
 func (f *filler) placeProbes() {
@@ -39,22 +42,33 @@
 	if len(s.Probation) == 0 || !s.hasRoomWithProbation(j) {
 		return nil
 	}
-	machines, index := s.Machines, s.index
-	s.Machines, s.index, s.withRoom = slices.Concat(machines, s.Probation), nil, [2][]*Machine{}
+	machines := s.Machines
+	s.admitProbation()
 	placed := s.placeGang(j, allowed)
-	s.Machines, s.index, s.withRoom = machines, index, [2][]*Machine{}
+	for _, m := range s.Probation {
+		s.index.remove(m)
+	}
+	s.Machines, s.withRoom, s.probationAdmitted = machines, [2][]*Machine{}, false
 	for _, p := range placed {
 		if p.Machine.OnProbation {
-			p.Machine.TaskCapacity = 0
-			continue
+			p.Machine.TaskCapacity = 0 // no single task probes it in this snapshot
 		}
-		s.machineChanged(p.Machine)
 	}
 	return placed
 }
 
-// hasRoomWithProbation reports whether the free resources of all machines may hold the whole gang. It bounds the work
-// for gangs that can't be placed.
+// admitProbation adds the machines on probation to the list of machines and to the index, after all others.
+func (s *Snapshot) admitProbation() {
+	s.probationAdmitted = true
+	for i, m := range s.Probation {
+		m.position = math.MaxInt - len(s.Probation) + i
+		s.index.update(m)
+	}
+	s.Machines, s.withRoom = slices.Concat(s.Machines, s.Probation), [2][]*Machine{}
+}
+
+// hasRoomWithProbation reports whether the free resources of all machines may hold the whole gang. It saves the work for
+// most gangs that can't be placed.
 func (s *Snapshot) hasRoomWithProbation(j *Job) bool {
 	room := 0.0
 	for _, machines := range [][]*Machine{s.Probation, s.Machines} {
--- a/internal/scheduler/probation_test.go
+++ b/internal/scheduler/probation_test.go
@@ -71,6 +71,9 @@
 		if used := s.Quotas["red"].Used.Cores; used != float64(4*test.placed) {
 			t.Errorf("a gang of %d tasks uses %g cores of the quota", test.tasks, used)
 		}
+		if len(s.Machines) != 1 || len(s.index.machines) != 1 {
+			t.Errorf("%d machines in the snapshot and %d in its index, want those that are not on probation", len(s.Machines), len(s.index.machines))
+		}
 		if free := s.Probation[0].Free.Cores; test.placed == 0 && free != box.Size.Cores {
 			t.Errorf("a gang that was not placed leaves %g cores free", free)
 		}
--- a/internal/scheduler/snapshot.go
+++ b/internal/scheduler/snapshot.go
@@ -70,6 +70,8 @@
 	// this snapshot.
 	Fleet *Fleet
 
+	// probationAdmitted is set while the machines on probation are among Machines and in the index.
+	probationAdmitted bool
 	// reserveAcceleratorCores is set while batches with AvoidsAccelerators must leave free the cores that free
 	// accelerators need.
 	reserveAcceleratorCores bool
@@ -155,7 +157,7 @@
 // machineChanged updates the index. It must be called after each change of a machine.
 func (s *Snapshot) machineChanged(m *Machine) {
 	m.Dirty = true
-	if s.index != nil && !m.OnProbation {
+	if s.index != nil && (!m.OnProbation || s.probationAdmitted) {
 		s.index.update(m)
 	}
 }
