--- a/internal/scalerun/soak_test.go
+++ b/internal/scalerun/soak_test.go
@@ -257,11 +257,11 @@
 	})
 }
 
-func TestAnswersAboutStrangers(t *testing.T) {
+func TestAnswersAboutUnknownJobs(t *testing.T) {
 	testInvariants(t, []invariantsCase{
-		{"a job that nobody submitted", "invented", func(b *invariantsFixture) { b.strangerAnswered(b.job, opPoll, 200) }},
-		{"an invalid submission is accepted", "invalid_accepted", func(b *invariantsFixture) { b.strangerAnswered(b.job, opSubmit, 201) }},
-		{"refused", "", func(b *invariantsFixture) { b.strangerAnswered(b.job, opPoll, 404) }},
+		{"a job that nobody submitted", "invented", func(b *invariantsFixture) { b.unknownJobAnswered(b.job, opPoll, 200) }},
+		{"an invalid submission is accepted", "invalid_accepted", func(b *invariantsFixture) { b.unknownJobAnswered(b.job, opSubmit, 201) }},
+		{"refused", "", func(b *invariantsFixture) { b.unknownJobAnswered(b.job, opPoll, 404) }},
 	})
 }
 
--- a/internal/scalerun/soakusers.go
+++ b/internal/scalerun/soakusers.go
@@ -18,18 +18,18 @@
 	region *region
 	random *rand.Rand
 	// answeredAt is when each controller last answered a question, by label.
-	answeredAt map[string]time.Duration
-	strangers  int
+	answeredAt  map[string]time.Duration
+	unknownJobs int
 }
 
 // Behavior of the clients of a soak run.
 const (
-	askEverywhereInterval = 3 * time.Second
-	oddRequestInterval    = 700 * time.Millisecond
-	maxRepeatDelay        = 40 * time.Second
-	repeatShare           = 0.5
-	cancelShareOfJobs     = 0.15
-	maxCancelDelay        = 15 * time.Second
+	askEverywhereInterval  = 3 * time.Second
+	invalidRequestInterval = 700 * time.Millisecond
+	maxRepeatDelay         = 40 * time.Second
+	repeatShare            = 0.5
+	cancelShareOfJobs      = 0.15
+	maxCancelDelay         = 15 * time.Second
 )
 
 func newSoakUsers(r *region, seed uint64) *soakUsers {
@@ -38,7 +38,7 @@
 
 // start starts the requests that belong to no accepted job.
 func (u *soakUsers) start() {
-	u.region.loop.every(oddRequestInterval, u.sendOddRequest)
+	u.region.loop.every(invalidRequestInterval, u.sendInvalidRequest)
 }
 
 // answered records that a controller answered a question.
@@ -78,27 +78,27 @@
 	}
 }
 
-// sendOddRequest sends a request that no controller may answer with success.
-func (u *soakUsers) sendOddRequest() {
+// sendInvalidRequest sends a request that no controller may answer with success.
+func (u *soakUsers) sendInvalidRequest() {
 	r := u.region
 	controller := r.controlPlane.pick()
 	if controller == nil || r.closing {
 		return
 	}
-	u.strangers++
-	j := u.stranger()
+	u.unknownJobs++
+	j := u.unknownJob()
 	body := protocol.Encode(u.invalidSubmission(j))
-	op := []string{opPoll, opCancel, opSubmit}[u.strangers%3]
+	op := []string{opPoll, opCancel, opSubmit}[u.unknownJobs%3]
 	go func() {
 		status, _, _, _ := r.clients.roundTrip(controller.clientAddress, op, j.uid, body)
-		r.loop.post(func() { r.invariants.strangerAnswered(j, op, status) })
+		r.loop.post(func() { r.invariants.unknownJobAnswered(j, op, status) })
 	}()
 }
 
-// stranger returns a job that is never submitted.
-func (u *soakUsers) stranger() *job {
+// unknownJob returns a job that is never submitted.
+func (u *soakUsers) unknownJob() *job {
 	load := &u.region.plan.Load[0]
-	return &job{uid: fmt.Sprintf("j-9%07d", u.strangers), class: load.Name, team: teamName(0), load: load,
+	return &job{uid: fmt.Sprintf("j-9%07d", u.unknownJobs), class: load.Name, team: teamName(0), load: load,
 		Job: emulator.Job{Image: "none", Tasks: 1, Cores: load.Cores, MemoryGB: load.MemoryGB}}
 }
 
@@ -122,9 +122,9 @@
 	return changed
 }
 
-// strangerAnswered reports a violation if a request about a job that nobody submitted, or an invalid submission, was
+// unknownJobAnswered reports a violation if a request about a job that nobody submitted, or an invalid submission, was
 // answered with success.
-func (i *invariants) strangerAnswered(j *job, op string, status int) {
+func (i *invariants) unknownJobAnswered(j *job, op string, status int) {
 	if status != http.StatusOK && status != http.StatusCreated {
 		return
 	}
