Quarantine: a failure that has passed confirms no fault, evidence ends with its job

A machine without a fault could be quarantined as confirmed faulty, for which no bound on the share holds, and a cancelled job could stay in the evidence.

Cause: a job that had failed on two machines and later succeeded on one of them confirmed the fault of the other, although its own failure had evidently passed. The reason for a timed quarantine was any confirmed failure there, also one that this job had no part in. A replica that ran for long, placed before another one of its job failed on the same machine, ended the record of the job's failures but left the suspicion there, which the end of the job then did not find.

Change: a success of a task that was placed after the job had failed on that machine withdraws the job's failures; any other one confirms exactly the machines where the job is a suspect. A confirmed failure of a probe opens a half-open breaker again; one from before the probation does not. Why it works: what is left after a success is either withdrawn or counted, and nothing keeps the job's name.

--- a/internal/clusterstate/machine_faults.go
+++ b/internal/clusterstate/machine_faults.go
@@ -14,7 +14,7 @@
 	BreakerClosed BreakerState = ""
 	// BreakerOpen: the machine gets no tasks.
 	BreakerOpen BreakerState = "open"
-	// BreakerHalfOpen: the machine gets single tasks that find no room elsewhere, as probes.
+	// BreakerHalfOpen: the machine gets single tasks of jobs that find no room elsewhere, as probes.
 	BreakerHalfOpen BreakerState = "half_open"
 )
 
@@ -57,15 +57,22 @@
 	return !known
 }
 
-// ConfirmSuspect records that a suspected job has completed a task on another machine.
-func (f *MachineFaults) ConfirmSuspect(job string) {
-	if failedAt, suspected := f.SuspectJobs[job]; suspected {
+// ConfirmSuspect records that a job has completed a task on another machine. It returns the time of the job's last
+// failure on this machine, and whether the job was a suspect.
+func (f *MachineFaults) ConfirmSuspect(job string) (failedAt time.Duration, suspected bool) {
+	failedAt, suspected = f.SuspectJobs[job]
+	if suspected {
 		delete(f.SuspectJobs, job)
 		f.ConfirmedJobs++
 		f.lastConfirmedAt = max(f.lastConfirmedAt, failedAt)
 	}
+	return failedAt, suspected
 }
 
+// IsConfirmed reports whether a job that failed on the machine has completed a task on another machine. Other evidence
+// may as well be the fault of the jobs.
+func (f *MachineFaults) IsConfirmed() bool { return f.ConfirmedJobs > 0 }
+
 // RemoveSuspect removes the job's failures from the evidence: they are attributed to the job, or the job has ended or
 // succeeded on the machine.
 func (f *MachineFaults) RemoveSuspect(job string) { delete(f.SuspectJobs, job) }
--- a/internal/controller/failures.go
+++ b/internal/controller/failures.go
@@ -35,7 +35,7 @@
 // onTaskError handles a task that exited with an error. a is nil if the cluster state lacks the attempt.
 func (f *failureTracker) onTaskError(m *clusterstate.Machine, j *clusterstate.Job, a *clusterstate.Attempt, key clusterstate.AttemptKey) {
 	if a != nil && j.Spec.Service && f.hasRunLong(a) {
-		f.recordJobSuccess(j, nil)
+		f.recordJobSuccess(j, m, a.AddedAt)
 	}
 	f.env.log.Debug("task failed", "task", key.Task, "attempt", key.Attempt, "machine", m.ID)
 	if j.Failures.Backoffs == 0 || a != nil && a.AddedAt > j.Failures.LastBackoffAt {
@@ -101,51 +101,60 @@
 	if a.Machine.Attempts[a.Key()] != a || a.State != protocol.TaskRunning || a.StopRequested {
 		return
 	}
-	f.recordMachineSuccess(a.Machine, a)
 	if a.Job.Spec.Service {
-		f.recordJobSuccess(a.Job, a.Machine)
+		f.recordJobSuccess(a.Job, a.Machine, a.AddedAt)
 	}
+	f.recordMachineSuccess(a.Machine, a.AddedAt)
 }
 
 // recordTaskSuccess records that a task of the job has succeeded on the machine. a is nil if the cluster state lacks
 // the task's attempt.
 func (f *failureTracker) recordTaskSuccess(j *clusterstate.Job, m *clusterstate.Machine, a *clusterstate.Attempt) {
-	m.Faults.RemoveSuspect(j.Spec.UID)
-	f.recordMachineSuccess(m, a)
-	f.recordJobSuccess(j, m)
-}
-
-// recordMachineSuccess records that a task has succeeded on the machine. a is nil if the cluster state lacks the task's
-// attempt.
-func (f *failureTracker) recordMachineSuccess(m *clusterstate.Machine, a *clusterstate.Attempt) {
+	placedAt := time.Duration(0)
 	if a != nil {
-		m.Faults.RecordSuccess(a.AddedAt)
+		placedAt = a.AddedAt
 	}
+	f.recordJobSuccess(j, m, placedAt)
+	f.recordMachineSuccess(m, placedAt)
+}
+
+// recordMachineSuccess records that a task has succeeded on the machine that was placed at the given time; 0 if that is
+// unknown.
+func (f *failureTracker) recordMachineSuccess(m *clusterstate.Machine, placedAt time.Duration) {
+	m.Faults.RecordSuccess(placedAt)
 	f.quarantine.onEvidenceChanged(m, quarantineSucceeded)
 }
 
-// recordJobSuccess records that a task of the job has succeeded on the machine; m is nil if the success is not
-// attributed to a machine. The success confirms the suspicion against the other machines on which tasks of the job
-// failed.
-func (f *failureTracker) recordJobSuccess(j *clusterstate.Job, m *clusterstate.Machine) {
+// recordJobSuccess records that a task of the job has succeeded on the machine, where it was placed at the given time; 0
+// if that is unknown. The success confirms the suspicion against the other machines on which tasks of the job failed. If
+// the job has failed on this machine too before the task was placed, the cause was a passing one, and says nothing about
+// the other machines.
+func (f *failureTracker) recordJobSuccess(j *clusterstate.Job, m *clusterstate.Machine, placedAt time.Duration) {
 	if j.Failures.Backoffs == 0 {
 		return
 	}
 	if j.Failures.IsJobFault {
 		f.env.log.Info("job no longer failing", "job", j.Spec.UID)
 	}
+	if failedAt, failedHere := j.Failures.Machines[m.ID]; failedHere && failedAt < placedAt {
+		f.withdrawFailures(j)
+	}
+	m.Faults.RemoveSuspect(j.Spec.UID)
+	f.confirmFailures(j)
+	j.Failures = clusterstate.JobFailures{}
+}
+
+// confirmFailures confirms the suspicion against the machines on which tasks of the job failed.
+func (f *failureTracker) confirmFailures(j *clusterstate.Job) {
 	for id := range j.Failures.Machines {
-		otherMachine := f.state.Machines[id]
-		if otherMachine == nil || otherMachine == m {
+		m := f.state.Machines[id]
+		if m == nil {
 			continue
 		}
-		otherMachine.Faults.ConfirmSuspect(j.Spec.UID)
-		f.quarantine.onEvidenceChanged(otherMachine, quarantineWithdrawn)
-		if otherMachine.Faults.ConfirmedJobs > 0 && !otherMachine.Faults.IsQuarantined() {
-			otherMachine.Quarantine(clusterstate.QuarantineFailureConfirmed, f.env.now+f.env.cfg.WorkerLease())
+		if failedAt, suspected := m.Faults.ConfirmSuspect(j.Spec.UID); suspected {
+			f.quarantine.onConfirmed(m, failedAt)
 		}
 	}
-	j.Failures = clusterstate.JobFailures{}
 }
 
 // withdrawFailures removes a job's failures from the evidence against the machines.
--- a/internal/controller/machine_quarantine.go
+++ b/internal/controller/machine_quarantine.go
@@ -1,6 +1,8 @@
 package controller
 
 import (
+	"time"
+
 	"claybarrow/internal/clusterstate"
 )
 
@@ -52,6 +54,18 @@
 	q.onEvidenceChanged(m, quarantineWithdrawn)
 }
 
+// onConfirmed updates the circuit breaker after a job that failed on the machine, last at the given time, has completed a
+// task elsewhere. A machine against which this does not suffice gets no tasks for a worker lease. A half-open breaker
+// opens only if the failure was a probe's: earlier failures are what the machine is on probation for.
+func (q *machineQuarantine) onConfirmed(m *clusterstate.Machine, failedAt time.Duration) {
+	switch {
+	case !m.Faults.IsFaulty():
+		m.Quarantine(clusterstate.QuarantineFailureConfirmed, q.env.now+q.env.cfg.WorkerLease())
+	case !m.Faults.IsQuarantined(), m.Faults.Breaker == clusterstate.BreakerHalfOpen && failedAt > m.Faults.OpenedAt:
+		q.open(m, quarantineConfirmed)
+	}
+}
+
 // onEvidenceChanged opens the circuit breaker of a machine if the evidence against it suffices, and closes it if the
 // evidence does not suffice any more, for the given reason.
 func (q *machineQuarantine) onEvidenceChanged(m *clusterstate.Machine, closeReason quarantineReason) {
@@ -69,7 +83,7 @@
 // openIfAllowed opens the circuit breaker of a machine, unless the machine is only suspected and too many machines are
 // quarantined on suspicion already.
 func (q *machineQuarantine) openIfAllowed(m *clusterstate.Machine) {
-	if m.Faults.ConfirmedJobs > 0 {
+	if m.Faults.IsConfirmed() {
 		q.open(m, quarantineConfirmed)
 		return
 	}
@@ -104,7 +118,7 @@
 		if !other.EverReported || other.Releasing {
 			continue
 		}
-		suspected := other.Faults.IsQuarantined() && other.Faults.ConfirmedJobs == 0
+		suspected := other.Faults.IsQuarantined() && !other.Faults.IsConfirmed()
 		fleet.add(suspected)
 		if other.Zone == m.Zone {
 			zone.add(suspected)
@@ -177,5 +191,5 @@
 // only suspected, the cloud has no other machine in its place, and its circuit breaker has not been half-open for longer
 // than a worker lease without a task.
 func (q *machineQuarantine) mayAwaitProbe(m *clusterstate.Machine, poolIsShort bool) bool {
-	return m.Faults.ConfirmedJobs == 0 && poolIsShort && q.env.now < m.Faults.OpenUntil+q.env.cfg.WorkerLease()
+	return !m.Faults.IsConfirmed() && poolIsShort && q.env.now < m.Faults.OpenUntil+q.env.cfg.WorkerLease()
 }
--- a/internal/controller/machine_quarantine_test.go
+++ b/internal/controller/machine_quarantine_test.go
@@ -331,6 +331,77 @@
 	}
 }
 
+// failTask tells the leader that a task of the job that was placed on the machine just now has failed.
+func (l *leadership) failTask(uid string, m *clusterstate.Machine) {
+	j := l.state.Jobs[uid]
+	a := &clusterstate.Attempt{Job: j, Machine: m, AddedAt: l.controller.env.now}
+	l.failures.onTaskError(m, j, a, clusterstate.AttemptKey{})
+}
+
+// Guards against a confirmed fault without a faulty machine: a job that fails on two machines, and later succeeds on one
+// of them, failed for a passing reason. A job that never failed where it succeeds confirms the fault of the other.
+func TestPassingFailuresConfirmNoFault(t *testing.T) {
+	for name, failedWhereItSucceeds := range map[string]bool{"failed on both": true, "failed on the other only": false} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorldWithMachines(t, 103, 2)
+			w.occupyMachines(2)
+			w.submit("j-2", map[string]any{"cores": 3.0, "shape": "group", "shards": 3}) // there is room for two of three
+			w.run(5 * second)
+			l := w.leadership()
+			machines, j := l.machines.sortedMachines(), l.state.Jobs["j-2"]
+			l.failTask("j-2", machines[0])
+			if failedWhereItSucceeds {
+				l.failTask("j-2", machines[1])
+			}
+			w.run(second)
+			success := &clusterstate.Attempt{Job: j, Machine: machines[1], AddedAt: l.controller.env.now}
+			w.run(second)
+			l.failures.recordTaskSuccess(j, machines[1], success)
+			if confirmed := machines[0].Faults.ConfirmedJobs > 0; confirmed == failedWhereItSucceeds {
+				t.Errorf("fault confirmed: %v", confirmed)
+			}
+			if excluded := l.health.exclusion(machines[0]) != notExcluded; excluded == failedWhereItSucceeds {
+				t.Errorf("excluded: %s", l.health.exclusion(machines[0]))
+			}
+			for _, m := range machines {
+				if len(m.Faults.SuspectJobs) > 0 {
+					t.Errorf("evidence against %s after the job has succeeded: %+v", m.ID, m.Faults)
+				}
+			}
+		})
+	}
+}
+
+// Guards against evidence that outlives its job: a replica that was placed before another one failed on the same machine
+// keeps running for long, which ends the record of the job's failures. Nothing of it is left after the cancellation.
+func TestEvidenceEndsWithJob(t *testing.T) {
+	w := newWorldWithMachines(t, 104, 1)
+	w.occupyMachines(1)
+	w.submit("j-2", map[string]any{"shape": "service", "cores": 1.0})
+	w.until(30*second, "j-2 runs", func() bool { return w.running("j-2") == 1 })
+	w.run(3 * second) // the leader has heard of it
+	l := w.leadership()
+	m := l.machines.sortedMachines()[0]
+	l.failTask("j-2", m)
+	if len(m.Faults.SuspectJobs) != 1 {
+		t.Fatalf("evidence after a failure: %+v", m.Faults)
+	}
+	for _, a := range m.SortedAttempts() {
+		if a.Job.Spec.UID == "j-2" {
+			l.failures.recordLongRun(a)
+		}
+	}
+	if failures := l.state.Jobs["j-2"].Failures; failures.Backoffs > 0 {
+		t.Fatalf("the replica's success does not count for its job: %+v", failures)
+	}
+	w.cancel("j-2")
+	w.awaitStatus(20*second, "j-2", protocol.JobCancelled)
+	if m.Faults.HasEvidence() {
+		t.Errorf("evidence after the end of its job: %+v", m.Faults)
+	}
+	w.settle()
+}
+
 // A replica that fails on a faulty machine and then runs elsewhere confirms the suspicion once it has run for a boot
 // time, and its job starts further replicas without delay again: services have no other success.
 func TestReplicaThatRunsElsewhereConfirmsFault(t *testing.T) {
