Quarantine: a probe of a machine that is only suspected keeps no other job from it

Callers would see: a job that waits for 90 s and longer beside the only machine in reach, behind mistaken jobs that were submitted before it and that nobody cancels.

Cause: a half-open machine took one probe at a time, in rank order, and each failure of a job that was new there closed it for another worker lease. Where the machine is the only one in reach, the failure is as likely the job's own fault, and every mistaken job in the queue cost the others a lease, or the time to fetch its image.

Change: if no job that failed there has completed elsewhere, each job may probe the machine with one task, and a failed probe leaves the breaker half-open. A confirmed fault is handled as before: one probe at a time, and a lease after each failure. Why it works: jobs no longer wait for one another's probes, only for room. A faulty machine that nobody can tell from mistaken jobs costs each job without other room one task in cancel_s, as the job avoids it for so long (TestFaultyMachineWithoutAlternative); where it can be told, no more than before (TestFaultyMachineOfTwo, TestFaultyMachineIsQuarantined). TestProbesAreSingleTasksWithoutOtherRoom now says that its machines get one probe at a time, with the same figures; TestEachJobProbesSuspectedMachine has the rest.

--- a/internal/controller/machine_exclusion.go
+++ b/internal/controller/machine_exclusion.go
@@ -98,8 +98,8 @@
 	return h.exclusion(m) == notExcluded
 }
 
-// mayProbe reports whether a task may be started on the machine as a probe: only the half-open circuit breaker excludes
-// the machine, and earlier probes have been running for some time.
+// mayProbe reports whether a task may be started on the machine as a probe: nothing but the half-open circuit breaker
+// excludes the machine, and no earlier probe stands in the way.
 func (h *machineHealth) mayProbe(m *clusterstate.Machine) bool {
 	return m.Faults.Breaker == clusterstate.BreakerHalfOpen && h.exclusion(m) == ExcludedOnProbation && h.quarantine.awaitsProbe(m)
 }
--- a/internal/controller/machine_quarantine.go
+++ b/internal/controller/machine_quarantine.go
@@ -4,12 +4,18 @@
 	"time"
 
 	"claybarrow/internal/clusterstate"
+	"claybarrow/internal/scheduler"
 )
 
 // machineQuarantine keeps work away from machines that are probably faulty. Each machine has a circuit breaker: it opens
 // once the evidence against the machine suffices, is half-open a worker lease later, and closes when a task succeeds
-// there or when the evidence is withdrawn. A half-open machine gets single tasks, one after the other, that find no room
-// elsewhere; if one fails too, the breaker opens again. A machine that is idle while its breaker is not closed is released.
+// there or when the evidence is withdrawn. A half-open machine gets single tasks of jobs that find no room elsewhere, as
+// probes. A machine that is idle while its breaker is not closed is released.
+//
+// If a fault is confirmed, that is if a job that failed on the machine has completed elsewhere, there is one probe at a
+// time, and the breaker opens again if it fails. If the machine is only suspected, its jobs may as well be at fault. Then
+// each job may probe it, and a failed probe counts against its job as much as against the machine: otherwise jobs with a
+// mistake could keep others from a machine without an alternative, a lease for each.
 //
 // It has no state of its own: evidence and breaker are stored in the Machine, in memory only. A new leader begins with
 // all breakers closed.
@@ -47,11 +53,14 @@
 // onFailure updates the circuit breaker after a task of a job that was not suspect there before has failed. a is nil if
 // the cluster state lacks the task's attempt.
 func (q *machineQuarantine) onFailure(m *clusterstate.Machine, a *clusterstate.Attempt) {
-	if m.Faults.Breaker == clusterstate.BreakerHalfOpen && a != nil && a.AddedAt > m.Faults.OpenedAt {
+	switch {
+	case m.Faults.Breaker != clusterstate.BreakerHalfOpen || a == nil || a.AddedAt <= m.Faults.OpenedAt:
+		q.onEvidenceChanged(m, quarantineWithdrawn)
+	case m.Faults.IsConfirmed():
 		q.open(m, quarantineProbeFailed)
-		return
+	default:
+		q.env.log.Info("probe failed on suspected machine", "machine", m.ID, "job", a.Job.Spec.UID, "failed_jobs", len(m.Faults.SuspectJobs))
 	}
-	q.onEvidenceChanged(m, quarantineWithdrawn)
 }
 
 // onConfirmed updates the circuit breaker after a job that failed on the machine, last at the given time, has completed a
@@ -166,21 +175,30 @@
 // next task may be started beside it. Most failures show sooner.
 const probeSettleDivisor = 4
 
-// awaitsProbe reports whether a task may be started on a machine as a probe: its circuit breaker is half-open, and
-// earlier probes have been running for some time or were placed a worker lease ago.
+// awaitsProbe reports whether a task may be started on a machine as a probe: its circuit breaker is half-open and, if
+// the fault is confirmed, no other probe is undecided.
 func (q *machineQuarantine) awaitsProbe(m *clusterstate.Machine) bool {
-	if m.Faults.Breaker != clusterstate.BreakerHalfOpen {
-		return false
-	}
+	return m.Faults.Breaker == clusterstate.BreakerHalfOpen && (!m.Faults.IsConfirmed() || len(q.probingJobs(m)) == 0)
+}
+
+// describeProbation sets what the scheduler must know of a machine on probation.
+func (q *machineQuarantine) describeProbation(view *scheduler.Machine, m *clusterstate.Machine) {
+	view.OnProbation, view.SingleProbe, view.ProbingJobs = true, m.Faults.IsConfirmed(), q.probingJobs(m)
+}
+
+// probingJobs returns the ids of the jobs with an undecided probe on the machine.
+func (q *machineQuarantine) probingJobs(m *clusterstate.Machine) map[string]bool {
+	jobs := map[string]bool{}
 	for _, a := range m.Attempts {
 		if a.AddedAt > m.Faults.OpenedAt && q.isUndecided(a) {
-			return false
+			jobs[a.Job.Spec.UID] = true
 		}
 	}
-	return true
+	return jobs
 }
 
-// isUndecided reports whether the outcome of a probe is still likely to show soon.
+// isUndecided reports whether the outcome of a probe is still likely to show soon: it has not been running for some time
+// yet, and was placed less than a worker lease ago.
 func (q *machineQuarantine) isUndecided(probe *clusterstate.Attempt) bool {
 	lease := q.env.cfg.WorkerLease()
 	hasSettled := probe.RunningSince > 0 && q.env.now >= probe.RunningSince+lease/probeSettleDivisor
--- a/internal/controller/machine_quarantine_test.go
+++ b/internal/controller/machine_quarantine_test.go
@@ -110,6 +110,30 @@
 	}
 }
 
+// Guards against work that waits a quarantine long for each of the mistaken jobs before it in the queue, where all of
+// them can use a single machine only: a probe of a machine that is only suspected keeps no other job from probing it.
+func TestWorkBehindMistakenJobsOnOneMachine(t *testing.T) {
+	for name, test := range map[string]struct {
+		cores     float64
+		fetchTime time.Duration
+	}{"room for one of them": {3, testSite.fetchTime}, "room for all, slow image": {0.25, 8 * second}} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorldWithMachines(t, 102, 1)
+			w.fetchTime = func(string) time.Duration { return test.fetchTime }
+			w.occupyMachines(1)
+			const mistakenJobs = 12
+			mistaken := w.submitMistakenJobs(mistakenJobs, map[string]any{"rank": "normal", "shards": 3, "cores": test.cores})
+			w.until(60*second, "the machine is quarantined", func() bool { return len(w.quarantined()) == 1 })
+			w.submit("j-2", map[string]any{"shards": 2, "cores": 1.0})
+			w.until(maxWaitTime, "j-2 has begun", func() bool { return w.running("j-2") > 0 })
+			for _, uid := range mistaken {
+				w.cancel(uid)
+			}
+			w.settle()
+		})
+	}
+}
+
 // Mistaken jobs bound to a zone with a single machine don't close that machine for the zone's other jobs, while the rest
 // of the fleet is idle enough to take all other work.
 func TestMistakenJobsInZoneWithOneMachine(t *testing.T) {
@@ -195,6 +219,37 @@
 	w.settle()
 }
 
+// A faulty machine that nobody can tell from mistaken jobs, as there is no room where they could succeed, costs each job
+// that has no other room one task in cancel_s, and none of them the time to begin once there is room elsewhere.
+func TestFaultyMachineWithoutAlternative(t *testing.T) {
+	w := newWorldWithMachines(t, 105, 2)
+	w.occupyMachines(2)
+	faulty := w.workers()[0].ID
+	w.failTasks(nil, map[string]bool{faulty: true})
+	w.submit("j-3", map[string]any{"shape": "service", "cores": 3.0})
+	w.until(30*second, "j-3 fills the other machine", func() bool { return w.running("j-3") == 1 })
+	before := w.failures
+	const jobs = 6
+	for i := range jobs {
+		w.submit(fmt.Sprintf("j-2%d", i), map[string]any{"cores": 0.5, "shards": 4})
+	}
+	w.run(4 * cancelTimeout)
+	if n := w.failures - before; n < jobs || n > 5*jobs {
+		t.Errorf("%d tasks of %d jobs failed in four times cancel_s", n, jobs)
+	}
+	w.cancel("j-3")
+	w.until(20*second, "all jobs have begun", func() bool {
+		begun := 0
+		for i := range jobs {
+			if uid := fmt.Sprintf("j-2%d", i); w.running(uid) > 0 || w.completedTasks[uid+"/0"] {
+				begun++
+			}
+		}
+		return begun == jobs
+	})
+	w.settle()
+}
+
 // Evidence does not outlive a failover: the next leader starts with all machines admitted, and judges them anew.
 func TestQuarantineAfterFailover(t *testing.T) {
 	w := newWorldWithMachines(t, 98, 1)
--- a/internal/controller/scheduler_cache_machines.go
+++ b/internal/controller/scheduler_cache_machines.go
@@ -137,7 +137,7 @@
 		return
 	}
 	view := c.views.machineView(m, t)
-	view.OnProbation = true
+	c.health.quarantine.describeProbation(&view, m)
 	setImages(&view, m)
 	snapshot.Probation = append(snapshot.Probation, &view)
 }
--- a/internal/controller/scheduler_cache_test.go
+++ b/internal/controller/scheduler_cache_test.go
@@ -148,7 +148,7 @@
 			sm.Booting = true
 		case l.health.mayProbe(m):
 			setImages(sm, m)
-			sm.OnProbation = true
+			l.quarantine.describeProbation(sm, m)
 			s.Probation = append(s.Probation, sm)
 			continue
 		default:
--- a/internal/scheduler/probation.go
+++ b/internal/scheduler/probation.go
@@ -5,7 +5,8 @@
 	"slices"
 )
 
-// placeProbes assigns tasks that found no room to machines on probation: in rank order, one task to each machine.
+// placeProbes assigns tasks that found no room to machines on probation: in rank order, one task of a job to each
+// machine.
 func (f *filler) placeProbes() {
 	s := f.snapshot
 	if len(s.Probation) == 0 {
@@ -20,7 +21,23 @@
 	}
 }
 
-// placeProbesOf assigns waiting tasks of one job to machines on probation that have not been assigned any.
+// acceptsProbe reports whether a task of the job may probe the machine.
+func (m *Machine) acceptsProbe(j *Job) bool {
+	if m.SingleProbe {
+		return len(m.ProbingJobs) == 0
+	}
+	return !m.ProbingJobs[j.ID]
+}
+
+// recordProbe records that a task of the job has been assigned to the machine.
+func (m *Machine) recordProbe(j *Job) {
+	if m.ProbingJobs == nil {
+		m.ProbingJobs = map[string]bool{}
+	}
+	m.ProbingJobs[j.ID] = true
+}
+
+// placeProbesOf assigns waiting tasks of one job to machines on probation, one task to each.
 func (f *filler) placeProbesOf(j *Job) {
 	s := f.snapshot
 	quota := s.Quotas[j.Team]
@@ -28,10 +45,10 @@
 		if len(j.Waiting) == 0 || quota == nil || !quota.Admits(j) {
 			return
 		}
-		if s.accepts(j, m) {
+		if m.acceptsProbe(j) && s.accepts(j, m) {
 			f.placements = append(f.placements, Placement{j, j.Waiting[0], m})
 			s.assign(j, m)
-			m.TaskCapacity = 0
+			m.recordProbe(j)
 		}
 	}
 }
@@ -51,7 +68,7 @@
 	s.Machines, s.withRoom, s.probationAdmitted = machines, [2][]*Machine{}, false
 	for _, p := range placed {
 		if p.Machine.OnProbation {
-			p.Machine.TaskCapacity = 0 // no single task probes it in this snapshot
+			p.Machine.recordProbe(j)
 		}
 	}
 	return placed
--- a/internal/scheduler/probation_test.go
+++ b/internal/scheduler/probation_test.go
@@ -1,12 +1,15 @@
 package scheduler
 
-import "testing"
+import (
+	"maps"
+	"testing"
+)
 
-// onProbation returns an empty machine on probation for each of the zones.
+// onProbation returns an empty machine for each of the zones that gets one probe at a time.
 func onProbation(zones ...string) []*Machine {
 	list := machines(box, zones...)
 	for _, m := range list {
-		m.ID, m.OnProbation = "probation-"+m.ID, true
+		m.ID, m.OnProbation, m.SingleProbe = "probation-"+m.ID, true, true
 	}
 	return list
 }
@@ -51,6 +54,32 @@
 	}
 }
 
+// Each job may probe a machine that is only suspected, with one task at a time, so that a probe keeps no other job from
+// it. Where there is one probe at a time, none is placed beside another one.
+func TestEachJobProbesSuspectedMachine(t *testing.T) {
+	array := func(id string) *Job { return batch(id, 4, func(j *Job) { j.Slots, j.InUpperQueue = 4, false }) }
+	for _, test := range []struct {
+		name        string
+		singleProbe bool
+		probing     map[string]bool
+		want        map[string]int
+	}{
+		{"suspected", false, nil, map[string]int{"x": 1, "y": 1}},
+		{"suspected, x probes it", false, map[string]bool{"x": true}, map[string]int{"y": 1}},
+		{"confirmed", true, nil, map[string]int{"x": 1}},
+		{"confirmed, z probes it", true, map[string]bool{"z": true}, map[string]int{}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			s := newSnapshot(nil, array("x"), array("y"))
+			s.Probation = onProbation("a")
+			s.Probation[0].SingleProbe, s.Probation[0].ProbingJobs = test.singleProbe, test.probing
+			if got := startedByJob(s.Fill()); !maps.Equal(got, test.want) {
+				t.Errorf("started %v, want %v", got, test.want)
+			}
+		})
+	}
+}
+
 // A starved gang that finds no other room is placed whole with the machines on probation, and a gang that does not fit
 // even then leaves no trace.
 func TestStarvedGangUsesMachinesOnProbation(t *testing.T) {
--- a/internal/scheduler/snapshot.go
+++ b/internal/scheduler/snapshot.go
@@ -29,8 +29,12 @@
 	Images      map[string]bool
 	Fetching    map[string]bool
 	Booting     bool
-	OnProbation bool // see Snapshot.Probation
 	InUse       bool // holds tasks, or was assigned one in this snapshot
+	OnProbation bool // see Snapshot.Probation
+	// SingleProbe is set if a machine on probation gets one probe at a time. Otherwise each job may probe it.
+	SingleProbe bool
+	// ProbingJobs are the jobs of the machine's probes whose outcome is not known yet.
+	ProbingJobs map[string]bool
 	// Dirty is set by each decision that changes the machine. A caller that reuses the machine in later snapshots must
 	// clear it.
 	Dirty bool
@@ -53,8 +57,8 @@
 // decisions take it into account.
 type Snapshot struct {
 	Machines []*Machine
-	// Probation lists machines that may be faulty. They are not among Machines, and get single tasks that find no room
-	// on these, or a gang.
+	// Probation lists machines that may be faulty. They are not among Machines, and get probes: single tasks of jobs
+	// that find no room on these, or a whole gang.
 	Probation     []*Machine
 	Jobs          []*Job
 	Quotas        map[string]*Quota // by team
