Jobs that fail again and again leave the upper queue

Callers would see: a job that never begins while mistaken jobs that were submitted before it are not cancelled.

Cause: the upper queue is served first come, first served, and a job leaves it only when tasks have finished. An array whose tasks all fail never does, so after each back-off it takes the room before any job that came later; eight of them with an image of 8 s are enough for one machine.

Change: a job that has failed again after a back-off counts as one of the lower queue, by rank, until one of its tasks completes. Why it works: a job that has not failed yet then goes before all of these. Nothing changes for jobs whose tasks do not fail.

--- a/internal/clusterstate/job_failures.go
+++ b/internal/clusterstate/job_failures.go
@@ -69,6 +69,9 @@
 	return len(f.Machines) >= triedMachinesMin && !failure.HasUntriedMachine(f.Machines)
 }
 
+// AreRepeated reports whether tasks of the job have failed again after a back-off, and none has completed since.
+func (f *JobFailures) AreRepeated() bool { return f.Backoffs > 1 }
+
 // IsProbing reports whether only one task of the job may be started at a time.
 func (f *JobFailures) IsProbing() bool { return f.IsJobFault || len(f.Machines) >= probingMachines }
 
--- a/internal/controller/failures_test.go
+++ b/internal/controller/failures_test.go
@@ -47,6 +47,23 @@
 	w.settle()
 }
 
+// Guards against work that waits for as long as mistaken jobs remain: arrays that fail again and again leave the upper
+// queue, which is served first come, first served, and so don't take the room each time before a job that came later.
+func TestFailingJobsDoNotStayAhead(t *testing.T) {
+	w := newWorldWithMachines(t, 106, 1)
+	w.fetchTime = func(string) time.Duration { return 8 * second }
+	w.occupyMachines(1)
+	const mistakenJobs = 8
+	mistaken := w.submitMistakenJobs(mistakenJobs, map[string]any{"rank": "normal", "shards": 3, "cores": 3.0})
+	w.run(150 * second)
+	w.submit("j-2", map[string]any{"shards": 2, "cores": 1.0})
+	w.until(maxWaitTime, "j-2 has begun", func() bool { return w.running("j-2") > 0 })
+	for _, uid := range mistaken {
+		w.cancel(uid)
+	}
+	w.settle()
+}
+
 // Tasks that fail on a faulty machine complete on other machines, which shows that the machine is at
 // fault: it gets no more tasks.
 func TestFaultyMachineIsQuarantined(t *testing.T) {
--- a/internal/controller/scheduler_view.go
+++ b/internal/controller/scheduler_view.go
@@ -56,7 +56,7 @@
 		Service: s.Service, Tasks: s.Tasks, Assigned: j.ActiveAttempts,
 		Request: j.Request, SaveS: s.SaveS, Image: s.Image, ImageGB: s.ImageGB,
 		Spot: s.Spot, Types: j.Types, Zone: s.Zone, OneZone: s.OneZone, Spread: s.Spread,
-		InUpperQueue: j.Scale.InUpperQueue && !s.Service, Slots: j.Scale.Slots,
+		InUpperQueue: j.Scale.InUpperQueue && !s.Service && !j.Failures.AreRepeated(), Slots: j.Scale.Slots,
 		Attained: j.Scale.Attained, Degradation: j.Scale.Degradation,
 	}
 	if j.Gang != nil {
