--- a/internal/controller/machine_quarantine_test.go
+++ b/internal/controller/machine_quarantine_test.go
@@ -180,6 +180,89 @@
 	}
 }
 
+// On suspicion alone at most a tenth of the fleet, of each zone and of each type is quarantined, and one machine at least;
+// machines that are not up don't count. A confirmed fault is not bounded.
+func TestBoundOnQuarantinedShare(t *testing.T) {
+	w := newWorld(t, 107)
+	w.run(5 * second)
+	l := w.leadership()
+	add := func(n int, zone, typ string, up bool) (added []*clusterstate.Machine) {
+		for range n {
+			m := l.state.AddMachine(fmt.Sprintf("i-9%05d", len(l.state.Machines)))
+			m.Zone, m.Type, m.EverReported = zone, typ, up
+			added = append(added, m)
+		}
+		return added
+	}
+	large := add(40, "a", "m8", true)
+	other := add(20, "b", "g8", true)
+	otherType := add(3, "a", "g96", true)
+	add(100, "b", "g8", false)
+	suspect := func(machines []*clusterstate.Machine) int {
+		quarantined := 0
+		for _, m := range machines {
+			for _, uid := range []string{"j-1", "j-2", "j-3"} {
+				m.Faults.AddSuspect(uid, l.controller.env.now)
+			}
+			l.quarantine.onEvidenceChanged(m, quarantineWithdrawn)
+			if m.Faults.IsQuarantined() {
+				quarantined++
+			}
+		}
+		return quarantined
+	}
+	if n := suspect(otherType); n != 1 {
+		t.Errorf("%d of 3 machines of a type quarantined, want 1", n)
+	}
+	if n := suspect(other); n != 2 {
+		t.Errorf("%d of 20 machines of a zone quarantined, want 2", n)
+	}
+	if n := suspect(large); n != 3 {
+		t.Errorf("%d of 40 machines quarantined beside 3 of 23 others, want 3, as 6 of 63 are the most", n)
+	}
+	withheld := large[len(large)-1]
+	if !withheld.Faults.Withheld {
+		t.Error("the last machine is not marked as one that is not quarantined for the bound")
+	}
+	if failedAt, suspected := withheld.Faults.ConfirmSuspect("j-1"); !suspected {
+		t.Errorf("j-1 is no suspect: %+v", withheld.Faults)
+	} else if l.quarantine.onConfirmed(withheld, failedAt); !withheld.Faults.IsQuarantined() {
+		t.Error("a confirmed fault is not quarantined beyond the bound")
+	}
+}
+
+// A job that may run on one type or in one zone only has no untried machine once it has failed on all of these, whatever
+// else the fleet has.
+func TestUntriedMachines(t *testing.T) {
+	w := newWorldWithMachines(t, 108, 2)
+	w.occupyMachines(2)
+	w.submit("j-2", map[string]any{"cores": 3.0, "shape": "group", "shards": 3})
+	w.run(5 * second)
+	l := w.leadership()
+	j, machines := l.state.Jobs["j-2"], l.machines.sortedMachines()
+	tried := map[string]time.Duration{machines[0].ID: second}
+	for _, test := range []struct {
+		name    string
+		change  func(m *clusterstate.Machine)
+		untried bool
+	}{
+		{"same type and zone", func(*clusterstate.Machine) {}, true},
+		{"another type", func(m *clusterstate.Machine) { m.Type = "g8" }, false},
+		{"another zone", func(m *clusterstate.Machine) { m.Zone = "b" }, false},
+		{"too small", func(m *clusterstate.Machine) { m.Size.Cores = 2 }, false},
+		{"being released", func(m *clusterstate.Machine) { m.Releasing = true }, false},
+		{"not up yet", func(m *clusterstate.Machine) { m.EverReported = false }, false},
+	} {
+		j.Types, j.Spec.Zone = map[string]bool{"m8": true}, "a"
+		former := *machines[1]
+		test.change(machines[1])
+		if got := l.failures.hasUntriedMachine(j, tried); got != test.untried {
+			t.Errorf("%s: an untried machine: %v", test.name, got)
+		}
+		*machines[1] = former
+	}
+}
+
 // A faulty machine that is one of two, never becomes idle and is never replaced stays quarantined but for single tasks:
 // what finds room on the other machine never meets it, and of the work that has no other room one task fails in each
 // quarantine. Once the machine works again it gets work again.
