Probes: a gang on a machine that gets one probe at a time is the only one

Cause: reading on; since probes are counted by job, a second gang could join the first in the same fill on a machine with a confirmed fault. Result: TestGangIsTheOnlyProbe failed before ("g:2 h:2"); the tests of scheduler and controller pass.

--- a/internal/scheduler/probation.go
+++ b/internal/scheduler/probation.go
@@ -29,12 +29,15 @@
 	return !m.ProbingJobs[j.ID]
 }
 
-// recordProbe records that a task of the job has been assigned to the machine.
+// recordProbe records that tasks of the job have been assigned to the machine.
 func (m *Machine) recordProbe(j *Job) {
 	if m.ProbingJobs == nil {
 		m.ProbingJobs = map[string]bool{}
 	}
 	m.ProbingJobs[j.ID] = true
+	if m.SingleProbe {
+		m.TaskCapacity = 0
+	}
 }
 
 // placeProbesOf assigns waiting tasks of one job to machines on probation, one task to each.
--- a/internal/scheduler/probation_test.go
+++ b/internal/scheduler/probation_test.go
@@ -80,6 +80,27 @@
 	}
 }
 
+// A gang on a machine that gets one probe at a time is that probe: neither another gang nor a single task joins it.
+func TestGangIsTheOnlyProbe(t *testing.T) {
+	gang := func(id string) *Job {
+		return batch(id, 2, func(j *Job) {
+			j.Gang, j.InUpperQueue, j.Starved, j.Request, j.Slots = true, false, true, Resources{Cores: 1, MemoryGB: 1}, 2
+		})
+	}
+	for _, singleProbe := range []bool{true, false} {
+		s := newSnapshot(nil, gang("g"), gang("h"), batch("x", 1, func(*Job) {}))
+		s.Probation = onProbation("a")
+		s.Probation[0].SingleProbe = singleProbe
+		want := map[string]int{"g": 2}
+		if !singleProbe {
+			want = map[string]int{"g": 2, "h": 2, "x": 1}
+		}
+		if got := startedByJob(s.Fill()); !maps.Equal(got, want) {
+			t.Errorf("one probe at a time %v: started %v, want %v", singleProbe, got, want)
+		}
+	}
+}
+
 // A starved gang that finds no other room is placed whole with the machines on probation, and a gang that does not fit
 // even then leaves no trace.
 func TestStarvedGangUsesMachinesOnProbation(t *testing.T) {
