Emulator: late copies of direct calls, and an agent that restarts with an empty memory

The incident ran_twice began with a copy of a call that a worker had executed and answered 6.4 s before. The emulator could not deliver such copies, so no test and no soak run could meet one.

Fleet.Copies delivers copies of executed direct requests by a share, a highest number and bounds of the delay; CopyOutcomes counts those that were executed, refused by token, refused by epoch and lost. InjectRestart gives an agent that is back at once without its memory. Every simulated world also checks that an attempt starts once at the most on a machine in an agent epoch.

--- a/internal/controller/checker_test.go
+++ b/internal/controller/checker_test.go
@@ -23,6 +23,7 @@
 	pollsSent       int                      // polls sent so far; selects the controller of the next poll
 	stopCommands    map[string][]stopCommand
 	startCounts     map[string]int // how many times each task was started on a machine
+	attemptStarts   map[attemptStart]int
 	// faultsEndedAt is the time at which all injected faults ended; 0 while faults may still occur.
 	faultsEndedAt time.Duration
 	// duplicateDelay returns the delay after which a duplicate of a heartbeat arrives; 0: no duplicate is sent.
@@ -31,6 +32,14 @@
 	onTaskCompleted func(uid string)
 }
 
+// attemptStart identifies an attempt on a machine. Each starts once in an agent epoch at the most.
+type attemptStart struct {
+	machine string
+	epoch   uint64
+	task    string
+	attempt uint64
+}
+
 // stopCommand is the first stop command that a task received.
 type stopCommand struct {
 	at    time.Duration
@@ -48,7 +57,7 @@
 func newChecker() checker {
 	return checker{cancelRequested: map[string]bool{}, invalid: map[string]bool{}, acceptedAt: map[string]time.Duration{},
 		lastAnsweredAt: map[string]time.Duration{}, waitingSince: map[string]time.Duration{}, mistaken: map[string]bool{}, stopCommands: map[string][]stopCommand{},
-		startCounts: map[string]int{}}
+		startCounts: map[string]int{}, attemptStarts: map[attemptStart]int{}}
 }
 
 // scheduleChecks schedules the checks of the invariants every second and the progress of gangs every tick.
--- a/internal/controller/machines_test.go
+++ b/internal/controller/machines_test.go
@@ -40,7 +40,7 @@
 		}
 		return n
 	}
-	f.SendHeartbeat = w.deliverHeartbeat
+	f.SendHeartbeat, f.Random = w.deliverHeartbeat, w.rng.Float64
 	f.Jobs = w.jobOf
 	f.RunTime = func(task string) time.Duration { return w.runTime(task) }
 	f.FetchTime = func(_ *emulator.Worker, task string, _ *emulator.Job) time.Duration {
@@ -137,6 +137,10 @@
 func (w *world) checkStart(worker *emulator.Worker, task string, t *emulator.Task) {
 	spec := w.specs[t.UID]
 	w.startCounts[task]++
+	start := attemptStart{machine: worker.ID, epoch: worker.Epoch, task: task, attempt: t.Attempt}
+	if w.attemptStarts[start]++; w.attemptStarts[start] > 1 {
+		w.recordViolation("restarted: attempt %d of %s starts again on %s after its end", t.Attempt, task, worker.ID)
+	}
 	// This is stricter than the protocol, which allows cancel_s: "from then on no task of the job may be started".
 	if _, confirmed := w.cancelledAt[t.UID]; confirmed {
 		w.recordViolation("ran_cancelled: %s starts after its cancellation was confirmed", task)
--- a/internal/emulator/fleet.go
+++ b/internal/emulator/fleet.go
@@ -82,11 +82,14 @@
 	FetchTime func(worker *Worker, task string, j *Job) time.Duration
 	// FailsAtStart reports whether a task fails as soon as it starts; nil: no task does.
 	FailsAtStart func(worker *Worker, t *Task) bool
-	// Random returns a random number from 0 to 1, for the jitter of heartbeats.
+	// Random returns a random number from 0 to 1, for the jitter of heartbeats and for late copies.
 	Random func() float64
 	// RefuseUnfit makes workers refuse tasks of unknown jobs, tasks that do not fit into the machine's free resources,
 	// and tasks of which the machine already has another attempt.
 	RefuseUnfit bool
+	// Copies are the late copies of direct requests that are injected, CopyOutcomes what became of them.
+	Copies       CopySettings
+	CopyOutcomes CopyOutcomes
 
 	// gangs maps each attempt of a gang to its tasks that workers still report, and each task to its worker.
 	// checkpointedTasks counts the tasks of each attempt that have ended with a checkpoint.
--- a/internal/emulator/heartbeat.go
+++ b/internal/emulator/heartbeat.go
@@ -77,9 +77,12 @@
 	if w.OnHeartbeat != nil {
 		w.OnHeartbeat(body)
 	}
-	sentAt, epoch := f.queue.Now(), w.Epoch
+	sentAt, epoch, restarts := f.queue.Now(), w.Epoch, w.restarts
 	w.heartbeatInFlight, w.changePending, w.lastHeartbeat = true, false, sentAt
 	f.SendHeartbeat(w, w.Controller, body, func(status int, answer []byte) {
+		if w.restarts != restarts {
+			return
+		}
 		w.heartbeatInFlight = false
 		w.handleHeartbeatReply(sentAt, epoch, status, answer)
 	})
--- a/internal/emulator/worker.go
+++ b/internal/emulator/worker.go
@@ -37,6 +37,7 @@
 	lastHeartbeat     time.Duration
 	heartbeatTimerID  int // number of the current heartbeat timer; timers with a lower number are cancelled
 	images            imageCache
+	restarts          int // restarts of the agent so far; replies to heartbeats of an earlier process are dropped
 }
 
 // Reachable reports whether direct requests reach the worker.
@@ -94,6 +95,16 @@
 	})
 }
 
+// InjectRestart restarts the agent with an empty memory: its tasks have ended, and it begins with the first epoch and
+// without a token again.
+func (w *Worker) InjectRestart() {
+	w.dropAllTasks()
+	w.restarts++
+	w.Epoch, w.Sequence, w.Token = 1, 0, 0
+	w.heartbeatInFlight, w.changePending, w.LeaseRenewedAt = false, false, w.fleet.queue.Now()
+	w.scheduleHeartbeat(0)
+}
+
 // checkLease drops all tasks and begins a new epoch if the lease has expired. It then schedules the next check.
 func (w *Worker) checkLease() {
 	f := w.fleet
@@ -133,6 +144,15 @@
 		w.fleet.reportViolation("command request cannot be decoded: %v", err)
 		return http.StatusBadRequest, nil
 	}
+	status, answer := w.executeCommands(request)
+	if status == http.StatusOK {
+		w.scheduleCopies(body)
+	}
+	return status, answer
+}
+
+// executeCommands executes the commands of a direct request, or refuses them.
+func (w *Worker) executeCommands(request protocol.CommandRequest) (int, []byte) {
 	if request.Token < w.Token || request.Epoch != w.Epoch {
 		return http.StatusConflict, protocol.Encode(w.Heartbeat())
 	}
