Log attempts that run again after their end, clears, and why workers reject calls

A warning names an attempt that this leader had started and removed, with the message's epoch and sequence and both tokens; a debug line names each clear with its token. Counters: claybarrow_unrecorded_attempts_total{ended}, claybarrow_commands_rejected_total{cause}.

--- a/internal/controller/attempt_numbers.go
+++ b/internal/controller/attempt_numbers.go
@@ -41,6 +41,15 @@
 	return n.reservedBlock != 0 || n.remaining() >= minRemainingNumbers
 }
 
+// isAllocated reports whether this leadership has allocated the number.
+func (n *attemptNumbers) isAllocated(number uint64) bool {
+	block, sequence := number>>attemptBlockBits, number&attemptsPerBlock
+	if block == n.block {
+		return sequence <= n.used
+	}
+	return block >= n.lease.token && block < n.block
+}
+
 // allocate allocates the next attempt number.
 func (n *attemptNumbers) allocate() uint64 {
 	if n.remaining() == 0 {
--- a/internal/controller/commands.go
+++ b/internal/controller/commands.go
@@ -58,6 +58,7 @@
 type directCall struct {
 	machine       *clusterstate.Machine
 	epoch         uint64                  // the agent epoch that the call is addressed to
+	token         uint64                  // the fencing token that the call carries
 	attempts      []*clusterstate.Attempt // the attempts whose run commands the call carries
 	sentAt        time.Duration
 	likelyTimeout bool
@@ -91,7 +92,7 @@
 
 // sendCommands starts a direct call with the commands; a call without commands is a probe.
 func (d *commandDispatcher) sendCommands(m *clusterstate.Machine, commands []protocol.Command) {
-	call := &directCall{machine: m, epoch: m.Epoch, sentAt: d.env.now, likelyTimeout: d.isLikelyToTimeOut(m)}
+	call := &directCall{machine: m, epoch: m.Epoch, token: d.lease.token, sentAt: d.env.now, likelyTimeout: d.isLikelyToTimeOut(m)}
 	for _, command := range commands {
 		if command.Verb == protocol.VerbRun {
 			key := clusterstate.AttemptKey{Task: command.Task, Attempt: command.Attempt}
@@ -150,6 +151,7 @@
 	}
 	if reply.Outcome == workerclient.Rejected {
 		// The call was addressed to another agent epoch than the worker's. The reply carries the worker's epoch.
+		d.env.observer.CommandsRejected(rejectionCause(call, reply.Heartbeat))
 		m.Probed = false
 		m.NextCallAt = d.env.now + d.epochRetryPause()
 		if reply.Heartbeat.Epoch == call.epoch {
@@ -159,6 +161,17 @@
 	d.dispatchCommands(m)
 }
 
+// rejectionCause returns why a worker rejected a call, by the heartbeat in its reply.
+func rejectionCause(call *directCall, heartbeat *protocol.WorkerHeartbeat) RejectionCause {
+	switch {
+	case heartbeat.Epoch != call.epoch:
+		return RejectedByEpoch
+	case heartbeat.Token > call.token:
+		return RejectedByToken
+	}
+	return RejectedUnexplained
+}
+
 // backOffCalls delays the next direct call to a worker after a failed call.
 func (d *commandDispatcher) backOffCalls(call *directCall, res Result) {
 	m := call.machine
@@ -331,6 +344,7 @@
 			continue
 		}
 		exited.ClearSentAt = d.env.now
+		d.env.log.Debug("clearing attempt", "task", key.Task, "attempt", key.Attempt, "machine", m.ID, "token", d.lease.token)
 		commands = append(commands, protocol.Command{Verb: protocol.VerbClear, Task: key.Task, Attempt: key.Attempt})
 	}
 	return commands
--- a/internal/controller/observer.go
+++ b/internal/controller/observer.go
@@ -42,11 +42,29 @@
 	ReadinessChanged(ready bool, reason string)
 	// InvariantViolated reports an action that the leader has refused because it would have violated an invariant.
 	InvariantViolated(Violation)
+	// UnrecordedAttemptReported reports a task on a machine whose attempt the cluster state lacks. ended is true if this
+	// leader had started the attempt and removed it after its end.
+	UnrecordedAttemptReported(ended bool)
+	// CommandsRejected reports a direct call that a worker rejected, and the cause.
+	CommandsRejected(cause RejectionCause)
 	// ProcessResumed reports the length of a process pause that has just ended, and whether this controller was the
 	// leader before the pause.
 	ProcessResumed(pause time.Duration, led bool)
 }
 
+// RejectionCause is the cause for which a worker rejected a direct call.
+type RejectionCause string
+
+// Causes of rejections.
+const (
+	// RejectedByEpoch: the call was addressed to another agent epoch than the worker's.
+	RejectedByEpoch RejectionCause = "epoch"
+	// RejectedByToken: the worker has seen a higher fencing token than the call's.
+	RejectedByToken RejectionCause = "token"
+	// RejectedUnexplained: the worker's epoch and token give no cause.
+	RejectedUnexplained RejectionCause = "unexplained"
+)
+
 // Failover is a change of leader as observed by the new leader. Times are monotonic times of the new leader's process;
 // 0: the step did not happen or was not observed.
 type Failover struct {
@@ -115,4 +133,6 @@
 func (noObserver) RequestRefused(string)                        {}
 func (noObserver) ReadinessChanged(bool, string)                {}
 func (noObserver) InvariantViolated(Violation)                  {}
+func (noObserver) UnrecordedAttemptReported(bool)               {}
+func (noObserver) CommandsRejected(RejectionCause)              {}
 func (noObserver) ProcessResumed(time.Duration, bool)           {}
--- a/internal/controller/wiring.go
+++ b/internal/controller/wiring.go
@@ -81,6 +81,7 @@
 // wireHeartbeats wires the components that exchange heartbeats and commands with the workers.
 func (l *leadership) wireHeartbeats() {
 	heartbeats := l.heartbeats
+	heartbeats.attemptNumbers = l.attemptNumbers
 	heartbeats.attempts = l.attempts
 	heartbeats.authority = l.authority
 	heartbeats.completions = l.completions
--- a/internal/controller/worker_heartbeats.go
+++ b/internal/controller/worker_heartbeats.go
@@ -17,21 +17,22 @@
 // Its only own state is leaseOnlyReplyAt, which is discarded when the leadership ends: after a failover the next
 // leader waits for a new heartbeat of every worker.
 type heartbeatReceiver struct {
-	attempts    *attemptTracker
-	authority   *authority
-	completions *completionRecorder
-	controller  *Controller
-	env         *environment
-	failures    *failureTracker
-	follower    *follower
-	jobs        *jobCompletion
-	lease       *leaderLease
-	machines    *machineRegistry
-	outbox      *outbox
-	placement   *taskScheduler
-	pool        *machinepool.Pool
-	state       *clusterstate.State
-	store       *statestore.Writer
+	attemptNumbers *attemptNumbers
+	attempts       *attemptTracker
+	authority      *authority
+	completions    *completionRecorder
+	controller     *Controller
+	env            *environment
+	failures       *failureTracker
+	follower       *follower
+	jobs           *jobCompletion
+	lease          *leaderLease
+	machines       *machineRegistry
+	outbox         *outbox
+	placement      *taskScheduler
+	pool           *machinepool.Pool
+	state          *clusterstate.State
+	store          *statestore.Writer
 
 	leaseOnlyReplyAt time.Duration // when a worker's lease was last renewed by a reply without commands
 }
@@ -243,7 +244,7 @@
 		h.recordUnknownTask(m, key)
 		return nil
 	}
-	h.env.log.Info("heartbeat lists an unrecorded attempt", "task", key.Task, "attempt", key.Attempt, "machine", m.ID)
+	h.reportUnrecorded(m, key)
 	a := h.state.AddAttempt(m, j, index, key.Attempt, h.env.now)
 	a.Durable, a.Loaded = true, true
 	h.attempts.requestStop(a, j.Spec.SaveS, stopUnrecorded)
@@ -251,6 +252,19 @@
 	return a
 }
 
+// reportUnrecorded logs an attempt that the worker reports and the cluster state lacks. If this leader has started the
+// attempt, it has also seen its end: the worker has started it again.
+func (h *heartbeatReceiver) reportUnrecorded(m *clusterstate.Machine, key clusterstate.AttemptKey) {
+	ended := h.attemptNumbers.isAllocated(key.Attempt)
+	h.env.observer.UnrecordedAttemptReported(ended)
+	args := []any{"task", key.Task, "attempt", key.Attempt, "machine", m.ID, "epoch", m.Epoch, "sequence", m.Sequence, "worker_token", m.Token, "token", h.lease.token}
+	if ended {
+		h.env.log.Warn("worker runs an attempt again that had ended", append(args, "exit_reported", m.Exited[key] != nil)...)
+		return
+	}
+	h.env.log.Info("heartbeat lists an unrecorded attempt", args...)
+}
+
 // recordUnknownTask records a reported task whose job the cluster state lacks. The dispatcher then sends stop commands
 // for it.
 func (h *heartbeatReceiver) recordUnknownTask(m *clusterstate.Machine, key clusterstate.AttemptKey) {
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -131,6 +131,17 @@
 	r.incrementCounter(fmt.Sprintf(`claybarrow_invariant_violations_total{invariant=%q}`, strings.ReplaceAll(string(violation.Invariant), " ", "_")))
 }
 
+// UnrecordedAttemptReported counts a task on a machine whose attempt the leader had not recorded, by whether the leader had
+// seen the attempt end before.
+func (r *Recorder) UnrecordedAttemptReported(ended bool) {
+	r.incrementCounter(fmt.Sprintf(`claybarrow_unrecorded_attempts_total{ended="%t"}`, ended))
+}
+
+// CommandsRejected counts a direct call that a worker rejected, by the cause.
+func (r *Recorder) CommandsRejected(cause controller.RejectionCause) {
+	r.incrementCounter(fmt.Sprintf(`claybarrow_commands_rejected_total{cause=%q}`, cause))
+}
+
 // AdmissionViolated counts a violated invariant of the admission.
 func (r *Recorder) AdmissionViolated(violation transport.AdmissionViolation) {
 	r.incrementCounter(fmt.Sprintf(`claybarrow_invariant_violations_total{invariant=%q}`, strings.ReplaceAll(string(violation.Invariant), " ", "_")))
--- a/internal/telemetry/recorder_test.go
+++ b/internal/telemetry/recorder_test.go
@@ -47,6 +47,8 @@
 	r.RequestRefused("records not loaded")
 	r.ReadinessChanged(false, "no leader known")
 	r.InvariantViolated(controller.Violation{Invariant: controller.StartNeedsAuthority})
+	r.UnrecordedAttemptReported(true)
+	r.CommandsRejected(controller.RejectedByToken)
 	r.AdmissionViolated(transport.AdmissionViolation{Invariant: transport.NoClassStarves})
 	r.ClassSampled("question", transport.ClassSample{Waiting: 3, LongestWait: time.Second, Served: 8, Rejected: 2, Busy: time.Minute})
 	r.PoolSampled("user_relay", transport.PoolSample{Waiting: 4, LongestWait: time.Second, Sent: 9, GaveUp: 5})
@@ -58,6 +60,8 @@
 	w := httptest.NewRecorder()
 	r.ServeHTTP(w, httptest.NewRequest("GET", "/metrics", nil))
 	for _, line := range []string{
+		`claybarrow_unrecorded_attempts_total{ended="true"} 1`,
+		`claybarrow_commands_rejected_total{cause="token"} 1`,
 		"claybarrow_observer_health 2", "claybarrow_membership_probes_total 7", "claybarrow_membership_false_suspicions_total 1",
 		`claybarrow_member_state{controller="n1"} 1`, `claybarrow_member_state{controller="n2"} 0`,
 		`claybarrow_messages_dropped_total{reason="sequence_went_backwards"} 1`, `claybarrow_machines_sent_total{to="n2"} 1`,
