An attempt that no record names is stopped, and counts until it is gone

Such a task ran on beside its recorded attempt, and its room and its team's quota counted as free.

Cause: adoptUnknownAttempt added the attempt as durable and not sent, so requestAttemptStop took the worker's own report for 'start never sent' and removed the attempt at once, before any stop had left. The next heartbeat added and removed it again. The invariant RemovalNeedsProof was satisfied by any proof that had a name.

Change: an adopted attempt counts as received by its worker, so its stop is sent and it stays until its exit is reported or another proof holds.

TestRemovalAgainstTheWorkersReportIsRefused plants five removals against the worker's report, each of which is now a violation.

--- a/internal/clusterstate/attempt.go
+++ b/internal/clusterstate/attempt.go
@@ -41,6 +41,10 @@
 	// RunsInFlight counts the direct run commands that are not answered yet.
 	RunsInFlight int
 
+	// ReportedEpoch and ReportedSequence identify the newest message in which the agent has reported the attempt as not
+	// exited; 0: none to this leader.
+	ReportedEpoch, ReportedSequence uint64
+
 	// State is the state that the agent reported last; empty before the first report. Change it with
 	// SetState.
 	State protocol.TaskState
@@ -82,6 +86,19 @@
 // Key returns the key of the attempt on its machine.
 func (a *Attempt) Key() AttemptKey { return AttemptKey{TaskName(a.Job.Spec.UID, a.Index), a.Number} }
 
+// RecordReport records that the newest message of the agent reports the attempt as not exited: the agent has received
+// its run command in its present epoch.
+func (a *Attempt) RecordReport() {
+	a.Acknowledged, a.Sent = true, true
+	a.Epoch = a.Machine.Epoch
+	a.ReportedEpoch, a.ReportedSequence = a.Machine.Epoch, a.Machine.Sequence
+}
+
+// IsInNewestMessage reports whether the newest message of the agent reports the attempt as not exited.
+func (a *Attempt) IsInNewestMessage() bool {
+	return a.ReportedSequence > 0 && a.ReportedEpoch == a.Machine.Epoch && a.ReportedSequence == a.Machine.Sequence
+}
+
 // mayNeedImage reports whether the agent may still have to fetch the image.
 func (a *Attempt) mayNeedImage() bool { return a.State == "" || a.State == protocol.TaskFetchingImage }
 
--- a/internal/controller/attempts.go
+++ b/internal/controller/attempts.go
@@ -20,21 +20,6 @@
 	state       *clusterstate.State
 }
 
-// absenceProof is the kind of evidence that an attempt is not on its machine any more.
-type absenceProof string
-
-// Proofs of absence.
-const (
-	reportedExited      absenceProof = "exited"
-	neverSent           absenceProof = "start never sent"
-	notRecorded         absenceProof = "record rejected"
-	absentFromHeartbeat absenceProof = "absent from heartbeat"
-	leaseExpired        absenceProof = "worker lease expired"
-	machineFailed       absenceProof = "machine failed"
-	machineDeleted      absenceProof = "machine deleted"
-	machineUnlisted     absenceProof = "machine no longer listed"
-)
-
 // requestStop requests the stop of an attempt, or of all attempts of its gang. grace is the time in seconds that each
 // task has to save a checkpoint.
 func (t *attemptTracker) requestStop(a *clusterstate.Attempt, grace float64, reason stopReason) {
@@ -66,7 +51,7 @@
 // removeAttempt removes an attempt that is proven to have left its machine from the cluster state.
 func (t *attemptTracker) removeAttempt(a *clusterstate.Attempt, proof absenceProof) {
 	m, j := a.Machine, a.Job
-	if !t.authority.mayForget(proof) {
+	if !t.authority.mayForget(a, proof) {
 		t.authority.violated(RemovalNeedsProof, a.Key().Task)
 		return
 	}
--- a/internal/controller/authority.go
+++ b/internal/controller/authority.go
@@ -3,6 +3,8 @@
 import (
 	"log/slog"
 	"time"
+
+	"claybarrow/internal/clusterstate"
 )
 
 // authority decides what this controller may do as the leader, from what it knows of its lease and of the stored
@@ -54,8 +56,8 @@
 
 // mayForget reports whether the leader may remove an attempt that is proven absent. The proof does not depend on the
 // lease, and the records are fenced.
-func (a *authority) mayForget(proof absenceProof) bool {
-	return proof != "" && !a.lease.ended && a.loader.ready
+func (a *authority) mayForget(attempt *clusterstate.Attempt, proof absenceProof) bool {
+	return !a.lease.ended && a.loader.ready && proof.holds(attempt)
 }
 
 // decidesUntil returns the time until which an answer or a command that is decided now may be sent.
@@ -68,7 +70,8 @@
 const (
 	// StartNeedsAuthority: a start command is sent only while no other controller can be the leader.
 	StartNeedsAuthority Invariant = "start without authority"
-	// RemovalNeedsProof: an attempt is removed only with a proof of its absence, from loaded records.
+	// RemovalNeedsProof: an attempt is removed only with a proof of its absence that agrees with what its worker has
+	// reported, from loaded records.
 	RemovalNeedsProof Invariant = "attempt removed without proof"
 	// FinalStateIsDurable: a cancellation is confirmed only once the job's final state is durable.
 	FinalStateIsDurable Invariant = "final state told before it is durable"
--- a/internal/controller/authority_test.go
+++ b/internal/controller/authority_test.go
@@ -81,6 +81,20 @@
 	}
 }
 
+// A proof with a name is not enough: it has to agree with what the worker has reported.
+func TestRemovalAgainstTheWorkersReportIsRefused(t *testing.T) {
+	for _, proof := range []absenceProof{neverSent, notRecorded, reportedExited, absentFromHeartbeat, leaseExpired} {
+		t.Run(string(proof), func(t *testing.T) {
+			l, attempt, recorder := leadershipWithTask(t)
+			attempt.Sent = proof == absentFromHeartbeat
+			l.attempts.removeAttempt(attempt, proof)
+			if !slices.Contains(recorder.invariants, RemovalNeedsProof) || attempt.Machine.Attempts[attempt.Key()] != attempt {
+				t.Errorf("violated %v, attempt removed", recorder.invariants)
+			}
+		})
+	}
+}
+
 func TestCancellationIsNotConfirmedBeforeItIsDurable(t *testing.T) {
 	l, _, recorder := leadershipWithTask(t)
 	waiter := requester{id: 77}
--- a/internal/controller/reconciliation.go
+++ b/internal/controller/reconciliation.go
@@ -53,8 +53,7 @@
 	if a == nil {
 		return
 	}
-	a.Acknowledged, a.Sent = true, true
-	a.Epoch = r.machine.Epoch
+	a.RecordReport()
 	if a.State == status.State {
 		return
 	}
--- a/internal/controller/worker_heartbeats.go
+++ b/internal/controller/worker_heartbeats.go
@@ -232,8 +232,8 @@
 }
 
 // adoptUnknownAttempt adds an attempt that the worker reports and the cluster state lacks, and requests its stop.
-// The added attempt keeps the scheduler from starting the task a second time while it runs. The result is nil if the
-// task's job is unknown.
+// The added attempt keeps the scheduler from starting the task a second time while it runs, and counts against its
+// machine's room and its team's quota until it is proved gone. The result is nil if the task's job is unknown.
 func (h *heartbeatReceiver) adoptUnknownAttempt(m *clusterstate.Machine, key clusterstate.AttemptKey) *clusterstate.Attempt {
 	uid, index, ok := clusterstate.ParseTaskName(key.Task)
 	if !ok {
@@ -247,6 +247,7 @@
 	h.reportUnrecorded(m, key)
 	a := h.state.AddAttempt(m, j, index, key.Attempt, h.env.now)
 	a.Durable, a.Loaded = true, true
+	a.RecordReport()
 	h.attempts.requestStop(a, j.Spec.SaveS, stopUnrecorded)
 	h.machines.storeMachine(m, statestore.PriorityBackground, nil)
 	return a
