Exits are cleared only under a token that makes the worker refuse all copies of their start

Cause: a right to forget that rests on the wrong evidence. clearIsDue asked whether a start was unanswered or in flight, as if an answered call could not arrive again. The protocol bounds no delay; a copy is harmless only by what the worker checks: it knows the attempt, has seen a higher token, or is in another epoch. After the clear none of these held until the next change of leader.

Change: each leader reserves a block of tokens with its election (the value that c/token gets; an extension is one more write), and each machine has a token of its own in that block. A clear leaves under a token above that of every start which this leader has sent to the machine: the token rises by one with the clear, in the same message, so there is no further request, report or write. Exits whose start had no answer, which were held for the rest of the epoch, can be cleared too. authority.mayClear alone decides; a clear against it is left out and reported (ClearNeedsFence). A worker's token within the block is the leader's own, one above it a later leader's.

--- a/internal/clusterstate/agent_state.go
+++ b/internal/clusterstate/agent_state.go
@@ -89,15 +89,15 @@
 	LeaseExpired bool
 	// AnswersUndelivered is set if the lease expired although the leader had answered less than half a lease ago.
 	AnswersUndelivered bool
-	// HasLeaderToken is set if the message carries this leader's token. FirstLeaderToken is set if the message
+	// HasLeaderToken is set if the message carries a token of this leader. FirstLeaderToken is set if the message
 	// sets TokenAcknowledged: it is the first with the token in this term, or since a lease expiry.
 	HasLeaderToken, FirstLeaderToken bool
 }
 
-// RecordMessage records a message for which IsNewest returns true. token is this leader's fencing token, lease
-// the duration of an agent's lease.
+// RecordMessage records a message for which IsNewest returns true and whose token is not a later leader's. token is the
+// lowest fencing token of this leader, lease the duration of an agent's lease.
 func (a *AgentState) RecordMessage(msg HeartbeatHeader, token uint64, now, lease time.Duration) Observation {
-	observation := Observation{LeaseExpired: a.Seen && msg.Epoch > a.Epoch, HasLeaderToken: msg.Token == token}
+	observation := Observation{LeaseExpired: a.Seen && msg.Epoch > a.Epoch, HasLeaderToken: msg.Token >= token}
 	// The leader's answers do not reach the agent if its lease expired although the leader answered
 	// recently, or if several heartbeats in a row still carry an older token after an answer.
 	switch {
--- a/internal/clusterstate/attempt.go
+++ b/internal/clusterstate/attempt.go
@@ -125,10 +125,13 @@
 }
 
 // ExitedTask is an exited attempt that the agent still reports. A clear command tells the agent to drop the
-// attempt; the leader sends it once it is safe.
+// attempt. A copy of the attempt's start command that arrives after it would start the attempt again, so the leader sends
+// the clear with a higher fencing token than any start command that it has sent to the machine before.
 type ExitedTask struct {
 	// Attempt is nil if the cluster state does not contain the attempt.
 	Attempt *Attempt
+	// StartToken is the highest token under which this leader can have sent the attempt's start command.
+	StartToken uint64
 	// Clearable is set once every consequence of the exit is stored. Only then may the clear command be
 	// sent.
 	Clearable bool
--- a/internal/clusterstate/machine.go
+++ b/internal/clusterstate/machine.go
@@ -58,6 +58,9 @@
 	LastFailedCallAt time.Duration
 	// NextCallAt is the earliest time at which the next call may be sent.
 	NextCallAt time.Duration
+	// CommandToken is the fencing token of messages to the agent, once it was raised above that of the election; 0
+	// before. StartToken is the token of the last message that carried a start command; 0: none in this leader's term.
+	CommandToken, StartToken uint64
 	// Probed is set when a call is sent. It is cleared when a call fails or is rejected by the agent, and when
 	// the agent's lease expires.
 	Probed bool
--- a/internal/controller/attempt_numbers_test.go
+++ b/internal/controller/attempt_numbers_test.go
@@ -6,10 +6,11 @@
 	"claybarrow/internal/protocol"
 )
 
-// setRemainingAttemptNumbers leaves the leader the given number of unused attempt numbers in its block.
+// setRemainingAttemptNumbers leaves the leader the given number of unused attempt numbers in its block, and no other block.
 func (w *world) setRemainingAttemptNumbers(remaining uint64) {
 	n := w.leadership().attemptNumbers
 	n.used = 1<<attemptBlockBits - 1 - remaining
+	n.tokens.reservedUntil = n.block
 }
 
 // A leader that starts more tasks than its block has attempt numbers must reserve another block. When
--- a/internal/controller/authority.go
+++ b/internal/controller/authority.go
@@ -2,9 +2,11 @@
 
 import (
 	"log/slog"
+	"slices"
 	"time"
 
 	"claybarrow/internal/clusterstate"
+	"claybarrow/internal/protocol"
 )
 
 // authority decides what this controller may do as the leader, from what it knows of its lease and of the stored
@@ -60,6 +62,29 @@
 	return !a.lease.ended && a.loader.ready && proof.holds(attempt)
 }
 
+// mayClear reports whether a worker may be told under the token to forget an exited task: what follows from the exit is
+// durable, and the token is higher than that of each message that may have started the task. The worker then refuses all
+// copies of these messages, however late they arrive.
+func (a *authority) mayClear(exited *clusterstate.ExitedTask, token uint64) bool {
+	return exited != nil && exited.Clearable && token > exited.StartToken
+}
+
+// withoutUnfencedClears returns the commands of a message to the machine without the clears that may not be sent under the
+// message's token. There are none, or this program has a fault.
+func (a *authority) withoutUnfencedClears(m *clusterstate.Machine, token uint64, commands []protocol.Command) []protocol.Command {
+	return slices.DeleteFunc(commands, func(command protocol.Command) bool {
+		if command.Verb != protocol.VerbClear {
+			return false
+		}
+		key := clusterstate.AttemptKey{Task: command.Task, Attempt: command.Attempt}
+		if a.mayClear(m.Exited[key], token) {
+			return false
+		}
+		a.violated(ClearNeedsFence, key.Task)
+		return true
+	})
+}
+
 // decidesUntil returns the time until which an answer or a command that is decided now may be sent.
 func (a *authority) decidesUntil() time.Duration { return a.lease.holdsLeaseUntil() }
 
@@ -73,6 +98,9 @@
 	// RemovalNeedsProof: an attempt is removed only with a proof of its absence that agrees with what its worker has
 	// reported, from loaded records.
 	RemovalNeedsProof Invariant = "attempt removed without proof"
+	// ClearNeedsFence: a worker is told to forget an exited task only by a message that makes it refuse all copies of the
+	// task's start command.
+	ClearNeedsFence Invariant = "clear without a fence"
 	// FinalStateIsDurable: a cancellation is confirmed only once the job's final state is durable.
 	FinalStateIsDurable Invariant = "final state told before it is durable"
 	// StoredJobIsAnswered: a leader that may decide answers questions about stored jobs.
--- a/internal/controller/authority_test.go
+++ b/internal/controller/authority_test.go
@@ -122,7 +122,7 @@
 		want time.Duration
 	}{{protocol.VerbRun, l.authority.decidesUntil()}, {protocol.VerbStop, 0}} {
 		l.controller.outbox.effects = nil
-		l.heartbeats.replyWithCommands(requester{id: 78}, []protocol.Command{{Verb: tc.verb, Task: attempt.Key().Task}})
+		l.heartbeats.replyWithCommands(requester{id: 78}, attempt.Machine, []protocol.Command{{Verb: tc.verb, Task: attempt.Key().Task}})
 		reply, ok := l.controller.outbox.effects[0].(Reply)
 		if !ok || reply.ValidUntil != tc.want {
 			t.Errorf("%s: reply is valid until %v, want %v", tc.verb, reply.ValidUntil, tc.want)
--- a/internal/controller/commands.go
+++ b/internal/controller/commands.go
@@ -25,6 +25,7 @@
 	outbox       *outbox
 	reachability *reachability
 	state        *clusterstate.State
+	tokens       *commandTokens
 	trace        *failoverTrace
 
 	callLimiter callLimiter
@@ -92,7 +93,9 @@
 
 // sendCommands starts a direct call with the commands; a call without commands is a probe.
 func (d *commandDispatcher) sendCommands(m *clusterstate.Machine, commands []protocol.Command) {
-	call := &directCall{machine: m, epoch: m.Epoch, token: d.lease.token, sentAt: d.env.now, likelyTimeout: d.isLikelyToTimeOut(m)}
+	token := d.tokens.of(m)
+	call := &directCall{machine: m, epoch: m.Epoch, token: token, sentAt: d.env.now, likelyTimeout: d.isLikelyToTimeOut(m)}
+	commands = d.authority.withoutUnfencedClears(m, token, commands)
 	for _, command := range commands {
 		if command.Verb == protocol.VerbRun {
 			key := clusterstate.AttemptKey{Task: command.Task, Attempt: command.Attempt}
@@ -106,7 +109,7 @@
 	}
 	d.callLimiter.begin(d.env.now, call.likelyTimeout)
 	m.CallInFlight, m.Probed = true, true
-	body := workerclient.NewCommandRequest(d.lease.token, m.Epoch, commands)
+	body := workerclient.NewCommandRequest(token, m.Epoch, commands)
 	validUntil := time.Duration(0)
 	if len(call.attempts) > 0 {
 		// A run command must not be sent once another leader may have been elected.
@@ -263,9 +266,16 @@
 		}
 	}
 	commands = d.appendUnknownTaskStops(commands, m)
-	return d.appendClears(commands, m)
+	commands = d.appendClears(commands, m)
+	if slices.ContainsFunc(commands, isStart) {
+		d.tokens.recordStart(m)
+	}
+	return commands
 }
 
+// isStart reports whether a command starts a task.
+func isStart(command protocol.Command) bool { return command.Verb == protocol.VerbRun }
+
 // mayRun reports whether the attempt's run command may be sent: its record is durable, this leader placed the attempt,
 // the worker has not acknowledged it, the machine is not being released, and no other controller can have become
 // leader. The run commands of a gang are sent together, once all of its placements are durable; only an attempt whose
@@ -331,38 +341,28 @@
 	return commands
 }
 
-// appendClears appends clear commands for exited tasks. On a clear command the worker drops its record of the task.
-// Until the worker has acknowledged the leader's token, run commands of an earlier leader may still arrive, so no task
-// is cleared.
+// appendClears appends clear commands for exited tasks, and raises the machine's token if that is needed to send them. On a
+// clear command the worker drops its record of the task. Until the worker has acknowledged the leader's token, run commands
+// of an earlier leader may still arrive, so no task is cleared.
 func (d *commandDispatcher) appendClears(commands []protocol.Command, m *clusterstate.Machine) []protocol.Command {
 	if !m.TokenAcknowledged {
 		return commands
 	}
 	for _, key := range slices.SortedFunc(maps.Keys(m.Exited), compareAttemptKeys) {
 		exited := m.Exited[key]
-		if !d.clearIsDue(m, exited) {
+		if !d.clearIsDue(exited) || !d.tokens.fence(m, exited.StartToken) {
 			continue
 		}
 		exited.ClearSentAt = d.env.now
-		d.env.log.Debug("clearing attempt", "task", key.Task, "attempt", key.Attempt, "machine", m.ID, "token", d.lease.token)
+		d.env.log.Debug("clearing attempt", "task", key.Task, "attempt", key.Attempt, "machine", m.ID, "token", d.tokens.of(m), "start_token", exited.StartToken)
 		commands = append(commands, protocol.Command{Verb: protocol.VerbClear, Task: key.Task, Attempt: key.Attempt})
 	}
 	return commands
 }
 
-// clearIsDue reports whether the clear command of an exited task should be sent now. A run command that arrives after
-// the clear would start the task again, so no run command of the attempt may be in flight.
-func (d *commandDispatcher) clearIsDue(m *clusterstate.Machine, exited *clusterstate.ExitedTask) bool {
-	if !exited.Clearable || exited.ClearSentAt > 0 && d.env.now < exited.ClearSentAt+d.env.cfg.WorkerHeartbeatInterval() {
-		return false
-	}
-	a := exited.Attempt
-	if a == nil {
-		return true
-	}
-	inReply := a.RunSequence > 0 && m.HeartbeatSequence <= a.RunSequence
-	runInFlight := a.RunsInFlight > 0 || a.RunUnanswered || inReply
-	return !runInFlight
+// clearIsDue reports whether the clear command of an exited task should be sent, for the first time or again.
+func (d *commandDispatcher) clearIsDue(exited *clusterstate.ExitedTask) bool {
+	return exited.Clearable && (exited.ClearSentAt == 0 || d.env.now >= exited.ClearSentAt+d.env.cfg.WorkerHeartbeatInterval())
 }
 
 func compareAttemptKeys(a, b clusterstate.AttemptKey) int {
--- a/internal/controller/heartbeat_routes.go
+++ b/internal/controller/heartbeat_routes.go
@@ -133,7 +133,7 @@
 // mayRedirect reports whether the worker satisfies the conditions of every redirect: its zone is known, it has the
 // leader's token, and half a lease has passed since the election.
 func (r *heartbeatRouter) mayRedirect(m *clusterstate.Machine, msg *protocol.WorkerHeartbeat) bool {
-	return m.Zone != "" && msg.Token == r.lease.token && r.env.now >= r.lease.electedAt+r.env.cfg.WorkerLease()/2
+	return m.Zone != "" && msg.Token >= r.lease.token && r.env.now >= r.lease.electedAt+r.env.cfg.WorkerLease()/2
 }
 
 // onRedirectFailed records that a worker does not send its heartbeats to the controller that it was redirected to.
--- a/internal/controller/heartbeat_routes_test.go
+++ b/internal/controller/heartbeat_routes_test.go
@@ -223,7 +223,7 @@
 	if got.Status != http.StatusServiceUnavailable {
 		t.Errorf("status %d for a worker that has had no leader yet", got.Status)
 	}
-	sendHeartbeat(l.lease.token + 1)
+	sendHeartbeat(l.tokens.highest() + 1)
 	if got.Status != http.StatusServiceUnavailable || w.nodes[next].controller.leadership != nil {
 		t.Errorf("status %d for a worker with a higher fencing token", got.Status)
 	}
--- a/internal/controller/leader_keys.go
+++ b/internal/controller/leader_keys.go
@@ -22,8 +22,8 @@
 	keyLease   = "c/lease"
 )
 
-// counterRecord is the value of the counter: the highest fencing token that was assigned to a leader or that a leader
-// reserved for attempt numbers.
+// counterRecord is the value of the counter: the highest fencing token that was assigned to a leader or that a leader has
+// reserved (commandTokens).
 type counterRecord struct {
 	Token uint64 `msgpack:"n"`
 }
@@ -145,7 +145,7 @@
 	leader := protocol.Change{Put: keyLeader, Value: record, Lease: record.LeaseID}
 	txn := protocol.Transaction{
 		If:   []protocol.Condition{{Key: keyLeader, Version: k.recordVersion}, {Key: keyCounter, Version: k.counterVersion}},
-		Then: []protocol.Change{{Put: keyCounter, Value: counterRecord{Token: record.Token}}},
+		Then: []protocol.Change{{Put: keyCounter, Value: counterRecord{Token: reservedAtElection(record.Token)}}},
 	}
 	if k.record == nil {
 		txn.Then = append(txn.Then, leader)
@@ -161,7 +161,7 @@
 // applyElection applies the changes of a successful election transaction to this copy of the keys; revision is the
 // revision of the transaction.
 func (k *leaderKeys) applyElection(record *leaderRecord, revision uint64) {
-	k.counter, k.counterVersion = record.Token, revision
+	k.counter, k.counterVersion = reservedAtElection(record.Token), revision
 	k.record, k.recordVersion = record, revision
 	k.leader, k.leaseKeyPresent = record, record.StorageVersion != 0
 }
--- a/internal/controller/leadership.go
+++ b/internal/controller/leadership.go
@@ -47,6 +47,7 @@
 	summary        *fleetSummary
 	featureGate    *featureGateManager
 	attemptNumbers *attemptNumbers
+	tokens         *commandTokens
 	reachability   *reachability
 	completions    *completionRecorder
 	userRequests   *userRequests
@@ -89,6 +90,7 @@
 		summary:        &fleetSummary{},
 		featureGate:    &featureGateManager{storedRecord: *elected},
 		attemptNumbers: &attemptNumbers{block: elected.Token},
+		tokens:         &commandTokens{reservedUntil: reservedAtElection(elected.Token)},
 		reachability:   &reachability{},
 		userRequests:   newUserRequests(),
 		cache:          newSchedulerCache(),
@@ -118,7 +120,7 @@
 	l.trace.expireFailover()
 	l.featureGate.tick()
 	l.completions.tick()
-	l.attemptNumbers.reserveBlock()
+	l.tokens.reserve()
 	l.pool.Tick()
 	l.placement.runScheduling()
 }
--- a/internal/controller/task_exits.go
+++ b/internal/controller/task_exits.go
@@ -22,7 +22,7 @@
 	if m.Exited[key] != nil {
 		return
 	}
-	record := &clusterstate.ExitedTask{Attempt: m.Attempts[key], Clearable: true}
+	record := &clusterstate.ExitedTask{Attempt: m.Attempts[key], StartToken: m.StartToken, Clearable: true}
 	m.Exited[key] = record
 	if record.Attempt != nil {
 		record.Attempt.ExitCause = status.Cause
--- a/internal/controller/wiring.go
+++ b/internal/controller/wiring.go
@@ -66,10 +66,15 @@
 	completions.store = l.store
 
 	attemptNumbers := l.attemptNumbers
-	attemptNumbers.env = l.controller.env
 	attemptNumbers.lease = l.lease
-	attemptNumbers.placement = l.placement
-	attemptNumbers.store = l.store
+	attemptNumbers.tokens = l.tokens
+
+	tokens := l.tokens
+	tokens.attemptNumbers = l.attemptNumbers
+	tokens.env = l.controller.env
+	tokens.lease = l.lease
+	tokens.placement = l.placement
+	tokens.store = l.store
 
 	accounting := l.accounting
 	accounting.env = l.controller.env
@@ -97,6 +102,7 @@
 	heartbeats.pool = l.pool
 	heartbeats.state = l.state
 	heartbeats.store = l.store
+	heartbeats.tokens = l.tokens
 
 	router := l.router
 	router.detection = l.controller.detection
@@ -112,6 +118,7 @@
 	dispatcher.outbox = l.controller.outbox
 	dispatcher.reachability = l.reachability
 	dispatcher.state = l.state
+	dispatcher.tokens = l.tokens
 	dispatcher.trace = l.trace
 
 	reachability := l.reachability
--- a/internal/controller/worker_heartbeats.go
+++ b/internal/controller/worker_heartbeats.go
@@ -33,6 +33,7 @@
 	pool           *machinepool.Pool
 	state          *clusterstate.State
 	store          *statestore.Writer
+	tokens         *commandTokens
 
 	leaseOnlyReplyAt time.Duration // when a worker's lease was last renewed by a reply without commands
 }
@@ -104,12 +105,15 @@
 		l.reachability.recordReached(env.now)
 	}
 	m.LastAnswered = env.now
-	l.heartbeats.replyWithCommands(from, l.dispatcher.pendingCommands(m, true))
+	l.heartbeats.replyWithCommands(from, m, l.dispatcher.pendingCommands(m, true))
 }
 
-// replyWithCommands answers a heartbeat with the leader's token and commands, which renews the worker's lease.
-func (h *heartbeatReceiver) replyWithCommands(to requester, commands []protocol.Command) {
-	reply := protocol.WorkerHeartbeatReply{Token: h.lease.token, Commands: commands}
+// replyWithCommands answers a machine's heartbeat with the leader's token and commands, which renews the worker's lease.
+// Commands that the leader may not send are left out.
+func (h *heartbeatReceiver) replyWithCommands(to requester, m *clusterstate.Machine, commands []protocol.Command) {
+	token := h.tokens.of(m)
+	commands = h.authority.withoutUnfencedClears(m, token, commands)
+	reply := protocol.WorkerHeartbeatReply{Token: token, Commands: commands}
 	validUntil := time.Duration(0)
 	if slices.ContainsFunc(commands, func(command protocol.Command) bool { return command.Verb == protocol.VerbRun }) {
 		validUntil = h.authority.decidesUntil()
@@ -123,12 +127,12 @@
 // the heartbeat is out of date and is not applied to the cluster state, but the reply still renews the worker's lease.
 func (h *heartbeatReceiver) answerForwardedHeartbeat(from requester, msg *protocol.WorkerHeartbeat, body []byte) {
 	m := h.state.Machines[msg.Machine]
-	if !h.authority.mayServe() || m == nil || m.Epoch != msg.Epoch || msg.Sequence > m.Sequence || msg.Token > h.lease.token {
+	if !h.authority.mayServe() || m == nil || m.Epoch != msg.Epoch || msg.Sequence > m.Sequence || h.tokens.isOfLaterLeader(msg.Token) {
 		h.controller.onWorkerHeartbeat(from, body)
 		return
 	}
 	m.LastAnswered = h.env.now
-	h.replyWithCommands(from, []protocol.Command{})
+	h.replyWithCommands(from, m, []protocol.Command{})
 }
 
 // renewWithoutCommands renews the lease of a worker whose heartbeat arrives while the leader loads the stored
@@ -136,10 +140,10 @@
 // commands and repeats the token that the worker sent. A refusal would make the worker try the other controllers,
 // and wait for the timeout of each terminated controller.
 func (h *heartbeatReceiver) renewWithoutCommands(from requester, msg *protocol.WorkerHeartbeat) {
-	if msg.Token > h.lease.token {
+	if h.tokens.isOfLaterLeader(msg.Token) {
 		h.controller.endLeadership(endWorkerHasHigherToken)
 	}
-	if msg.Token > h.lease.token || msg.Token == 0 || from.relayed {
+	if h.tokens.isOfLaterLeader(msg.Token) || msg.Token == 0 || from.relayed {
 		h.outbox.replyUnavailable(from)
 		return
 	}
@@ -149,9 +153,9 @@
 
 // applyHeartbeat applies a worker's message to the cluster state. The message is a heartbeat if isHeartbeat is true,
 // and the reply to a direct call otherwise. A message that is not the machine's newest is not applied, and the result
-// is false. A message with a higher token than the leader's ends the leadership.
+// is false. A message with a later leader's token ends the leadership.
 func (h *heartbeatReceiver) applyHeartbeat(msg *protocol.WorkerHeartbeat, isHeartbeat bool) (*clusterstate.Machine, bool) {
-	if msg.Token > h.lease.token {
+	if h.tokens.isOfLaterLeader(msg.Token) {
 		h.controller.endLeadership(endWorkerHasHigherToken)
 		return nil, false
 	}
@@ -171,6 +175,7 @@
 	}
 	observation := m.RecordMessage(header, h.lease.token, h.env.now, h.env.cfg.WorkerLease())
 	m.EverReported = true
+	h.tokens.recordShown(m, msg.Token)
 	if observation.AnswersUndelivered {
 		h.env.log.Info("machine does not receive the leader's answers", "machine", m.ID, "epoch", msg.Epoch)
 	}
@@ -258,7 +263,7 @@
 func (h *heartbeatReceiver) reportUnrecorded(m *clusterstate.Machine, key clusterstate.AttemptKey) {
 	ended := h.attemptNumbers.isAllocated(key.Attempt)
 	h.env.observer.UnrecordedAttemptReported(ended)
-	args := []any{"task", key.Task, "attempt", key.Attempt, "machine", m.ID, "epoch", m.Epoch, "sequence", m.Sequence, "worker_token", m.Token, "token", h.lease.token}
+	args := []any{"task", key.Task, "attempt", key.Attempt, "machine", m.ID, "epoch", m.Epoch, "sequence", m.Sequence, "worker_token", m.Token, "token", h.tokens.of(m)}
 	if ended {
 		h.env.log.Warn("worker runs an attempt again that had ended", append(args, "exit_reported", m.Exited[key] != nil)...)
 		return
