Scale run and soak: late copies of direct calls, by plan and by seed

Copies of calls that workers had executed and answered began the incident ran_twice; neither the scale run nor the soak could deliver any.

An attempt that starts twice on a machine in an agent epoch breaks the new rule 'restarted'. Results tell what became of the copies and how many exits the heartbeats held. A cut of the leader's commands includes those under the tokens that it has reserved.

--- a/cmd/scalerun/main.go
+++ b/cmd/scalerun/main.go
@@ -124,12 +124,13 @@
 	Share        float64 `placeholder:"CORES" help:"Hold each controller to this share of a core."`
 	LoadBalancer bool    `help:"Distribute users' connections by health checks with pauses, as the protocol describes it."`
 	Features     bool    `help:"Turn failure detection and the completion journal on or off by the seed."`
+	Copies       bool    `help:"Let direct requests to workers arrive again, late, by the seed."`
 }
 
 // Run implements the soak command.
 func (c soakCmd) Run(ctx context.Context) error {
 	settings := &scalerun.SoakSettings{Program: c.Program, Seed: c.Seed, Seeds: c.Seeds, Parallel: c.Parallel, Workers: c.Workers, BasePort: c.BasePort, Dir: c.Dir,
-		Share: c.Share, LoadBalancer: c.LoadBalancer, Features: c.Features}
+		Share: c.Share, LoadBalancer: c.LoadBalancer, Features: c.Features, Copies: c.Copies}
 	if c.Operator != "" {
 		text, err := os.ReadFile(c.Operator)
 		if err != nil {
--- a/internal/scalerun/clients.go
+++ b/internal/scalerun/clients.go
@@ -88,7 +88,7 @@
 	j := &job{uid: uid, class: load.Name, team: teamName(c.random.IntN(r.plan.Teams.Count)), load: load, spread: load.Spread,
 		Job: emulator.Job{Image: load.Name + "-" + strconv.Itoa(c.random.IntN(load.Images)), ImageGB: load.ImageGB, Tasks: load.Tasks,
 			Gang: load.Shape == "group", Service: load.Shape == "service", Cores: load.Cores, Accelerators: load.Accelerators, MemoryGB: load.MemoryGB},
-		submittedAt: r.loop.queue.Now(), completed: map[string]bool{}, started: map[string]bool{}, placements: map[string]*placement{}, tasksByZone: map[string]int{}}
+		submittedAt: r.loop.queue.Now(), completed: map[string]bool{}, started: map[string]bool{}, starts: map[attemptStart]bool{}, placements: map[string]*placement{}, tasksByZone: map[string]int{}}
 	r.invariants.jobs[uid] = j
 	c.requestUntilAccepted(j, opSubmit, c.submissionBody(j), func() { c.onAccepted(j) })
 }
--- a/internal/scalerun/fleet.go
+++ b/internal/scalerun/fleet.go
@@ -64,6 +64,7 @@
 		FailoverDelay: failoverDelay, RedirectDelay: redirectDelay, LeaseTTL: seconds(timing.LeaseS),
 		GangStartTimeout: seconds(timing.GangWaitS), GangPeerTimeout: seconds(timing.GangPeerS), CheckInterval: leaseCheckInterval})
 	fleet.Random, fleet.RefuseUnfit, fleet.FetchTime = r.random.Float64, true, emulator.FetchImage
+	fleet.Copies = r.plan.Copies.settings()
 	var addresses, labels []string
 	for i := range r.plan.Control.Controllers {
 		addresses = append(addresses, r.plan.workerLinkAddress(r.number, i))
@@ -78,6 +79,9 @@
 		if r.soak != nil {
 			r.soak.copyHeartbeat(worker, body)
 		}
+		if r.metrics.measuring {
+			r.metrics.heldExits.add(worker)
+		}
 		r.heartbeatSender.send(worker, controller, body, answer)
 	}
 	fleet.ControllerByName = func(name string) int { return slices.Index(labels, name) }
--- a/internal/scalerun/invariants.go
+++ b/internal/scalerun/invariants.go
@@ -88,6 +88,11 @@
 	if current := j.placements[task]; current != nil {
 		i.reportViolation(j, "ran_twice", "%s starts on %s while it is still on %s", task, worker.ID, current.worker.ID)
 	}
+	start := attemptStart{worker: worker.ID, epoch: worker.Epoch, task: task, attempt: t.Attempt}
+	if j.starts[start] {
+		i.reportViolation(j, "restarted", "attempt %d of %s starts again on %s after its end", t.Attempt, task, worker.ID)
+	}
+	j.starts[start] = true
 	if j.reportedCancelledAt > 0 {
 		i.reportViolation(j, "ran_cancelled", "%s starts after its job was reported cancelled", task)
 	}
--- a/internal/scalerun/invariants_test.go
+++ b/internal/scalerun/invariants_test.go
@@ -23,7 +23,7 @@
 	queue := &emulator.EventQueue{}
 	fleet := emulator.NewFleet(queue, emulator.Timing{})
 	b := &invariantsFixture{invariants: newInvariants(queue, 0, &plan), workerInZoneA: fleet.Add("i-1", "", "m", "a", false), workerInZoneB: fleet.Add("i-2", "", "m", "b", false)}
-	b.job = &job{uid: "j-1", team: teamName(0), Job: emulator.Job{Tasks: 4, Cores: 2}, completed: map[string]bool{}, placements: map[string]*placement{}, tasksByZone: map[string]int{}}
+	b.job = &job{uid: "j-1", team: teamName(0), Job: emulator.Job{Tasks: 4, Cores: 2}, completed: map[string]bool{}, starts: map[attemptStart]bool{}, placements: map[string]*placement{}, tasksByZone: map[string]int{}}
 	b.jobs["j-1"] = b.job
 	return b
 }
@@ -85,6 +85,19 @@
 			b.start(b.workerInZoneA, "j-1/0")
 			b.start(b.workerInZoneB, "j-1/0")
 		}},
+		{"an attempt starts again after its end", "restarted", func(b *invariantsFixture) {
+			first := runningTask()
+			b.taskStarted(b.workerInZoneA, "j-1/0", first)
+			b.taskStopped(b.workerInZoneA, "j-1/0", first)
+			b.start(b.workerInZoneA, "j-1/0")
+		}},
+		{"an attempt starts again in a later epoch", "", func(b *invariantsFixture) {
+			first := runningTask()
+			b.taskStarted(b.workerInZoneA, "j-1/0", first)
+			b.taskStopped(b.workerInZoneA, "j-1/0", first)
+			b.workerInZoneA.Epoch++
+			b.start(b.workerInZoneA, "j-1/0")
+		}},
 		{"a team exceeds its limit", "quota", func(b *invariantsFixture) { b.start(b.workerInZoneA, "j-1/0", "j-1/1", "j-1/2") }},
 		{"a spread job has three of four tasks in one zone", "wrong_place", func(b *invariantsFixture) {
 			b.job.spread = true
--- a/internal/scalerun/job.go
+++ b/internal/scalerun/job.go
@@ -25,12 +25,21 @@
 	reportedCancelledAt time.Duration
 
 	started     map[string]bool // tasks that have started at least once, by name
+	starts      map[attemptStart]bool
 	completed   map[string]bool
 	placements  map[string]*placement // tasks that are on machines, by name
 	tasksByZone map[string]int
 	history     []string
 }
 
+// attemptStart identifies an attempt on a worker. Each starts once in an agent epoch at the most.
+type attemptStart struct {
+	worker  string
+	epoch   uint64
+	task    string
+	attempt uint64
+}
+
 // placement is a task on a worker.
 type placement struct {
 	worker *emulator.Worker
--- a/internal/scalerun/leader.go
+++ b/internal/scalerun/leader.go
@@ -12,6 +12,8 @@
 	leaderKey = "c/leader"
 	// leaseKey is bound to the leader's lease while the feature gate is not closed.
 	leaseKey = "c/lease"
+	// counterKey holds the highest token that a leader was elected with or has reserved.
+	counterKey = "c/token"
 )
 
 // leaderRecord is the value of leaderKey.
@@ -43,6 +45,22 @@
 	return record, record.Form == 0 || m.state.Item(leaseKey) != nil
 }
 
+// electedToken returns the token with which the sender of a token was elected: the present leader's if the sender is the
+// leader, who may have reserved higher tokens, and the token itself otherwise.
+func (m *leaderMonitor) electedToken(token uint64) uint64 {
+	record, _ := m.current()
+	reserved := struct {
+		Token uint64 `msgpack:"n"`
+	}{record.Token}
+	if item := m.state.Item(counterKey); item != nil && protocol.Decode(item.Value, &reserved) != nil {
+		return token
+	}
+	if token > record.Token && token <= reserved.Token {
+		return record.Token
+	}
+	return token
+}
+
 // poll updates the counts from the current leader's record and returns the record.
 func (m *leaderMonitor) poll() leaderRecord {
 	now := m.queue.Now()
--- a/internal/scalerun/metrics.go
+++ b/internal/scalerun/metrics.go
@@ -82,6 +82,7 @@
 	leaderChanges       int
 	leaderGaps          distribution
 	requestsGivenUp     int64
+	heldExits           exitCounter
 
 	mu        sync.Mutex
 	processes map[string]*watchedProcess
--- a/internal/scalerun/plan.go
+++ b/internal/scalerun/plan.go
@@ -5,6 +5,8 @@
 	"os"
 
 	"github.com/BurntSushi/toml"
+
+	"claybarrow/internal/emulator"
 )
 
 // Plan describes a run; it is read from a TOML file. The suffix of a field's name gives its unit: S is seconds, MS
@@ -19,6 +21,7 @@
 	Teams   TeamPlan    `toml:"teams"`
 	Load    []LoadPlan  `toml:"load"`
 	Faults  []FaultPlan `toml:"faults"`
+	Copies  CopyPlan    `toml:"copies"`
 	Limits  LimitPlan   `toml:"limits"`
 }
 
@@ -130,6 +133,20 @@
 	Urgent       bool    `toml:"urgent"`
 }
 
+// CopyPlan sets late copies of direct requests to workers: after a request was executed and answered, it arrives again.
+type CopyPlan struct {
+	Share float64 `toml:"share"` // of the executed requests, from 0 to 1
+	Most  int     `toml:"most"`  // copies of one request
+	// A copy arrives from min_s to max_s after the answer.
+	MinS float64 `toml:"min_s"`
+	MaxS float64 `toml:"max_s"`
+}
+
+// settings returns the settings of the emulated fleet.
+func (c *CopyPlan) settings() emulator.CopySettings {
+	return emulator.CopySettings{Share: c.Share, MaxCopies: c.Most, MinDelay: seconds(c.MinS), MaxDelay: seconds(c.MaxS)}
+}
+
 // LimitPlan limits the resources that a run may use on its host: a share of the memory and a number of processes.
 type LimitPlan struct {
 	MemoryShare float64 `toml:"memory_share"`
--- a/internal/scalerun/result.go
+++ b/internal/scalerun/result.go
@@ -7,6 +7,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"claybarrow/internal/emulator"
 )
 
 // RegionResult holds the measurements of one region.
@@ -41,6 +43,8 @@
 	Upgrade            *UpgradeResult        `json:"upgrade,omitempty"`
 	Processes          map[string]ProcessUse `json:"processes"`
 	MaxEventDelayS     float64               `json:"stand_in_latest_s"`
+	Copies             emulator.CopyOutcomes `json:"copies"`
+	HeldExits          HeldExits             `json:"held_exits"`
 }
 
 // result returns the measurements of the measured phase. It must be called on the event loop.
@@ -56,6 +60,7 @@
 		StateRequestsPerS: perSecond(float64(stateStats.Requests - statsAtBegin.Requests)), StateChangesPerS: perSecond(float64(stateStats.Changes - statsAtBegin.Changes)),
 		StateBytesPerS: perSecond(float64(stateStats.Bytes - statsAtBegin.Bytes)), StateRateLimited: stateStats.RateLimited - statsAtBegin.RateLimited, StateConflicts: stateStats.Conflicts - statsAtBegin.Conflicts,
 		StateKeys: len(r.state.Keys()), Processes: m.processUse(measured), MaxEventDelayS: r.loop.maxDelay.Seconds()}
+	result.Copies, result.HeldExits = r.fleet.CopyOutcomes, m.heldExits.summary()
 	result.Ownership = r.ownership.totals()
 	result.Ownership.JobsOwnedTwice = r.jobsOwnedTwice
 	result.Ownership.SessionsExpired = expiredSessions(r.fleet)
@@ -110,6 +115,10 @@
 	fmt.Fprintf(b, "  accepted          %s\n", r.TimeToAccept)
 	fmt.Fprintf(b, "  heartbeats        %.0f/s, round trip %s, other than 200: %d\n", r.HeartbeatsPerS, r.HeartbeatRoundTrip, r.HeartbeatsFailed)
 	fmt.Fprintf(b, "  per worker        %.0f bytes/s\n", r.WorkerBytesPerS)
+	fmt.Fprintf(b, "  held exits        %.2f in a heartbeat, at most %d\n", r.HeldExits.Mean, r.HeldExits.Most)
+	if r.Copies != (emulator.CopyOutcomes{}) {
+		fmt.Fprintf(b, "  late copies       executed %d, refused by token %d, by epoch %d, lost %d\n", r.Copies.Executed, r.Copies.RefusedByToken, r.Copies.RefusedByEpoch, r.Copies.Lost)
+	}
 	fmt.Fprintf(b, "  state service     %.0f requests/s, %.0f changes/s, %.0f bytes/s, 429s %d, 409s %d, %d keys\n", r.StateRequestsPerS, r.StateChangesPerS, r.StateBytesPerS, r.StateRateLimited, r.StateConflicts, r.StateKeys)
 	fmt.Fprintf(b, "  leader changes    %d, time without a leader %s\n", r.LeaderChanges, r.LeaderGaps)
 	ownership := r.Ownership
--- a/internal/scalerun/soak.go
+++ b/internal/scalerun/soak.go
@@ -10,6 +10,8 @@
 	"path/filepath"
 	"strings"
 	"sync"
+
+	"claybarrow/internal/emulator"
 )
 
 // SoakSettings are the settings of a soak test.
@@ -28,6 +30,8 @@
 	LoadBalancer bool
 	// Features turns failure detection and the completion journal on or off by the seed.
 	Features bool
+	// Copies makes direct requests to workers arrive again, late, by the seed.
+	Copies bool
 }
 
 // Limits of the settings.
@@ -76,6 +80,7 @@
 	// Processes holds the measured use of each process, and MaxEventDelayS how late the emulation's events ran.
 	Processes      map[string]ProcessUse `json:"processes"`
 	MaxEventDelayS float64               `json:"stand_in_latest_s"`
+	Copies         emulator.CopyOutcomes `json:"copies"`
 	// Note says what of a run a seed determines.
 	Note string `json:"note"`
 }
@@ -92,7 +97,11 @@
 	case r.Error != "":
 		outcome = "ENDED " + r.Error
 	}
-	return fmt.Sprintf("seed %d: %s; %d faults, %d jobs, %d starts, %d leader changes", r.Seed, outcome, len(r.Faults), r.Jobs, r.Starts, r.LeaderChanges)
+	line := fmt.Sprintf("seed %d: %s; %d faults, %d jobs, %d starts, %d leader changes", r.Seed, outcome, len(r.Faults), r.Jobs, r.Starts, r.LeaderChanges)
+	if r.Copies == (emulator.CopyOutcomes{}) {
+		return line
+	}
+	return fmt.Sprintf("%s, copies executed %d, refused by token %d, by epoch %d", line, r.Copies.Executed, r.Copies.RefusedByToken, r.Copies.RefusedByEpoch)
 }
 
 // ErrSoakFailed is returned if a run of a soak test violated an invariant or ended early.
@@ -183,6 +192,9 @@
 	if s.Features {
 		command += " --features"
 	}
+	if s.Copies {
+		command += " --copies"
+	}
 	return command
 }
 
@@ -202,7 +214,7 @@
 	result, err := r.run(ctx)
 	if result != nil {
 		run.Jobs, run.LeaderChanges, run.Starts = r.clients.jobsSubmitted, result.LeaderChanges, result.Starts
-		run.Processes, run.MaxEventDelayS = result.Processes, result.MaxEventDelayS
+		run.Processes, run.MaxEventDelayS, run.Copies = result.Processes, result.MaxEventDelayS, result.Copies
 	}
 	if err != nil {
 		return err
--- a/internal/scalerun/soak_test.go
+++ b/internal/scalerun/soak_test.go
@@ -305,6 +305,38 @@
 	return settings.plan(1, 0)
 }
 
+func TestCopiesOfASeed(t *testing.T) {
+	settings := SoakSettings{Workers: minSoakWorkers, BasePort: 32000, Copies: true}
+	for seed := range uint64(200) {
+		plan := settings.plan(seed, 0)
+		plan.Run.DurationS = soakQuietS
+		if plan.Copies != settings.plan(seed, 0).Copies || plan.Copies.Most < 1 || plan.Copies.Most > soakMaxCopies {
+			t.Errorf("seed %d: copies %+v", seed, plan.Copies)
+		}
+		if err := plan.check(); err != nil {
+			t.Errorf("seed %d: %v", seed, err)
+		}
+	}
+	if settings.plan(1, 0).Copies == settings.plan(2, 0).Copies {
+		t.Error("two seeds have the same copies")
+	}
+}
+
+// A cut of the leader's commands concerns those under the tokens that it has reserved, too.
+func TestCutCommandsIncludeReservedTokens(t *testing.T) {
+	r := newRegion(soakTestPlan(t), 0, t.TempDir())
+	injector := newSoakInjector(r, nil, 1)
+	put := protocol.Encode(map[string]any{"apply": []map[string]any{
+		{"put": leaderKey, "data": map[string]any{"l": "controller-1", "n": 7}}, {"put": counterKey, "data": map[string]any{"n": 20}}}})
+	r.state.Serve(0, "POST", "/multi", put, func(int, []byte) {})
+	injector.cutCommands(time.Second)
+	for token, want := range map[uint64]bool{6: false, 7: true, 8: true, 20: true, 21: false} {
+		if got := injector.losesCommand(protocol.Encode(protocol.CommandRequest{Token: token})); got != want {
+			t.Errorf("token %d: command lost %t, want %t", token, got, want)
+		}
+	}
+}
+
 func TestFeaturesOfASeed(t *testing.T) {
 	settings := SoakSettings{Workers: minSoakWorkers, Share: 0.3, LoadBalancer: true, Features: true}
 	for seed, want := range []string{"", "membership", "end_journal", "membership,end_journal"} {
@@ -328,7 +360,7 @@
 func TestSoak(t *testing.T) {
 	program, dir := buildProgram(t), t.TempDir()
 	var out bytes.Buffer
-	settings := &SoakSettings{Program: program, Seed: 1, Seeds: 2, Parallel: 2, Workers: minSoakWorkers, BasePort: 32000, Dir: dir}
+	settings := &SoakSettings{Program: program, Seed: 1, Seeds: 2, Parallel: 2, Workers: minSoakWorkers, BasePort: 32000, Dir: dir, Copies: true}
 	if err := Soak(context.Background(), settings, &out); err != nil {
 		t.Errorf("%v\n%s", err, out.String())
 	}
--- a/internal/scalerun/soakfaults.go
+++ b/internal/scalerun/soakfaults.go
@@ -30,7 +30,7 @@
 	// Shares of messages that are affected now.
 	lateWrites, lostAnswers, lateHeartbeats, lateCommands, cancelsAtEnd float64
 	stateLatency                                                        time.Duration
-	// cutTokens counts the cuts in force of the direct requests with a fencing token.
+	// cutTokens counts the cuts in force of a leader's direct requests, by the token of its election.
 	cutTokens map[uint64]int
 	// applied counts the faults that are in force on each link, so that overlapping ones end independently.
 	applied map[*link][]linkState
@@ -274,7 +274,10 @@
 // losesCommand reports whether a direct request is lost because its sender's are cut.
 func (s *soakInjector) losesCommand(body []byte) bool {
 	var request protocol.CommandRequest
-	return len(body) > 0 && protocol.Decode(body, &request) == nil && s.cutTokens[request.Token] > 0
+	if len(body) == 0 || protocol.Decode(body, &request) != nil {
+		return false
+	}
+	return s.cutTokens[s.region.leader.electedToken(request.Token)] > 0
 }
 
 // happens draws whether a message is affected by a share.
--- a/internal/scalerun/soakplan.go
+++ b/internal/scalerun/soakplan.go
@@ -1,5 +1,7 @@
 package scalerun
 
+import "math/rand/v2"
+
 // Times of a soak run, in seconds.
 const (
 	soakWarmupS = 8
@@ -20,6 +22,9 @@
 		p.Control.Cores, p.Control.HoldCores = s.Share, true
 	}
 	p.Control.LoadBalancer = s.LoadBalancer
+	if s.Copies {
+		p.Copies = soakCopies(seed)
+	}
 	p.Workers = WorkerPlan{ReportS: 1, LeaseS: 10, CancelS: 25, GangWaitS: 10, GangPeerS: 3}
 	p.Cloud = CloudPlan{RPS: 12, ListLagS: 2}
 	scale := float64(s.Workers)
@@ -34,6 +39,23 @@
 	return &p
 }
 
+// Bounds of the late copies of direct requests, of which the seed draws.
+const (
+	soakMaxCopies     = 4
+	soakMinCopyDelayS = 0.2
+	soakMaxCopyDelayS = 60.0
+)
+
+// soakCopies returns the late copies of a seed.
+func soakCopies(seed uint64) CopyPlan {
+	random := rand.New(rand.NewPCG(seed, copyStream))
+	return CopyPlan{Share: random.Float64(), Most: 1 + random.IntN(soakMaxCopies), MinS: soakMinCopyDelayS,
+		MaxS: soakMinCopyDelayS + random.Float64()*(soakMaxCopyDelayS-soakMinCopyDelayS)}
+}
+
+// copyStream separates the random numbers of the copies from those of the schedule.
+const copyStream = soakStream + 2
+
 // features returns the operators' settings that a seed turns on: of four seeds in a row one has none, one failure
 // detection, one the completion journal and one both.
 func (s *SoakSettings) features(seed uint64) string {
