--- a/internal/controller/random_failures_test.go
+++ b/internal/controller/random_failures_test.go
@@ -4,28 +4,47 @@
 	"fmt"
 	"testing"
 	"time"
+
+	"claybarrow/internal/emulator"
 )
 
 // TestCompoundFailuresAtRandom injects random combinations of two or three faults, one combination per fixed seed.
 func TestCompoundFailuresAtRandom(t *testing.T) {
+	for seed := range uint64(24) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { newWorld(t, 5000+seed).playRandomFailures() })
+	}
+}
+
+// TestCompoundFailuresAtRandomWithLateCopies does the same while direct calls that were executed and answered arrive again.
+func TestCompoundFailuresAtRandomWithLateCopies(t *testing.T) {
 	for seed := range uint64(24) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			w := newWorld(t, 5000+seed)
-			faults := w.injectNetworkFaults()
-			w.initialJobs()
-			for range 2 + w.rng.IntN(2) {
-				w.injectRandomFault(faults, w.randomMilliseconds(8000, 60_000))
-				w.run(w.randomMilliseconds(0, 6000))
+			w := newWorld(t, 5100+seed)
+			w.machines.Copies = emulator.CopySettings{Share: w.rng.Float64(), MaxCopies: 1 + w.rng.IntN(4),
+				MinDelay: w.randomMilliseconds(100, 1000), MaxDelay: w.randomMilliseconds(1000, 120_000)}
+			w.playRandomFailures()
+			if w.machines.CopyOutcomes == (emulator.CopyOutcomes{}) {
+				t.Error("no copy has arrived: the test checks nothing")
 			}
-			w.cancelJobs([]string{"j-s1", "j-s2", "j-b1", "j-b22"}[w.rng.IntN(4)])
-			w.submit("j-n1", map[string]any{"shards": 2, "cores": 2.0})
-			w.submit("j-n2", map[string]any{"shape": "group", "shards": 3, "cores": 1.0, "apart": w.rng.IntN(2) == 0})
-			w.run(w.randomMilliseconds(5000, 60_000))
-			w.settle()
 		})
 	}
 }
 
+// playRandomFailures plays jobs of all kinds under a random combination of two or three faults.
+func (w *world) playRandomFailures() {
+	faults := w.injectNetworkFaults()
+	w.initialJobs()
+	for range 2 + w.rng.IntN(2) {
+		w.injectRandomFault(faults, w.randomMilliseconds(8000, 60_000))
+		w.run(w.randomMilliseconds(0, 6000))
+	}
+	w.cancelJobs([]string{"j-s1", "j-s2", "j-b1", "j-b22"}[w.rng.IntN(4)])
+	w.submit("j-n1", map[string]any{"shards": 2, "cores": 2.0})
+	w.submit("j-n2", map[string]any{"shape": "group", "shards": 3, "cores": 1.0, "apart": w.rng.IntN(2) == 0})
+	w.run(w.randomMilliseconds(5000, 60_000))
+	w.settle()
+}
+
 // injectRandomFault starts a random fault that ends after the given duration.
 func (w *world) injectRandomFault(faults *networkFaults, lasts time.Duration) {
 	node := w.leaderOrFirst()
--- a/internal/scalerun/soakplan.go
+++ b/internal/scalerun/soakplan.go
@@ -30,6 +30,9 @@
 	scale := float64(s.Workers)
 	p.Teams = TeamPlan{Count: minTeams, Cores: scale, CoresMax: 4 * scale, Accelerators: scale / 8, AcceleratorsMax: scale / 2, UrgentWithinS: 4.5, UrgentStartShare: 0.95}
 	rate := scale / soakWorkersPerStart
+	if growth := scale / soakWorkersOfDefaultState; growth > 1 {
+		p.State.RPS, p.State.WriteRPS = p.State.RPS*growth, p.State.WriteRPS*growth
+	}
 	p.Load = []LoadPlan{
 		{Name: "single", Shape: "batch", Priority: "normal", StartsPerS: rate, Tasks: 1, RunS: 6, Cores: 2, MemoryGB: 3, Images: 4, ImageGB: 0.4, Cancelled: 0.2},
 		{Name: "array", Shape: "batch", Priority: "normal", StartsPerS: rate, Tasks: 6, RunS: 10, Cores: 2, MemoryGB: 3, Images: 4, ImageGB: 0.4, Cancelled: 0.1},
@@ -70,5 +73,8 @@
 	return text
 }
 
+// soakWorkersOfDefaultState is the number of workers up to which the default limits of the state service carry the load.
+const soakWorkersOfDefaultState = 1_000
+
 // soakWorkersPerStart is the number of workers for each task start a second of a class.
 const soakWorkersPerStart = 40
