--- a/internal/controller/random_failures_test.go
+++ b/internal/controller/random_failures_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"testing"
 	"time"
 
@@ -30,6 +31,24 @@
 	}
 }
 
+// TestCompoundFailuresAtRandomWithCopiesOfCalls does the same while calls to the state service, the cloud and the other controllers
+// arrive again: transactions, grants, renewals and ends of leases, launches, deletions, relays, heartbeats and forwarded ones.
+func TestCompoundFailuresAtRandomWithCopiesOfCalls(t *testing.T) {
+	for seed := range uint64(24) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			w := newWorld(t, 5200+seed)
+			share, longest := w.rng.Float64(), 1000+w.rng.IntN(60_000)
+			w.copyDelay = func(c Call) time.Duration {
+				if c.Method == http.MethodGet || w.rng.Float64() >= share {
+					return 0
+				}
+				return w.randomMilliseconds(1, longest)
+			}
+			w.playRandomFailures()
+		})
+	}
+}
+
 // playRandomFailures plays jobs of all kinds under a random combination of two or three faults.
 func (w *world) playRandomFailures() {
 	faults := w.injectNetworkFaults()
--- a/internal/controller/world_test.go
+++ b/internal/controller/world_test.go
@@ -57,6 +57,9 @@
 	checker
 	// callFault returns the fault to inject into a call from a node; nil: no faults.
 	callFault func(node int, c Call) deliveryFault
+	// copyDelay returns the delay after which a copy of a node's call, whose answer is dropped, reaches the call's target; 0: no
+	// copy is sent. Copies of direct calls to workers are injected by emulator.Fleet.Copies; nil: no copies.
+	copyDelay func(c Call) time.Duration
 	// heartbeatFault returns the fault to inject into a worker's heartbeat to a node; nil: no faults.
 	heartbeatFault func(w *emulator.Worker, node int) deliveryFault
 	// runTime returns the run time of a task.
@@ -314,6 +317,12 @@
 		}
 		w.serve(i, c, reply)
 	})
+	if w.copyDelay == nil || c.Target == ToWorker {
+		return
+	}
+	if delay := w.copyDelay(c); delay > 0 {
+		w.after(latency+f.delay+delay, func() { w.serve(i, c, func(int, []byte) {}) })
+	}
 }
 
 // serve passes a node's call to its target, which answers through reply.
