--- a/internal/controller/agent_restart_test.go
+++ b/internal/controller/agent_restart_test.go
@@ -35,7 +35,7 @@
 	w := newWorld(t, 69)
 	w.awaitLeader()
 	w.submit("j-1", map[string]any{"shape": "service", "shards": 2, "apart": true})
-	machine := w.awaitRunning("j-1")
+	machine := w.awaitRunning()
 	w.until(90*second, "both replicas run", func() bool { return w.running("j-1") == 2 })
 	w.run(5 * second)
 	machine.InjectRestart()
--- a/internal/controller/late_copies_test.go
+++ b/internal/controller/late_copies_test.go
@@ -55,13 +55,13 @@
 	{"refused", endByRefusal, 1},
 }
 
-// awaitRunning waits until a task of the job runs, and returns its machine.
-func (w *world) awaitRunning(uid string) *emulator.Worker {
+// awaitRunning waits until a task of j-1 runs, and returns its machine.
+func (w *world) awaitRunning() *emulator.Worker {
 	w.t.Helper()
-	w.until(90*second, "a task of "+uid+" runs", func() bool { return w.running(uid) > 0 })
+	w.until(90*second, "a task of j-1 runs", func() bool { return w.running("j-1") > 0 })
 	for _, worker := range w.workers() {
 		for _, t := range worker.Tasks {
-			if t.UID == uid && t.State == protocol.TaskRunning {
+			if t.UID == "j-1" && t.State == protocol.TaskRunning {
 				return worker
 			}
 		}
@@ -85,7 +85,7 @@
 
 func endByMove(w *world) *emulator.Worker {
 	w.submit("j-1", map[string]any{"shape": "service"})
-	machine := w.awaitRunning("j-1")
+	machine := w.awaitRunning()
 	for _, a := range w.leadership().state.Machines[machine.ID].SortedAttempts() {
 		a.StopRequested = a.Job.Spec.UID == "j-1" // the next tick sends the stop
 	}
@@ -95,7 +95,7 @@
 
 func endByCancellation(w *world) *emulator.Worker {
 	w.submit("j-1", map[string]any{"shape": "service"})
-	machine := w.awaitRunning("j-1")
+	machine := w.awaitRunning()
 	w.cancel("j-1")
 	w.awaitStatus(20*second, "j-1", protocol.JobCancelled)
 	return machine
@@ -104,7 +104,7 @@
 func endByCompletion(w *world) *emulator.Worker {
 	w.runTime = func(string) time.Duration { return 5 * second }
 	w.submit("j-1", nil)
-	machine := w.awaitRunning("j-1")
+	machine := w.awaitRunning()
 	w.awaitStatus(20*second, "j-1", protocol.JobDone)
 	return machine
 }
